--- /dev/null
+++ b/src/main/java/io/embernotch/app/Main.java
@@ -0,0 +1,60 @@
+package io.embernotch.app;
+
+import io.embernotch.settings.SettingsException;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.IVersionProvider;
+
+/** The program: wiring only. */
+@Command(
+    name = "embernotch",
+    description = "A cluster scheduler: accepts jobs, rents machines and places tasks.",
+    mixinStandardHelpOptions = true,
+    versionProvider = Main.Version.class,
+    subcommands = {
+      ServeCommand.class,
+      CheckCommand.class,
+      SubmitCommand.class,
+      StatusCommand.class,
+      CancelCommand.class,
+      OverviewCommand.class
+    })
+public final class Main implements Runnable {
+  @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
+
+  private Main() {}
+
+  public static void main(String[] args) {
+    int code = run(args);
+    if (code != ServeCommand.KEEP_RUNNING) {
+      System.exit(code);
+    }
+  }
+
+  /** Runs a command line and returns its exit code. */
+  public static int run(String... args) {
+    CommandLine line = new CommandLine(new Main());
+    line.setExecutionExceptionHandler(
+        (e, cmd, parsed) -> {
+          if (e instanceof SettingsException) {
+            cmd.getErr().println("embernotch: " + e.getMessage());
+            return CommandLine.ExitCode.USAGE;
+          }
+          throw e;
+        });
+    return line.execute(args);
+  }
+
+  @Override
+  public void run() {
+    throw new CommandLine.ParameterException(spec.commandLine(), "Missing command");
+  }
+
+  static final class Version implements IVersionProvider {
+    @Override
+    public String[] getVersion() {
+      String v = Main.class.getPackage().getImplementationVersion();
+      return new String[] {"embernotch " + (v == null ? "(not packaged)" : v)};
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/embernotch/app/Server.java
@@ -0,0 +1,72 @@
+package io.embernotch.app;
+
+import io.embernotch.actor.SystemClock;
+import io.embernotch.actor.VertxTimers;
+import io.embernotch.cloud.CloudClient;
+import io.embernotch.http.HttpFront;
+import io.embernotch.http.VertxCaller;
+import io.embernotch.peer.VertxPeerLink;
+import io.embernotch.settings.OperatorSettings;
+import io.embernotch.settings.Settings;
+import io.embernotch.steward.Controller;
+import io.embernotch.steward.Env;
+import io.embernotch.store.StoreClient;
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.file.FileSystemOptions;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Puts a controller together on one event loop. */
+final class Server {
+  private static final Logger LOG = LoggerFactory.getLogger(Server.class);
+
+  private Server() {}
+
+  static void start(Settings settings, OperatorSettings operator) {
+    VertxOptions options = new VertxOptions();
+    options.setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1);
+    // A process with a share of a core is late now and then; that is no reason for a stack trace.
+    options.setBlockedThreadCheckInterval(60_000);
+    options.setFileSystemOptions(
+        new FileSystemOptions().setClassPathResolvingEnabled(false).setFileCachingEnabled(false));
+    Vertx vertx = Vertx.vertx(options);
+    Context loop = vertx.getOrCreateContext();
+    loop.runOnContext(v -> wire(vertx, loop, settings, operator));
+  }
+
+  private static void wire(Vertx vertx, Context loop, Settings settings, OperatorSettings operator) {
+    SystemClock clock = new SystemClock();
+    VertxTimers timers = new VertxTimers(vertx, loop);
+    double report = settings.workers().reportS();
+    VertxCaller store = new VertxCaller(vertx, timers, 8, report / 3);
+    VertxCaller cloud = new VertxCaller(vertx, timers, 4, report / 3);
+    VertxCaller workers = new VertxCaller(vertx, timers, 1, report / 3);
+    VertxPeerLink peers = new VertxPeerLink(vertx, timers, settings);
+    Env env =
+        new Env(
+            settings,
+            operator,
+            clock,
+            timers,
+            task -> loop.runOnContext(v -> task.run()),
+            new StoreClient(store, clock, timers, settings),
+            new CloudClient(cloud, clock, timers, settings),
+            workers);
+    Controller controller = new Controller(env, peers);
+    new HttpFront(controller)
+        .listen(vertx, settings.clientListen())
+        .compose(v -> peers.start(vertx, settings.back()))
+        .onSuccess(
+            v -> {
+              LOG.info("{} listens on {} and {}", settings.node(), settings.clientListen(), settings.back());
+              controller.start();
+            })
+        .onFailure(
+            e -> {
+              System.err.println("embernotch: cannot listen: " + e.getMessage());
+              System.exit(1);
+            });
+  }
+}
--- /dev/null
+++ b/src/main/java/io/embernotch/cloud/CloudClient.java
@@ -0,0 +1,100 @@
+package io.embernotch.cloud;
+
+import io.embernotch.actor.Clock;
+import io.embernotch.actor.Timers;
+import io.embernotch.codec.CloudCodec;
+import io.embernotch.codec.CloudCodec.Listed;
+import io.embernotch.http.Caller;
+import io.embernotch.http.Reply;
+import io.embernotch.model.MachineType;
+import io.embernotch.settings.Settings;
+import io.embernotch.store.Pacer;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import java.util.ArrayList;
+import java.util.List;
+
+/** The cloud, paced under its limit. A failed future means that it is not known what was done. */
+public final class CloudClient {
+  /** Most machines that one request may rent, and most names that one may delete. */
+  public static final int MAX_RENT = 50;
+
+  public static final int MAX_DELETE = 100;
+  private static final int PAGE = 500;
+
+  /** The answer to a rental request: {@code refused} means that no capacity is left. */
+  public record Rented(boolean refused, List<String> machines) {}
+
+  private final Caller caller;
+  private final Settings settings;
+  private final Pacer pacer;
+  private final double timeoutS;
+
+  public CloudClient(Caller caller, Clock clock, Timers timers, Settings settings) {
+    this.caller = caller;
+    this.settings = settings;
+    this.pacer = new Pacer(clock, timers, settings.cloudLimits().rps() * 0.8, 1);
+    this.timeoutS = settings.workers().reportS();
+  }
+
+  public Future<List<MachineType>> types() {
+    return send("GET", "/machine_types", null, false)
+        .compose(r -> r.status() == 200 ? read(() -> CloudCodec.types(r.json())) : odd(r));
+  }
+
+  public Future<Rented> rent(String booking, String type, String zone, boolean spot, int number) {
+    return send("POST", "/machines", CloudCodec.rent(booking, type, zone, spot, number), false)
+        .compose(
+            r -> {
+              if (r.status() == 200) {
+                return read(() -> new Rented(false, CloudCodec.rented(r.json())));
+              }
+              // "trouble" is an outage and says nothing of capacity.
+              boolean full = r.status() == 503 && new String(r.body()).contains("capacity");
+              return full ? Future.succeededFuture(new Rented(true, List.of())) : odd(r);
+            });
+  }
+
+  public Future<Void> delete(List<String> names) {
+    return send("POST", "/machines/delete", CloudCodec.delete(names), true)
+        .compose(r -> r.status() == 200 ? Future.succeededFuture() : odd(r));
+  }
+
+  public Future<List<Listed>> list() {
+    return listFrom(null, new ArrayList<>());
+  }
+
+  private Future<List<Listed>> listFrom(String after, List<Listed> sofar) {
+    String path = "/machines?" + (after == null ? "" : "after=" + after + "&") + "page=" + PAGE;
+    return send("GET", path, null, false)
+        .compose(r -> r.status() == 200 ? read(() -> CloudCodec.page(r.json())) : odd(r))
+        .compose(
+            page -> {
+              sofar.addAll(page.machines());
+              boolean more = page.more() && !page.machines().isEmpty();
+              return more ? listFrom(sofar.get(sofar.size() - 1).name(), sofar) : Future.succeededFuture(sofar);
+            });
+  }
+
+  private Future<Reply> send(String method, String path, byte[] body, boolean urgent) {
+    Promise<Reply> promise = Promise.promise();
+    pacer.pass(1, urgent, () -> caller.call(method, settings.cloud(), path, body, timeoutS).onComplete(promise));
+    return promise.future();
+  }
+
+  private interface Reader<T> {
+    T read();
+  }
+
+  private static <T> Future<T> read(Reader<T> reader) {
+    try {
+      return Future.succeededFuture(reader.read());
+    } catch (RuntimeException e) {
+      return Future.failedFuture("unreadable answer: " + e.getMessage());
+    }
+  }
+
+  private static <T> Future<T> odd(Reply r) {
+    return Future.failedFuture("answer " + r.status() + " " + new String(r.body()));
+  }
+}
--- /dev/null
+++ b/src/main/java/io/embernotch/codec/JobCodec.java
@@ -0,0 +1,163 @@
+package io.embernotch.codec;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.embernotch.model.JobSpec;
+import io.embernotch.model.Phase;
+import io.embernotch.model.Priority;
+import io.embernotch.model.Shape;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Pattern;
+
+/** Jobs as users write them, and the answers users get. */
+public final class JobCodec {
+  public static final int MAX_TASKS = 100_000;
+  private static final Pattern REF = Pattern.compile("j-[0-9A-Za-z_-]{1,64}");
+
+  private JobCodec() {}
+
+  public static boolean isRef(String text) {
+    return REF.matcher(text).matches();
+  }
+
+  public static JobSpec read(JsonNode o) {
+    String ref = Json.text(o, "ref");
+    if (!isRef(ref)) {
+      throw new BadInput("ref: not a job id");
+    }
+    long tasks = Json.whole(o, "shards");
+    if (tasks < 1 || tasks > MAX_TASKS) {
+      throw new BadInput("shards: must be between 1 and " + MAX_TASKS);
+    }
+    JsonNode due = Json.opt(o, "due_s");
+    return new JobSpec(
+        ref,
+        name(o, "jobclass"),
+        name(o, "owner"),
+        shape(Json.text(o, "shape")),
+        priority(Json.text(o, "rank")),
+        (int) tasks,
+        Json.amount(o, "cores"),
+        Json.amount(o, "cards"),
+        Json.amount(o, "mem_gb"),
+        name(o, "bundle"),
+        Json.amount(o, "size_gb"),
+        types(Json.opt(o, "flavors")),
+        Json.opt(o, "room") == null ? null : name(o, "room"),
+        Json.flag(o, "one_zone"),
+        Json.flag(o, "scatter"),
+        Json.flag(o, "loaner"),
+        Json.amount(o, "expect_s"),
+        Json.amount(o, "snapshot_s"),
+        Json.amount(o, "flush_s"),
+        due == null ? null : Json.amount(o, "due_s"));
+  }
+
+  public static ObjectNode write(JobSpec j) {
+    ObjectNode o = Json.object();
+    o.put("ref", j.ref());
+    o.put("jobclass", j.jobClass());
+    o.put("owner", j.team());
+    o.put("shape", switch (j.shape()) {
+      case ARRAY -> "array";
+      case GANG -> "group";
+      case SERVICE -> "standing";
+    });
+    o.put("rank", switch (j.priority()) {
+      case LOW -> "idle";
+      case NORMAL -> "standard";
+      case HIGH -> "high";
+      case PRODUCTION -> "production";
+    });
+    o.put("shards", j.tasks());
+    o.put("cores", j.cpus());
+    o.put("cards", j.gpus());
+    o.put("mem_gb", j.memGb());
+    o.put("bundle", j.image());
+    o.put("size_gb", j.imageGb());
+    if (j.types() != null) {
+      ArrayNode types = o.putArray("flavors");
+      j.types().forEach(types::add);
+    }
+    if (j.zone() != null) {
+      o.put("room", j.zone());
+    }
+    o.put("one_zone", j.oneZone());
+    o.put("scatter", j.spread());
+    o.put("loaner", j.spot());
+    o.put("expect_s", j.expectS());
+    o.put("snapshot_s", j.checkpointS());
+    o.put("flush_s", j.saveS());
+    if (j.dueS() != null) {
+      o.put("due_s", j.dueS());
+    }
+    return o;
+  }
+
+  public static String phase(Phase p) {
+    return switch (p) {
+      case QUEUED -> "queued";
+      case RUNNING -> "running";
+      case DONE -> "done";
+      case CANCELLED -> "cancelled";
+    };
+  }
+
+  /** What a poll is answered. */
+  public static byte[] status(String ref, Phase phase, int done, int running) {
+    return ("{\"ref\":\"" + ref + "\",\"phase\":\"" + phase(phase) + "\",\"done\":" + done + ",\"running\":" + running + "}")
+        .getBytes(StandardCharsets.UTF_8);
+  }
+
+  /** What a submission or an abort is answered. */
+  public static byte[] brief(String ref, Phase phase) {
+    return ("{\"ref\":\"" + ref + "\",\"phase\":\"" + phase(phase) + "\"}").getBytes(StandardCharsets.UTF_8);
+  }
+
+  private static String name(JsonNode o, String field) {
+    String s = Json.text(o, field);
+    if (s.isEmpty() || s.length() > 500) {
+      throw new BadInput(field + ": must have 1 to 500 characters");
+    }
+    return s;
+  }
+
+  private static List<String> types(JsonNode n) {
+    if (n == null) {
+      return null;
+    }
+    if (!n.isArray() || n.isEmpty()) {
+      throw new BadInput("flavors: must be null or an array of names");
+    }
+    List<String> out = new ArrayList<>();
+    for (JsonNode t : n) {
+      if (!t.isTextual()) {
+        throw new BadInput("flavors: must be null or an array of names");
+      }
+      out.add(t.textValue());
+    }
+    return List.copyOf(out);
+  }
+
+  private static Shape shape(String s) {
+    return switch (s) {
+      case "array" -> Shape.ARRAY;
+      case "group" -> Shape.GANG;
+      case "standing" -> Shape.SERVICE;
+      default -> throw new BadInput("shape: must be array, group or standing");
+    };
+  }
+
+  private static Priority priority(String s) {
+    return switch (s) {
+      case "idle" -> Priority.LOW;
+      case "standard" -> Priority.NORMAL;
+      case "high" -> Priority.HIGH;
+      case "production" -> Priority.PRODUCTION;
+      default -> throw new BadInput("rank: must be production, high, standard or idle");
+    };
+  }
+}
--- /dev/null
+++ b/src/main/java/io/embernotch/codec/RunCodec.java
@@ -0,0 +1,124 @@
+package io.embernotch.codec;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.embernotch.model.Attempt;
+import io.embernotch.model.Job;
+import io.embernotch.model.Phase;
+import java.util.Base64;
+import java.util.BitSet;
+
+/**
+ * Progress of jobs as the state service keeps it. {@code job/REF} is the submission and never
+ * changes. {@code run/REF} holds the end of the job, if any, and the first tasks' progress; {@code
+ * run/REF/K} holds that of the K-th further piece of tasks. Pieces keep every value within the
+ * store's limit, however many tasks a job has.
+ */
+public final class RunCodec {
+  public static final String JOB = "job/";
+  public static final String RUN = "run/";
+
+  /** A done mark and an open attempt take at most this many bytes a task. */
+  private static final int BYTES_PER_TASK = 96;
+
+  private RunCodec() {}
+
+  /** Tasks in a piece when values may have {@code valueKb} KiB. */
+  public static int piece(double valueKb) {
+    return Math.max(1, (int) (valueKb * 1024 / BYTES_PER_TASK));
+  }
+
+  public static ObjectNode writeJob(Job job, int piece) {
+    ObjectNode o = Json.object();
+    o.put("at", job.submittedMs);
+    o.put("piece", piece);
+    o.set("job", JobCodec.write(job.spec));
+    return o;
+  }
+
+  public static Job readJob(JsonNode o) {
+    return new Job(JobCodec.read(Json.need(o, "job")), Json.whole(o, "at"));
+  }
+
+  public static int readPiece(JsonNode o) {
+    return (int) Math.max(1, Json.whole(o, "piece"));
+  }
+
+  public static String key(String ref, int piece) {
+    return piece == 0 ? RUN + ref : RUN + ref + "/" + piece;
+  }
+
+  public static ObjectNode writeRun(Job job, int pieceSize, int piece) {
+    ObjectNode o = Json.object();
+    if (piece == 0) {
+      o.put("next", job.nextAttempt);
+      if (job.end != null) {
+        o.put("end", JobCodec.phase(job.end));
+      }
+    }
+    int from = piece * pieceSize;
+    int to = Math.min(job.spec.tasks(), from + pieceSize);
+    if (job.end != Phase.DONE) {
+      BitSet part = job.done.get(from, to);
+      if (!part.isEmpty()) {
+        o.put("done", Base64.getEncoder().encodeToString(part.toByteArray()));
+      }
+    }
+    ArrayNode open = null;
+    for (Attempt a : job.open.values()) {
+      if (a.task >= from && a.task < to) {
+        if (open == null) {
+          open = o.putArray("open");
+        }
+        ArrayNode entry = open.addArray().add(a.task).add(a.number).add(a.machine).add(a.zone);
+        String wish = job.wishes.get(a.task);
+        if (wish != null) {
+          entry.add(wish);
+        }
+      }
+    }
+    return o;
+  }
+
+  /** Reads the end of a job from its first piece; null while it has none. */
+  public static Phase readEnd(JsonNode o) {
+    JsonNode end = Json.opt(o, "end");
+    if (end == null) {
+      return null;
+    }
+    return switch (end.asText()) {
+      case "done" -> Phase.DONE;
+      case "cancelled" -> Phase.CANCELLED;
+      default -> throw new BadInput("end: unknown: " + end.asText());
+    };
+  }
+
+  /** Adds what a piece says to {@code job}. */
+  public static void readRun(JsonNode o, Job job, int pieceSize, int piece) {
+    if (piece == 0) {
+      job.nextAttempt = Json.whole(o, "next");
+      job.end = readEnd(o);
+    }
+    JsonNode done = Json.opt(o, "done");
+    if (done != null) {
+      BitSet part = BitSet.valueOf(Base64.getDecoder().decode(done.asText()));
+      part.stream().forEach(i -> job.done.set(piece * pieceSize + i));
+    }
+    JsonNode open = Json.opt(o, "open");
+    if (open != null) {
+      for (JsonNode a : open) {
+        Attempt attempt =
+            new Attempt(job, a.get(0).asInt(), a.get(1).asLong(), a.get(2).asText(), a.get(3).asText(), 0);
+        attempt.start = Attempt.Start.UNSURE;
+        job.open.put(attempt.task, attempt);
+        if (a.size() > 4) {
+          job.wishes.put(attempt.task, a.get(4).asText());
+        }
+      }
+    }
+    if (job.end == Phase.DONE) {
+      job.done.set(0, job.spec.tasks());
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/embernotch/codec/WorkerCodec.java
@@ -0,0 +1,118 @@
+package io.embernotch.codec;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.embernotch.model.Cause;
+import io.embernotch.model.Order;
+import io.embernotch.model.TaskReport;
+import io.embernotch.model.TaskState;
+import io.embernotch.model.WorkerReport;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Reports of workers and the orders they get. */
+public final class WorkerCodec {
+  private WorkerCodec() {}
+
+  public static WorkerReport read(byte[] body) {
+    ObjectNode o = Json.parseObject(body);
+    JsonNode tasks = Json.opt(o, "shards");
+    List<TaskReport> list = new ArrayList<>();
+    if (tasks != null) {
+      if (!tasks.isArray()) {
+        throw new BadInput("shards: must be an array");
+      }
+      for (JsonNode t : tasks) {
+        list.add(task(t));
+      }
+    }
+    JsonNode recall = Json.opt(o, "recall_s");
+    return new WorkerReport(
+        Json.text(o, "hearth"),
+        Json.text(o, "address"),
+        Json.text(o, "flavor"),
+        Json.text(o, "room"),
+        Json.flagOr(o, "loaner", false),
+        Json.whole(o, "tenure"),
+        Json.whole(o, "tick"),
+        Json.whole(o, "baton"),
+        recall == null ? null : Math.max(0, recall.asDouble()),
+        list);
+  }
+
+  private static TaskReport task(JsonNode t) {
+    String name = Json.text(t, "shard");
+    int slash = name.lastIndexOf('/');
+    int index;
+    try {
+      index = Integer.parseInt(name.substring(slash + 1));
+    } catch (NumberFormatException e) {
+      throw new BadInput("shard: not JOB/NUMBER: " + name);
+    }
+    if (slash <= 0 || index < 0) {
+      throw new BadInput("shard: not JOB/NUMBER: " + name);
+    }
+    TaskState state = state(Json.text(t, "phase"));
+    JsonNode cause = Json.opt(t, "cause");
+    return new TaskReport(
+        name.substring(0, slash),
+        index,
+        Json.whole(t, "try"),
+        state,
+        state == TaskState.EXITED ? cause(cause == null ? "" : cause.asText()) : null,
+        Json.flagOr(t, "stored", false));
+  }
+
+  private static TaskState state(String s) {
+    return switch (s) {
+      case "fetching" -> TaskState.FETCHING;
+      case "gathering" -> TaskState.WAITING;
+      case "running" -> TaskState.RUNNING;
+      case "saving" -> TaskState.SAVING;
+      case "exited" -> TaskState.EXITED;
+      default -> throw new BadInput("phase: unknown: " + s);
+    };
+  }
+
+  private static Cause cause(String s) {
+    return switch (s) {
+      case "done" -> Cause.DONE;
+      case "halted" -> Cause.STOPPED;
+      case "peers" -> Cause.PEERS;
+      case "alone" -> Cause.ALONE;
+      case "no_room" -> Cause.NO_ROOM;
+      case "in_use" -> Cause.BUSY;
+      case "unknown" -> Cause.UNKNOWN;
+      default -> Cause.ERROR;
+    };
+  }
+
+  /** The answer to a report. */
+  public static byte[] response(long token, List<Order> orders) {
+    return Json.bytes(orders(Json.object().put("baton", token), orders));
+  }
+
+  /** A direct command. */
+  public static byte[] direct(long token, long session, List<Order> orders) {
+    return Json.bytes(orders(Json.object().put("baton", token).put("tenure", session), orders));
+  }
+
+  private static ObjectNode orders(ObjectNode o, List<Order> orders) {
+    ArrayNode list = o.putArray("orders");
+    for (Order order : orders) {
+      ObjectNode n = list.addObject();
+      n.put("verb", switch (order.verb()) {
+        case START -> "run";
+        case STOP -> "stop";
+        case FORGET -> "reap";
+      });
+      n.put("shard", order.ref() + "/" + order.task());
+      n.put("try", order.attempt());
+      if (order.verb() == Order.Verb.STOP) {
+        n.put("linger_s", order.graceS());
+      }
+    }
+    return o;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/embernotch/http/VertxCaller.java
@@ -0,0 +1,99 @@
+package io.embernotch.http;
+
+import io.embernotch.actor.Timers;
+import io.embernotch.settings.HostPort;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+
+/** Calls over Vert.x's client, each with a time limit of its own. */
+public final class VertxCaller implements Caller {
+  private final HttpClient client;
+  private final Timers timers;
+
+  public VertxCaller(Vertx vertx, Timers timers, int connectionsPerHost, double connectS) {
+    this.timers = timers;
+    HttpClientOptions options = new HttpClientOptions();
+    options.setConnectTimeout((int) Math.max(1, connectS * 1000));
+    options.setTcpNoDelay(true);
+    options.setKeepAliveTimeout(3600);
+    this.client = vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(connectionsPerHost));
+  }
+
+  @Override
+  public Future<Reply> call(String method, HostPort to, String path, byte[] body, double timeoutS) {
+    Call call = new Call();
+    call.cancelTimer = timers.after(timeoutS, call::timeOut);
+    RequestOptions options =
+        new RequestOptions()
+            .setMethod(HttpMethod.valueOf(method))
+            .setHost(to.host())
+            .setPort(to.port())
+            .setURI(path);
+    client
+        .request(options)
+        .onFailure(e -> call.fail(e.getMessage()))
+        .onSuccess(request -> call.send(request, body));
+    return call.promise.future();
+  }
+
+  /** One call under way; the first of answer, failure and time limit settles it. */
+  private static final class Call {
+    final Promise<Reply> promise = Promise.promise();
+    Runnable cancelTimer;
+    HttpClientRequest request;
+    boolean settled;
+
+    void send(HttpClientRequest req, byte[] body) {
+      if (settled) {
+        // Given up while it waited for a connection: nothing has left yet, and nothing may.
+        req.reset();
+        return;
+      }
+      request = req;
+      req.exceptionHandler(e -> fail(e.getMessage()));
+      if (body != null) {
+        req.putHeader("content-type", "application/json");
+      }
+      Future<io.vertx.core.http.HttpClientResponse> response =
+          body == null ? req.send() : req.send(Buffer.buffer(body));
+      response
+          .compose(r -> r.body().map(b -> new Reply(r.statusCode(), b.getBytes())))
+          .onSuccess(this::succeed)
+          .onFailure(e -> fail(e.getMessage()));
+    }
+
+    void succeed(Reply reply) {
+      if (!settled) {
+        settled = true;
+        cancelTimer.run();
+        promise.complete(reply);
+      }
+    }
+
+    void fail(String why) {
+      if (!settled) {
+        settled = true;
+        cancelTimer.run();
+        promise.fail(new CallFailed(request != null, why));
+      }
+    }
+
+    void timeOut() {
+      if (!settled) {
+        settled = true;
+        promise.fail(new CallFailed(request != null, "no answer in time"));
+        if (request != null) {
+          request.reset();
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/embernotch/model/Attempt.java
@@ -0,0 +1,54 @@
+package io.embernotch.model;
+
+/**
+ * One start of one task on one machine. While it is open it holds its place, its team's quota and
+ * its job's zone; it is closed only once its end is proven.
+ */
+public final class Attempt {
+  /** Where the start command of an attempt is. */
+  public enum Start {
+    /** Its commit has not been answered: no command may leave. */
+    UNCOMMITTED,
+    /** Committed, and no copy of its command is on the way. */
+    READY,
+    /** A direct command is on the way. */
+    SENDING,
+    /** Given in the response to a report: executed before the next report, or never. */
+    IN_RESPONSE,
+    /** A direct command went unanswered: only a report under a newer token tells. */
+    UNSURE,
+    /** The worker has been seen to hold it. */
+    HELD
+  }
+
+  public final Job job;
+  public final int task;
+  public final long number;
+  public final String machine;
+  public final String zone;
+  /** Highest token under which its start may have left. */
+  public long startToken;
+  public Start start = Start.UNCOMMITTED;
+  public TaskState state;
+  public double createdAt;
+  /** When it was first seen running; below 0 until then. */
+  public double runningAt = -1;
+  public boolean stopping;
+  public double stopGraceS;
+  public double stopAskedAt = -1;
+  public double stopSentAt = -1;
+
+  public Attempt(Job job, int task, long number, String machine, String zone, long startToken) {
+    this.job = job;
+    this.task = task;
+    this.number = number;
+    this.machine = machine;
+    this.zone = zone;
+    this.startToken = startToken;
+  }
+
+  @Override
+  public String toString() {
+    return job.spec.ref() + "/" + task + "#" + number + "@" + machine;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/embernotch/model/Cause.java
@@ -0,0 +1,13 @@
+package io.embernotch.model;
+
+/** Why a task ended. */
+public enum Cause {
+  DONE,
+  STOPPED,
+  PEERS,
+  ALONE,
+  ERROR,
+  NO_ROOM,
+  BUSY,
+  UNKNOWN
+}
--- /dev/null
+++ b/src/main/java/io/embernotch/model/Job.java
@@ -0,0 +1,81 @@
+package io.embernotch.model;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/** A job and its progress, owned by the steward. */
+public final class Job {
+  public final JobSpec spec;
+  public final long submittedMs;
+  /** DONE or CANCELLED once that is decided, else null. */
+  public Phase end;
+  public final BitSet done = new BitSet();
+  public final Map<Integer, Attempt> open = new TreeMap<>();
+  public long nextAttempt = 1;
+  /** Nothing of this job starts before this time: it fails everywhere, or was refused. */
+  public double backoffUntil;
+  public int errors;
+  /** Machines on which its tasks failed before any succeeded. */
+  public final Set<String> errorMachines = new HashSet<>();
+  /** Tasks that have run before: their last run does not tell how long a whole one takes. */
+  public final BitSet restarted = new BitSet();
+  /** The gang's present attempt lost a task: the rest must end before the next one. */
+  public boolean gangBroken;
+  public double finishedSumS;
+  public int finishedCount;
+  /** Machines a straggling task is to go to next, by task. */
+  public final Map<Integer, String> wishes = new TreeMap<>();
+  /** Set by the planner: the job fits its team's guarantee with the team's earlier jobs. */
+  public boolean guaranteed;
+
+  public Job(JobSpec spec, long submittedMs) {
+    this.spec = spec;
+    this.submittedMs = submittedMs;
+  }
+
+  public int remaining() {
+    return spec.tasks() - done.cardinality();
+  }
+
+  /** Mean run time of finished tasks, or 0 if none has finished. */
+  public double meanS() {
+    return finishedCount == 0 ? 0 : finishedSumS / finishedCount;
+  }
+
+  /** Up to {@code most} tasks that neither are done nor have an open attempt. */
+  public List<Integer> pending(int most) {
+    List<Integer> out = new ArrayList<>();
+    for (int t = done.nextClearBit(0); t < spec.tasks() && out.size() < most; t = done.nextClearBit(t + 1)) {
+      if (!open.containsKey(t)) {
+        out.add(t);
+      }
+    }
+    return out;
+  }
+
+  public int pendingCount() {
+    return end != null ? 0 : remaining() - open.size();
+  }
+
+  public int running() {
+    int n = 0;
+    for (Attempt a : open.values()) {
+      if (a.state == TaskState.RUNNING || a.state == TaskState.SAVING) {
+        n++;
+      }
+    }
+    return n;
+  }
+
+  public Phase phase() {
+    if (end != null) {
+      return end;
+    }
+    return running() > 0 ? Phase.RUNNING : Phase.QUEUED;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/embernotch/model/JobSpec.java
@@ -0,0 +1,38 @@
+package io.embernotch.model;
+
+import java.util.List;
+
+/** A job as its user submitted it. {@code types}, {@code zone} and {@code dueS} may be null. */
+public record JobSpec(
+    String ref,
+    String jobClass,
+    String team,
+    Shape shape,
+    Priority priority,
+    int tasks,
+    double cpus,
+    double gpus,
+    double memGb,
+    String image,
+    double imageGb,
+    List<String> types,
+    String zone,
+    boolean oneZone,
+    boolean spread,
+    boolean spot,
+    double expectS,
+    double checkpointS,
+    double saveS,
+    Double dueS) {
+
+  public boolean allows(String type, String inZone, boolean onSpot) {
+    return (types == null || types.contains(type))
+        && (zone == null || zone.equals(inZone))
+        && (spot || !onSpot);
+  }
+
+  /** Most tasks that may be in one zone when the job must be spread. */
+  public int zoneCap() {
+    return spread ? (tasks + 1) / 2 : tasks;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/embernotch/model/Machine.java
@@ -0,0 +1,78 @@
+package io.embernotch.model;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+
+/** A rented machine as the steward knows it. */
+public final class Machine {
+  public final String name;
+  public MachineType type;
+  public String zone;
+  public boolean spot;
+  public String address;
+  /** Rented at about this time. */
+  public double bornAt;
+  /** Until then it is counted on to come up, or to find us. */
+  public double countUntil;
+  /** Last report of any age, and last one that we answered with 200; below 0 if none. */
+  public double heardAt = -1;
+  public double renewedAt = -1;
+  public long session;
+  public long seq;
+  /** The token that our messages to it carry. */
+  public long token;
+  /** Highest token it has reported. */
+  public long seenToken;
+  /** Highest token of a direct command that went unanswered. */
+  public long unsureToken;
+  public boolean doInFlight;
+  public double doFailedAt = -1e9;
+  public boolean probing;
+  /** The cloud takes it at this time; below 0 without notice. */
+  public double recallAt = -1;
+  /** Nothing new is put here; it is returned once empty. */
+  public boolean cordoned;
+  public boolean deleting;
+  public double deleteRetryAt;
+  public boolean failed;
+  public int errorStreak;
+  /** Jobs whose tasks failed here since the last success. */
+  public final Set<String> failedJobs = new HashSet<>();
+  public double avoidUntil;
+  /** Empty since this time. */
+  public double idleSince;
+  public final Map<String, Attempt> open = new LinkedHashMap<>();
+  /** Images it has, least recently used first. */
+  public final Set<String> images = new LinkedHashSet<>();
+  /** Job mean over actual run time of the tasks it finished lately. */
+  public final Deque<Double> ratios = new ArrayDeque<>();
+
+  public Machine(String name) {
+    this.name = name;
+  }
+
+  public boolean up() {
+    return heardAt >= 0;
+  }
+
+  public static String taskKey(String ref, int task) {
+    return ref + "/" + task;
+  }
+
+  /** Its own mean performance, or 0 if it finished nothing lately. */
+  public double performance() {
+    if (ratios.isEmpty()) {
+      return 0;
+    }
+    double sum = 0;
+    for (double r : ratios) {
+      sum += r;
+    }
+    return sum / ratios.size();
+  }
+}
--- /dev/null
+++ b/src/main/java/io/embernotch/model/Order.java
@@ -0,0 +1,10 @@
+package io.embernotch.model;
+
+/** A command to a worker; {@code graceS} matters to stops only. */
+public record Order(Verb verb, String ref, int task, long attempt, double graceS) {
+  public enum Verb {
+    START,
+    STOP,
+    FORGET
+  }
+}
--- /dev/null
+++ b/src/main/java/io/embernotch/model/Phase.java
@@ -0,0 +1,13 @@
+package io.embernotch.model;
+
+/** What a user is told of a job. */
+public enum Phase {
+  QUEUED,
+  RUNNING,
+  DONE,
+  CANCELLED;
+
+  public boolean isFinal() {
+    return this == DONE || this == CANCELLED;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/embernotch/model/Priority.java
@@ -0,0 +1,9 @@
+package io.embernotch.model;
+
+/** From least to most urgent. */
+public enum Priority {
+  LOW,
+  NORMAL,
+  HIGH,
+  PRODUCTION
+}
--- /dev/null
+++ b/src/main/java/io/embernotch/model/Shape.java
@@ -0,0 +1,8 @@
+package io.embernotch.model;
+
+/** How the tasks of a job belong together. */
+public enum Shape {
+  ARRAY,
+  GANG,
+  SERVICE
+}
--- /dev/null
+++ b/src/main/java/io/embernotch/model/WorkerReport.java
@@ -0,0 +1,22 @@
+package io.embernotch.model;
+
+import java.util.List;
+
+/** What a worker says of itself. {@code recallS} is null unless the cloud has given notice. */
+public record WorkerReport(
+    String machine,
+    String address,
+    String type,
+    String zone,
+    boolean spot,
+    long session,
+    long seq,
+    long token,
+    Double recallS,
+    List<TaskReport> tasks) {
+
+  /** True if this report was made after the one with the given session and sequence number. */
+  public boolean newerThan(long otherSession, long otherSeq) {
+    return session > otherSession || (session == otherSession && seq > otherSeq);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/embernotch/peer/Frame.java
@@ -0,0 +1,34 @@
+package io.embernotch.peer;
+
+import io.embernotch.straggler.MachineView;
+import io.embernotch.straggler.Restart;
+import java.util.List;
+
+/** What controllers say to each other. */
+public sealed interface Frame {
+  /** Who is there, whom it takes for the steward, and whether the state service answers it. */
+  record Beat(String node, String steward, long stewardEpoch, boolean stateOk) implements Frame {}
+
+  /** A job was accepted: the value of its {@code job/} key. */
+  record JobCreated(byte[] value) implements Frame {}
+
+  /** A user's request, forwarded to the steward. */
+  record Ask(long id, What what, String ref) implements Frame {
+    public enum What {
+      POLL,
+      ABORT,
+      OVERVIEW
+    }
+  }
+
+  record Told(long id, int status, int retryAfterS, byte[] body) implements Frame {}
+
+  /** The steward's view of a machine in the receiver's part. */
+  record View(long epoch, MachineView view) implements Frame {}
+
+  /** The machine is gone, or has moved to another part. */
+  record Forget(long epoch, String machine) implements Frame {}
+
+  /** The restarts that a round of the owner of a part proposes to the steward. */
+  record Propose(String from, long epoch, List<Restart> restarts) implements Frame {}
+}
--- /dev/null
+++ b/src/main/java/io/embernotch/peer/VertxPeerLink.java
@@ -0,0 +1,118 @@
+package io.embernotch.peer;
+
+import io.embernotch.actor.Timers;
+import io.embernotch.codec.BadInput;
+import io.embernotch.settings.HostPort;
+import io.embernotch.settings.Settings;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.NetServerOptions;
+import io.vertx.core.net.NetSocket;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One outgoing TCP connection to each member; answers travel back on the connection asked by. */
+public final class VertxPeerLink implements PeerLink {
+  private static final Logger LOG = LoggerFactory.getLogger(VertxPeerLink.class);
+
+  private final Timers timers;
+  private final NetClient client;
+  private final double retryS;
+  private final Map<String, Outgoing> outgoing = new HashMap<>();
+  private BiConsumer<Frame, Back> handler = (f, b) -> {};
+
+  public VertxPeerLink(Vertx vertx, Timers timers, Settings settings) {
+    this.timers = timers;
+    this.retryS = settings.workers().reportS() / 3;
+    NetClientOptions options = new NetClientOptions();
+    options.setConnectTimeout((int) (retryS * 1000)).setTcpNoDelay(true);
+    this.client = vertx.createNetClient(options);
+    for (Settings.Member m : settings.members()) {
+      outgoing.put(m.node(), new Outgoing(m.address()));
+    }
+  }
+
+  public Future<Void> start(Vertx vertx, HostPort listen) {
+    outgoing.values().forEach(Outgoing::connect);
+    NetServerOptions options = new NetServerOptions();
+    options.setTcpNoDelay(true).setReuseAddress(true);
+    return vertx
+        .createNetServer(options)
+        .connectHandler(this::attach)
+        .listen(listen.port(), listen.host())
+        .mapEmpty();
+  }
+
+  @Override
+  public void onFrame(BiConsumer<Frame, Back> newHandler) {
+    handler = newHandler;
+  }
+
+  @Override
+  public void send(String node, Frame frame) {
+    Outgoing out = outgoing.get(node);
+    if (out != null && out.socket != null) {
+      write(out.socket, frame);
+    }
+  }
+
+  @Override
+  public void renew(String node) {
+    Outgoing out = outgoing.get(node);
+    if (out != null && out.socket != null) {
+      out.socket.close();
+    }
+  }
+
+  private void attach(NetSocket socket) {
+    FrameReader reader = new FrameReader(f -> handler.accept(f, reply -> write(socket, reply)));
+    socket.handler(
+        bytes -> {
+          try {
+            reader.feed(bytes.getBytes());
+          } catch (BadInput e) {
+            LOG.info("dropping a controller's connection: {}", e.getMessage());
+            socket.close();
+          }
+        });
+    socket.exceptionHandler(e -> LOG.debug("connection to a controller failed: {}", e.getMessage()));
+  }
+
+  private static void write(NetSocket socket, Frame frame) {
+    // A peer that does not read must not fill our memory: frames are dropped, and repeated later.
+    if (!socket.writeQueueFull()) {
+      socket.write(Buffer.buffer(FrameCodec.encode(frame)));
+    }
+  }
+
+  private final class Outgoing {
+    final HostPort address;
+    NetSocket socket;
+
+    Outgoing(HostPort address) {
+      this.address = address;
+    }
+
+    void connect() {
+      client
+          .connect(address.port(), address.host())
+          .onSuccess(
+              s -> {
+                socket = s;
+                attach(s);
+                s.closeHandler(
+                    v -> {
+                      socket = null;
+                      timers.after(retryS, this::connect);
+                    });
+              })
+          .onFailure(e -> timers.after(retryS, this::connect));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/embernotch/plan/Plan.java
@@ -0,0 +1,25 @@
+package io.embernotch.plan;
+
+import io.embernotch.model.Attempt;
+import io.embernotch.model.Job;
+import io.embernotch.model.Machine;
+import java.util.ArrayList;
+import java.util.List;
+
+/** What the steward should do now. */
+public final class Plan {
+  public record Placement(int task, Machine machine) {}
+
+  /** Tasks of one job to start together; all of a gang, or some of an array or service. */
+  public record Start(Job job, List<Placement> placements) {}
+
+  public record Stop(Attempt attempt, double graceS, String why) {}
+
+  public record Buy(String type, String zone, boolean spot, int number) {}
+
+  public final List<Start> starts = new ArrayList<>();
+  public final List<Stop> stops = new ArrayList<>();
+  public final List<Buy> buys = new ArrayList<>();
+  /** Idle machines that nothing waits for. */
+  public final List<Machine> returns = new ArrayList<>();
+}
--- /dev/null
+++ b/src/main/java/io/embernotch/plan/Usage.java
@@ -0,0 +1,74 @@
+package io.embernotch.plan;
+
+import io.embernotch.model.Job;
+import io.embernotch.model.JobSpec;
+import io.embernotch.settings.Settings;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+
+/** What the teams use, may use, and are guaranteed. */
+final class Usage {
+  private static final double EPS = 1e-6;
+  private final Map<String, Settings.Team> teams;
+  private final Map<String, double[]> used = new HashMap<>();
+
+  /** Open attempts count until their end is proven, whatever has become of their job. */
+  Usage(Map<String, Settings.Team> teams, Collection<Job> jobs) {
+    this.teams = teams;
+    for (Job j : jobs) {
+      take(j.spec, j.open.size());
+    }
+  }
+
+  void take(JobSpec j, int tasks) {
+    double[] u = used.computeIfAbsent(j.team(), t -> new double[2]);
+    u[0] += j.cpus() * tasks;
+    u[1] += j.gpus() * tasks;
+  }
+
+  /** How many more tasks of this job its team may run. */
+  int room(JobSpec j) {
+    Settings.Team team = teams.get(j.team());
+    if (team == null) {
+      return 0;
+    }
+    double[] u = used.getOrDefault(j.team(), new double[2]);
+    return (int) Math.min(left(team.cpusMax(), u[0], j.cpus()), left(team.gpusMax(), u[1], j.gpus()));
+  }
+
+  private static double left(double max, double used, double each) {
+    if (max <= 0 || each <= 0) {
+      return Integer.MAX_VALUE;
+    }
+    return Math.max(0, Math.floor((max - used) / each + EPS));
+  }
+
+  /** Marks the jobs that fit their team's guarantee together with the team's earlier ones. */
+  void markGuaranteed(Collection<Job> jobs) {
+    Map<String, List<Job>> byTeam =
+        jobs.stream().filter(j -> j.end == null).collect(Collectors.groupingBy(j -> j.spec.team()));
+    byTeam.forEach(
+        (name, list) -> {
+          Settings.Team team = teams.get(name);
+          list.sort(Comparator.comparingLong((Job j) -> j.submittedMs).thenComparing(j -> j.spec.ref()));
+          double cpus = 0;
+          double gpus = 0;
+          for (Job j : list) {
+            cpus += j.spec.cpus() * j.remaining();
+            gpus += j.spec.gpus() * j.remaining();
+            j.guaranteed = team != null && within(team.cpus(), cpus, team.gpus(), gpus);
+          }
+        });
+  }
+
+  private static boolean within(double cpus, double wantCpus, double gpus, double wantGpus) {
+    if (cpus <= 0 && gpus <= 0) {
+      return false;
+    }
+    return (cpus <= 0 || wantCpus <= cpus + EPS) && (gpus <= 0 || wantGpus <= gpus + EPS);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/embernotch/settings/OperatorSettings.java
@@ -0,0 +1,60 @@
+package io.embernotch.settings;
+
+import com.google.protobuf.TextFormat;
+import io.embernotch.settings.proto.OperatorFile;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** The operators' own settings, checked; defaults hold where the file is silent. */
+public record OperatorSettings(
+    boolean stragglerEnabled,
+    double flagRatio,
+    double beta,
+    double roundS,
+    double batchesPerS,
+    double keepIdleBoots,
+    double serviceHeadroom,
+    double gangHeadroom,
+    double leaseReports) {
+
+  /** What holds without an operator file; the same values as operator.proto gives. */
+  public static final OperatorSettings DEFAULTS =
+      new OperatorSettings(true, 1.5, 0.5, 5.0, 2.0, 1.0, 0.15, 0.15, 1.0);
+
+  public static OperatorSettings read(Path file) {
+    try {
+      return parse(Files.readString(file));
+    } catch (IOException e) {
+      throw new SettingsException("cannot read " + file + ": " + e.getMessage());
+    }
+  }
+
+  public static OperatorSettings parse(String text) {
+    OperatorFile.Operator.Builder b = OperatorFile.Operator.newBuilder();
+    try {
+      TextFormat.merge(text, b);
+    } catch (TextFormat.ParseException e) {
+      throw new SettingsException("operator settings, line " + e.getLine() + ": " + e.getMessage());
+    }
+    OperatorFile.Straggler s = b.getStraggler();
+    OperatorFile.Fleet f = b.getFleet();
+    return new OperatorSettings(
+        s.getEnabled(),
+        within("straggler.flag_ratio", s.getFlagRatio(), 1.0, 100),
+        within("straggler.beta", s.getBeta(), 0, 1),
+        within("straggler.round_s", s.getRoundS(), 0.1, 3600),
+        within("straggler.batches_per_s", s.getBatchesPerS(), 0.01, 100),
+        within("fleet.keep_idle_boots", f.getKeepIdleBoots(), 0, 1000),
+        within("fleet.service_headroom", f.getServiceHeadroom(), 0, 10),
+        within("fleet.gang_headroom", f.getGangHeadroom(), 0, 10),
+        within("leadership.lease_reports", b.getLeadership().getLeaseReports(), 0.2, 20));
+  }
+
+  private static double within(String name, double v, double low, double high) {
+    if (!(v >= low && v <= high)) {
+      throw new SettingsException(name + ": must be between " + low + " and " + high + ", is " + v);
+    }
+    return v;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/embernotch/settings/Settings.java
@@ -0,0 +1,58 @@
+package io.embernotch.settings;
+
+import java.util.List;
+import java.util.Map;
+
+/** The settings file that the platform hands over, checked. */
+public record Settings(
+    String node,
+    String location,
+    HostPort clientListen,
+    HostPort back,
+    List<Member> members,
+    HostPort cloud,
+    HostPort state,
+    List<String> zones,
+    double timeBoundMs,
+    Map<String, Team> teams,
+    List<Objective> objectives,
+    Workers workers,
+    State stateLimits,
+    Cloud cloudLimits,
+    Quota quota) {
+
+  /** Another controller. */
+  public record Member(String node, String location, HostPort address) {}
+
+  /** What a team is guaranteed and what it may use at most; 0 means none. */
+  public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {}
+
+  /** One aim; fields that its kind does not use are 0 or null. */
+  public record Objective(String kind, String jobClass, double withinS, double share) {}
+
+  public record Workers(
+      double reportS, double leaseS, double gangWaitS, double gangPeerS, double cancelS) {}
+
+  public record State(double rps, double writeRps, double valueKb, int txnOps) {}
+
+  public record Cloud(double rps, double listLagS) {}
+
+  public record Quota(double cpuShare, double memoryMb, int maxConnections) {}
+
+  /** Steady clocks of two machines drift apart by at most this share, with some to spare. */
+  public static final double DRIFT = 0.001;
+
+  /** Life of the steward's state lease in seconds. */
+  public double stewardLeaseS(OperatorSettings operator) {
+    return workers.reportS() * operator.leaseReports();
+  }
+
+  /**
+   * How long a steward that cannot prove its lease goes on renewing worker leases. A cancellation
+   * that a successor accepts at once must still be obeyed in time by a worker that the old steward
+   * renewed last, so hold and worker lease together stay below {@code cancel_s}.
+   */
+  public double holdS() {
+    return 0.8 * Math.max(0, workers.cancelS() - workers.leaseS());
+  }
+}
--- /dev/null
+++ b/src/main/java/io/embernotch/steward/Controller.java
@@ -0,0 +1,492 @@
+package io.embernotch.steward;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.embernotch.codec.BadInput;
+import io.embernotch.codec.CloudCodec;
+import io.embernotch.codec.JobCodec;
+import io.embernotch.codec.Json;
+import io.embernotch.codec.RunCodec;
+import io.embernotch.codec.WorkerCodec;
+import io.embernotch.http.Answer;
+import io.embernotch.http.Door;
+import io.embernotch.model.Job;
+import io.embernotch.model.JobSpec;
+import io.embernotch.model.MachineType;
+import io.embernotch.model.Phase;
+import io.embernotch.model.WorkerReport;
+import io.embernotch.peer.Frame;
+import io.embernotch.peer.PeerLink;
+import io.embernotch.settings.Settings;
+import io.embernotch.store.Commit;
+import io.embernotch.store.Entry;
+import io.embernotch.store.StoreFailure;
+import io.embernotch.store.Txn;
+import io.embernotch.straggler.MachineView;
+import io.embernotch.straggler.PartKeeper;
+import io.embernotch.straggler.Restart;
+import io.embernotch.straggler.Round;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One controller: takes in what users and workers send, and is steward whenever it holds the key. */
+public final class Controller implements Door, Election.Listener, Steward.Host {
+  private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
+  private static final String TYPES = "types";
+  private static final int MISDIRECTED = 421;
+
+  private final Env env;
+  private final Settings settings;
+  private final PeerLink peers;
+  private final Election election;
+  private final Peers alive;
+  private final PartKeeper part;
+  private final Round round;
+  private final int pieceSize;
+  private final Map<String, MachineType> types = new LinkedHashMap<>();
+  private final EndedCache ended = new EndedCache();
+  private final Map<Long, Promise<Answer>> asked = new HashMap<>();
+  private long nextAsk = 1;
+  private Steward steward;
+  private String stewardNode;
+  private long stewardEpoch;
+
+  public Controller(Env env, PeerLink peers) {
+    this.env = env;
+    this.settings = env.settings();
+    this.peers = peers;
+    this.alive = new Peers(settings, env.clock());
+    this.election =
+        new Election(
+            settings, settings.stewardLeaseS(env.operator()), env.store(), env.clock(), env.timers(), this);
+    this.part = new PartKeeper(env.clock(), 6 * env.operator().roundS());
+    this.round = new Round(env.operator().flagRatio(), env.operator().beta(), env.operator().roundS());
+    this.pieceSize = RunCodec.piece(settings.stateLimits().valueKb());
+  }
+
+  public void start() {
+    peers.onFrame(this::frame);
+    learnTypes();
+    election.start();
+    beat();
+    env.timers().after(env.operator().roundS(), this::runRound);
+  }
+
+  // ---- machine types: from the store if another node has learned them, else from the cloud
+
+  private void learnTypes() {
+    env.store()
+        .get(TYPES)
+        .onComplete(
+            r -> {
+              if (r.succeeded() && r.result().present()) {
+                takeTypes(CloudCodec.types(r.result().value()));
+              } else {
+                askCloudForTypes();
+              }
+            });
+  }
+
+  private void askCloudForTypes() {
+    env.cloud()
+        .types()
+        .onSuccess(
+            list -> {
+              takeTypes(list);
+              env.store().commit(new Txn().when(TYPES, 0).write(TYPES, CloudCodec.writeTypes(list)));
+            })
+        .onFailure(e -> env.timers().after(settings.workers().reportS() / 3, this::learnTypes));
+  }
+
+  private void takeTypes(List<MachineType> list) {
+    list.forEach(t -> types.put(t.name(), t));
+    LOG.info("machine types: {}", types.keySet());
+    if (steward != null) {
+      steward.ledger().types.putAll(types);
+    }
+  }
+
+  // ---- users
+
+  @Override
+  public Answer ready() {
+    if (types.isEmpty()) {
+      return Answer.later("machine types are not known yet");
+    }
+    // In an outage all nodes are alike, and leaving the balancer would only delay the return.
+    boolean onlyUs = env.store().failingForS() > settings.workers().reportS() / 2 && alive.anyWithState();
+    boolean alone = !settings.members().isEmpty() && alive.live().isEmpty() && env.store().failingForS() > 0;
+    return onlyUs || alone ? Answer.later("cannot reach the state service") : Answer.of(200, "{}".getBytes(StandardCharsets.UTF_8));
+  }
+
+  @Override
+  public Future<Answer> submit(byte[] body) {
+    JobSpec spec;
+    try {
+      spec = JobCodec.read(Json.parseObject(body));
+    } catch (BadInput e) {
+      return answer(Answer.error(400, e.getMessage()));
+    }
+    if (types.isEmpty()) {
+      return answer(Answer.later("machine types are not known yet"));
+    }
+    String never = Admission.neverRuns(spec, settings.teams(), types.values());
+    if (never != null) {
+      return answer(Answer.error(422, never));
+    }
+    Job job = new Job(spec, env.clock().wallMs());
+    ObjectNode value = RunCodec.writeJob(job, pieceSize);
+    String key = RunCodec.JOB + spec.ref();
+    if (Json.bytes(value).length > settings.stateLimits().valueKb() * 1024) {
+      return answer(Answer.error(400, "description too long"));
+    }
+    Promise<Answer> reply = Promise.promise();
+    env.store()
+        .commit(new Txn().when(key, 0).write(key, value))
+        .onSuccess((Commit c) -> {
+          if (c.applied()) {
+            accepted(job, value);
+            reply.complete(Answer.of(201, JobCodec.brief(spec.ref(), Phase.QUEUED)));
+          } else {
+            again(spec.ref()).onComplete(reply);
+          }
+        })
+        .onFailure(e -> {
+          if (StoreFailure.kindOf(e) == StoreFailure.Kind.UNKNOWN) {
+            again(spec.ref()).onComplete(reply);
+          } else {
+            reply.complete(Answer.later("the state service does not take it"));
+          }
+        });
+    return reply.future();
+  }
+
+  private void accepted(Job job, ObjectNode value) {
+    if (steward != null) {
+      steward.tell(new StewardMessage.JobCreated(job, pieceSize));
+    } else if (stewardNode != null) {
+      peers.send(stewardNode, new Frame.JobCreated(Json.bytes(value)));
+    }
+  }
+
+  /** A job that is perhaps known: 200 with its present state, or try again. */
+  private Future<Answer> again(String ref) {
+    return poll(ref)
+        .map(
+            a -> {
+              if (a.status() == 404) {
+                return Answer.later("not accepted yet");
+              }
+              return a;
+            });
+  }
+
+  @Override
+  public Future<Answer> poll(String ref) {
+    if (!JobCodec.isRef(ref)) {
+      return answer(Answer.error(404, "no such job"));
+    }
+    Answer known = ended.status(ref);
+    if (known != null) {
+      return answer(known);
+    }
+    return forward(Frame.Ask.What.POLL, ref, settings.workers().reportS() / 6)
+        .compose(a -> a.status() == 503 ? readStatus(ref) : answer(a));
+  }
+
+  /**
+   * The state service answers with the newest it was told, so any node may pass that on: no older
+   * answer than one already given can come of it.
+   */
+  private Future<Answer> readStatus(String ref) {
+    return env.store()
+        .get(RunCodec.JOB + ref)
+        .compose(
+            (Entry job) -> {
+              if (!job.present()) {
+                return answer(Answer.error(404, "no such job"));
+              }
+              return env.store().get(RunCodec.RUN + ref).map(run -> statusOf(job, run));
+            })
+        .otherwise(e -> Answer.later("the state service does not answer"));
+  }
+
+  private Answer statusOf(Entry jobEntry, Entry run) {
+    Job job = RunCodec.readJob(jobEntry.value());
+    String ref = job.spec.ref();
+    if (!run.present()) {
+      return Answer.of(200, JobCodec.status(ref, Phase.QUEUED, 0, 0));
+    }
+    RunCodec.readRun(run.value(), job, RunCodec.readPiece(jobEntry.value()), 0);
+    if (job.end != null) {
+      ended(ref, job.end, job.spec.tasks(), job.done.cardinality());
+      return ended.status(ref);
+    }
+    Phase phase = job.open.isEmpty() ? Phase.QUEUED : Phase.RUNNING;
+    return Answer.of(200, JobCodec.status(ref, phase, job.done.cardinality(), job.open.size()));
+  }
+
+  @Override
+  public Future<Answer> abort(String ref) {
+    if (!JobCodec.isRef(ref)) {
+      return answer(Answer.error(404, "no such job"));
+    }
+    Answer known = ended.brief(ref);
+    return known != null ? answer(known) : forward(Frame.Ask.What.ABORT, ref, settings.workers().reportS());
+  }
+
+  @Override
+  public Future<Answer> overview() {
+    return forward(Frame.Ask.What.OVERVIEW, "", settings.workers().reportS())
+        .map(
+            a -> {
+              ObjectNode o = Json.object();
+              o.put("node", settings.node());
+              o.put("steward", stewardNode);
+              o.put("live", steward != null && election.live());
+              o.put("state_ok", env.store().failingForS() == 0);
+              o.put("part", part.size());
+              var peersNode = o.putArray("peers");
+              alive.live().forEach(peersNode::add);
+              if (a.status() == 200) {
+                o.set("cluster", Json.parseObject(a.body()));
+              }
+              return Answer.of(200, Json.bytes(o));
+            });
+  }
+
+  /** Asks the steward, here or elsewhere; 503 if there is none to be had in time. */
+  private Future<Answer> forward(Frame.Ask.What what, String ref, double withinS) {
+    Promise<Answer> reply = Promise.promise();
+    if (steward != null) {
+      steward.tell(new StewardMessage.Ask(what, ref, reply));
+      return reply.future();
+    }
+    if (stewardNode == null || !alive.isLive(stewardNode)) {
+      return answer(Answer.later("no steward is known"));
+    }
+    long id = nextAsk++;
+    asked.put(id, reply);
+    peers.send(stewardNode, new Frame.Ask(id, what, ref));
+    env.timers().after(withinS, () -> {
+      Promise<Answer> late = asked.remove(id);
+      if (late != null) {
+        late.tryComplete(Answer.later("the steward does not answer"));
+      }
+    });
+    return reply.future();
+  }
+
+  // ---- workers
+
+  @Override
+  public Future<Answer> report(byte[] body) {
+    if (steward == null) {
+      return answer(misdirected());
+    }
+    if (election.unprovenForS() > settings.holdS()) {
+      return answer(Answer.later("leadership is not proven"));
+    }
+    WorkerReport report;
+    try {
+      report = WorkerCodec.read(body);
+    } catch (BadInput e) {
+      return answer(Answer.error(400, e.getMessage()));
+    }
+    Promise<byte[]> reply = Promise.promise();
+    steward.tell(new StewardMessage.Report(report, reply));
+    return reply.future().map(b -> b == null ? misdirected() : Answer.of(200, b));
+  }
+
+  private Answer misdirected() {
+    ObjectNode o = Json.object();
+    if (stewardNode != null && !stewardNode.equals(settings.node())) {
+      o.put("steward", stewardNode);
+    }
+    return Answer.of(MISDIRECTED, Json.bytes(o));
+  }
+
+  // ---- leadership
+
+  @Override
+  public void acquired(long epoch) {
+    steward = new Steward(env, this, epoch, types.values());
+    steward.start();
+    sendBeats();
+  }
+
+  @Override
+  public void lost(String why) {
+    if (steward != null) {
+      steward.stop();
+      steward = null;
+    }
+    stewardNode = null;
+  }
+
+  @Override
+  public void stewardIs(String node, long epoch) {
+    stewardNode = node;
+    stewardEpoch = epoch;
+  }
+
+  @Override
+  public boolean yieldFirst() {
+    return types.isEmpty() || (!settings.members().isEmpty() && alive.live().isEmpty());
+  }
+
+  @Override
+  public boolean live() {
+    return election.live();
+  }
+
+  @Override
+  public void outranked(String why) {
+    election.deposed(why);
+  }
+
+  @Override
+  public void resign(String why) {
+    if (!alive.live().isEmpty()) {
+      election.resign(why, settings.workers().leaseS() / 2);
+    }
+  }
+
+  @Override
+  public void ended(String ref, Phase phase, int tasks, int done) {
+    ended.put(ref, phase, done);
+  }
+
+  // ---- the other controllers
+
+  private void beat() {
+    sendBeats();
+    for (String silent : alive.newlySilent()) {
+      peers.renew(silent);
+    }
+    env.timers().after(settings.workers().reportS() / 3, this::beat);
+  }
+
+  private void sendBeats() {
+    boolean leads = steward != null && election.live();
+    Frame.Beat beat =
+        new Frame.Beat(
+            settings.node(),
+            leads ? settings.node() : stewardNode,
+            leads ? election.epoch() : stewardEpoch,
+            env.store().failingForS() == 0);
+    for (Settings.Member m : settings.members()) {
+      peers.send(m.node(), beat);
+    }
+  }
+
+  private void frame(Frame frame, PeerLink.Back back) {
+    if (frame instanceof Frame.Beat f) {
+      heard(f);
+    } else if (frame instanceof Frame.JobCreated f) {
+      jobCreated(f.value());
+    } else if (frame instanceof Frame.Ask f) {
+      Promise<Answer> reply = Promise.promise();
+      reply.future().onSuccess(a -> back.send(new Frame.Told(f.id(), a.status(), a.retryAfterS(), a.body())));
+      if (steward != null) {
+        steward.tell(new StewardMessage.Ask(f.what(), f.ref(), reply));
+      } else {
+        reply.complete(Answer.later("not the steward"));
+      }
+    } else if (frame instanceof Frame.Told f) {
+      Promise<Answer> p = asked.remove(f.id());
+      if (p != null) {
+        p.tryComplete(new Answer(f.status(), f.body(), f.retryAfterS()));
+      }
+    } else if (frame instanceof Frame.View f) {
+      part.put(f.epoch(), f.view());
+    } else if (frame instanceof Frame.Forget f) {
+      part.forget(f.epoch(), f.machine());
+    } else if (frame instanceof Frame.Propose f) {
+      if (steward != null && steward.epoch() == f.epoch()) {
+        steward.tell(new StewardMessage.Propose(f.from(), f.restarts()));
+      }
+    }
+  }
+
+  private void heard(Frame.Beat f) {
+    alive.heard(f.node(), f.stateOk());
+    if (f.node().equals(f.steward()) && f.stewardEpoch() > stewardEpoch) {
+      if (election.holding() && f.stewardEpoch() > election.epoch()) {
+        election.deposed(f.node() + " is steward since epoch " + f.stewardEpoch());
+      }
+      stewardNode = f.node();
+      stewardEpoch = f.stewardEpoch();
+    }
+  }
+
+  private void jobCreated(byte[] value) {
+    if (steward == null) {
+      return;
+    }
+    try {
+      ObjectNode o = Json.parseObject(value);
+      steward.tell(new StewardMessage.JobCreated(RunCodec.readJob(o), RunCodec.readPiece(o)));
+    } catch (BadInput e) {
+      LOG.info("malformed job from a controller: {}", e.getMessage());
+    }
+  }
+
+  // ---- the paper's part
+
+  @Override
+  public Set<String> controllers() {
+    Set<String> out = new TreeSet<>(alive.live());
+    out.add(settings.node());
+    return out;
+  }
+
+  @Override
+  public void view(String controller, long epoch, MachineView view) {
+    if (controller.equals(settings.node())) {
+      part.put(epoch, view);
+    } else {
+      peers.send(controller, new Frame.View(epoch, view));
+    }
+  }
+
+  @Override
+  public void forget(String controller, long epoch, String machine) {
+    if (controller.equals(settings.node())) {
+      part.forget(epoch, machine);
+    } else {
+      peers.send(controller, new Frame.Forget(epoch, machine));
+    }
+  }
+
+  private void runRound() {
+    env.timers().after(env.operator().roundS(), this::runRound);
+    if (!env.operator().stragglerEnabled()) {
+      return;
+    }
+    Collection<MachineView> views = part.current();
+    List<Restart> restarts = round.run(views);
+    if (restarts.isEmpty()) {
+      return;
+    }
+    LOG.info("part of {} machines: {} restarts proposed", views.size(), restarts.size());
+    if (steward != null && steward.epoch() == part.epoch()) {
+      steward.tell(new StewardMessage.Propose(settings.node(), restarts));
+    } else if (stewardNode != null) {
+      peers.send(stewardNode, new Frame.Propose(settings.node(), part.epoch(), restarts));
+    }
+  }
+
+  private static Future<Answer> answer(Answer a) {
+    return Future.succeededFuture(a);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/embernotch/steward/EndedCache.java
@@ -0,0 +1,38 @@
+package io.embernotch.steward;
+
+import io.embernotch.codec.JobCodec;
+import io.embernotch.http.Answer;
+import io.embernotch.model.Phase;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** Ends that are known to be in the store; they never change, so any node may repeat them. */
+final class EndedCache {
+  private static final int MOST = 10_000;
+
+  private record End(Phase phase, int done) {}
+
+  private final Map<String, End> ends =
+      new LinkedHashMap<>(64, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, End> eldest) {
+          return size() > MOST;
+        }
+      };
+
+  void put(String ref, Phase phase, int done) {
+    ends.put(ref, new End(phase, done));
+  }
+
+  Answer status(String ref) {
+    End e = ends.get(ref);
+    return e == null ? null : Answer.of(200, JobCodec.status(ref, e.phase, e.done, 0));
+  }
+
+  Answer brief(String ref) {
+    End e = ends.get(ref);
+    return e == null ? null : Answer.of(200, JobCodec.brief(ref, e.phase));
+  }
+}
--- /dev/null
+++ b/src/main/java/io/embernotch/steward/Env.java
@@ -0,0 +1,21 @@
+package io.embernotch.steward;
+
+import io.embernotch.actor.Clock;
+import io.embernotch.actor.Timers;
+import io.embernotch.cloud.CloudClient;
+import io.embernotch.http.Caller;
+import io.embernotch.settings.OperatorSettings;
+import io.embernotch.settings.Settings;
+import io.embernotch.store.StoreClient;
+import java.util.concurrent.Executor;
+
+/** What a controller is given to work with. */
+public record Env(
+    Settings settings,
+    OperatorSettings operator,
+    Clock clock,
+    Timers timers,
+    Executor loop,
+    StoreClient store,
+    CloudClient cloud,
+    Caller workers) {}
--- /dev/null
+++ b/src/main/java/io/embernotch/steward/FleetKeeper.java
@@ -0,0 +1,310 @@
+package io.embernotch.steward;
+
+import io.embernotch.cloud.CloudClient;
+import io.embernotch.cloud.CloudClient.Rented;
+import io.embernotch.codec.CloudCodec.Listed;
+import io.embernotch.model.Attempt;
+import io.embernotch.model.Machine;
+import io.embernotch.model.MachineType;
+import io.embernotch.plan.Fleet;
+import io.embernotch.plan.Plan;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Rents, lists and returns machines, and gives up on those that never come up or fall silent. */
+final class FleetKeeper {
+  private static final Logger LOG = LoggerFactory.getLogger(FleetKeeper.class);
+
+  /** Boot times after which a machine that has not come up is given back. */
+  private static final double HOPELESS_BOOTS = 2.5;
+
+  /** Boot times for which a machine is counted on; then another is rented in its place. */
+  private static final double COUNTED_BOOTS = 1.6;
+
+  /** What is told of the fleet. */
+  interface Outcome {
+    /** The machine and all that was on it are gone. */
+    void machineGone(Machine m);
+
+    void changed();
+
+    /** So many machines are silent at once that it is rather we who are cut off. */
+    void deaf();
+  }
+
+  private record Booking(String name, String type, String zone, boolean spot, int number) {}
+
+  private final Env env;
+  private final Ledger ledger;
+  private final Workers workers;
+  private final Outcome outcome;
+  private final String bookingPrefix;
+  private final double startedAt;
+  private final Map<String, Booking> open = new LinkedHashMap<>();
+  private final Map<String, Double> fullUntil = new HashMap<>();
+  private int bookings;
+  private double listedAt = -1e9;
+  private boolean listing;
+  private boolean listedOnce;
+  private boolean deleteBusy;
+  private double typesAt = -1e9;
+
+  FleetKeeper(Env env, Ledger ledger, Workers workers, long epoch, Outcome outcome) {
+    this.env = env;
+    this.ledger = ledger;
+    this.workers = workers;
+    this.outcome = outcome;
+    // The epoch is new with each stewardship, so no booking name is ever used twice.
+    this.bookingPrefix = "r-" + epoch + "-";
+    this.startedAt = env.clock().now();
+  }
+
+  boolean listedOnce() {
+    return listedOnce;
+  }
+
+  List<Fleet.Expected> expected() {
+    List<Fleet.Expected> out = new ArrayList<>();
+    for (Booking b : open.values()) {
+      out.add(new Fleet.Expected(b.type, b.zone, b.spot, b.number));
+    }
+    return out;
+  }
+
+  boolean exhausted(String type, String zone, boolean spot) {
+    return fullUntil.getOrDefault(pool(type, zone, spot), -1.0) > env.clock().now();
+  }
+
+  private static String pool(String type, String zone, boolean spot) {
+    return type + "|" + zone + "|" + spot;
+  }
+
+  void rent(Plan.Buy buy) {
+    int left = buy.number();
+    while (left > 0) {
+      int n = Math.min(left, CloudClient.MAX_RENT);
+      Booking b = new Booking(bookingPrefix + ++bookings, buy.type(), buy.zone(), buy.spot(), n);
+      open.put(b.name, b);
+      LOG.info("renting {} {} in {}{}", n, b.type, b.zone, b.spot ? " (spot)" : "");
+      book(b);
+      left -= n;
+    }
+  }
+
+  private void book(Booking b) {
+    env.cloud()
+        .rent(b.name, b.type, b.zone, b.spot, b.number)
+        .onSuccess(r -> booked(b, r))
+        .onFailure(
+            e -> {
+              // Perhaps it was executed: the same name gives the same answer and rents nothing.
+              LOG.debug("booking {}: {}", b.name, e.getMessage());
+              env.timers().after(env.settings().workers().reportS() / 3, () -> book(b));
+            });
+  }
+
+  private void booked(Booking b, Rented r) {
+    open.remove(b.name);
+    double now = env.clock().now();
+    MachineType type = ledger.types.get(b.type);
+    for (String name : r.machines()) {
+      Machine m = ledger.machine(name, baseToken());
+      if (!m.up()) {
+        m.type = type;
+        m.zone = b.zone;
+        m.spot = b.spot;
+        m.bornAt = now;
+        m.countUntil = now + COUNTED_BOOTS * type.bootS();
+      }
+    }
+    if (r.refused() || r.machines().size() < b.number) {
+      LOG.info("no more {} in {}{}: got {} of {}", b.type, b.zone, b.spot ? " (spot)" : "", r.machines().size(), b.number);
+      fullUntil.put(pool(b.type, b.zone, b.spot), now + 5 * env.settings().workers().reportS());
+    }
+    outcome.changed();
+  }
+
+  private long baseToken() {
+    return workers.base();
+  }
+
+  void tick() {
+    double now = env.clock().now();
+    double every = Math.max(env.settings().cloudLimits().listLagS(), env.settings().workers().reportS());
+    if (!listing && now - listedAt > every) {
+      list();
+    }
+    if (now - typesAt > 20 * env.settings().workers().reportS()) {
+      typesAt = now;
+      env.cloud().types().onSuccess(list -> list.forEach(t -> ledger.types.put(t.name(), t)));
+    }
+    watchBoots(now);
+    watchSilence(now);
+    sendDeletes(now);
+  }
+
+  private void list() {
+    listing = true;
+    listedAt = env.clock().now();
+    env.cloud()
+        .list()
+        .onComplete(
+            r -> {
+              listing = false;
+              if (r.succeeded()) {
+                listed(r.result());
+              } else {
+                LOG.debug("machine list: {}", r.cause().getMessage());
+              }
+            });
+  }
+
+  /**
+   * Takes what a list adds. A machine that a list lacks may be too new, or the list too old: lists
+   * never end anything here. Silence does, followed by a deletion whose answer is proof.
+   */
+  private void listed(List<Listed> list) {
+    double now = env.clock().now();
+    boolean news = !listedOnce;
+    listedOnce = true;
+    for (Listed l : list) {
+      Machine m = ledger.machines.get(l.name());
+      if (m == null) {
+        if (workers.wasDeleted(l.name())) {
+          continue;
+        }
+        m = ledger.machine(l.name(), baseToken());
+        news = true;
+      }
+      if (!m.up()) {
+        m.type = ledger.types.getOrDefault(l.type(), m.type);
+        m.zone = l.zone();
+        m.spot = l.spot();
+        m.address = l.address() == null ? m.address : l.address();
+        m.bornAt = Math.min(m.bornAt == 0 ? now : m.bornAt, now - l.ageS());
+        // One that ran under an earlier steward is given time to find us.
+        double findUs = l.phase().equals("running") ? startedAt + env.settings().workers().leaseS() / 2 : 0;
+        double boot = m.type == null ? 0 : COUNTED_BOOTS * m.type.bootS();
+        m.countUntil = Math.max(m.countUntil, Math.max(findUs, m.bornAt + boot));
+      }
+      if (l.phase().equals("failed") && !m.failed) {
+        LOG.info("machine {} has failed", m.name);
+        m.failed = true;
+        giveBack(m);
+        news = true;
+      }
+    }
+    if (news) {
+      outcome.changed();
+    }
+  }
+
+  private void watchBoots(double now) {
+    for (Machine m : ledger.machines.values()) {
+      if (m.up() || m.deleting || m.type == null) {
+        continue;
+      }
+      // Machines that were up under an earlier steward need time to find us.
+      double since = Math.max(m.bornAt, startedAt - m.type.bootS());
+      if (now - since > HOPELESS_BOOTS * m.type.bootS() + env.settings().workers().reportS()
+          && now - startedAt > env.settings().workers().leaseS() / 2) {
+        LOG.info("machine {} has not come up", m.name);
+        giveBack(m);
+      }
+    }
+  }
+
+  /** Silent machines are probed, then deleted: the answer to the deletion proves their tasks gone. */
+  private void watchSilence(double now) {
+    double report = env.settings().workers().reportS();
+    double quiet = 2 * report;
+    List<Machine> silent = new ArrayList<>();
+    int up = 0;
+    for (Machine m : ledger.machines.values()) {
+      if (!m.up() || m.deleting) {
+        continue;
+      }
+      up++;
+      if (now - m.heardAt > quiet) {
+        silent.add(m);
+      }
+    }
+    if (silent.size() >= 3 && silent.size() * 2 > up) {
+      if (now - startedAt > 4 * report) {
+        outcome.deaf();
+      }
+      return;
+    }
+    for (Machine m : silent) {
+      workers.probe(m, () -> {});
+      if (now - m.heardAt > quiet + report) {
+        LOG.info("machine {} has been silent for {} s with {} tasks", m.name, Math.round(now - m.heardAt), m.open.size());
+        giveBack(m);
+      }
+    }
+  }
+
+  /** Returns a machine. Nothing more is placed on it, and what is on it ends with it. */
+  void giveBack(Machine m) {
+    if (!m.deleting) {
+      m.deleting = true;
+      m.deleteRetryAt = 0;
+      sendDeletes(env.clock().now());
+    }
+  }
+
+  private void sendDeletes(double now) {
+    if (deleteBusy) {
+      return;
+    }
+    List<Machine> batch = new ArrayList<>();
+    List<String> names = new ArrayList<>();
+    for (Machine m : ledger.machines.values()) {
+      if (m.deleting && m.deleteRetryAt <= now && batch.size() < CloudClient.MAX_DELETE && !m.doInFlight) {
+        batch.add(m);
+        names.add(m.name);
+      }
+    }
+    if (batch.isEmpty()) {
+      return;
+    }
+    deleteBusy = true;
+    env.cloud()
+        .delete(names)
+        .onComplete(
+            r -> {
+              deleteBusy = false;
+              if (r.succeeded()) {
+                LOG.info("returned {}", names);
+                batch.forEach(outcome::machineGone);
+              } else {
+                LOG.info("could not return {}: {}", names, r.cause().getMessage());
+                batch.forEach(m -> m.deleteRetryAt = env.clock().now() + env.settings().workers().reportS() / 3);
+              }
+            });
+  }
+
+  /** Tasks on machines whose worker's lease must have run out are gone, deleted or not. */
+  List<Attempt> expired(double othersUntil) {
+    List<Attempt> out = new ArrayList<>();
+    double now = env.clock().now();
+    for (Machine m : ledger.machines.values()) {
+      if (m.open.isEmpty() || (m.up() && now - m.heardAt < env.settings().workers().leaseS())) {
+        continue;
+      }
+      if (workers.leaseOver(m, othersUntil)) {
+        for (Attempt a : m.open.values()) {
+          if (a.start != Attempt.Start.SENDING) {
+            out.add(a);
+          }
+        }
+      }
+    }
+    return out;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/embernotch/steward/Ledger.java
@@ -0,0 +1,56 @@
+package io.embernotch.steward;
+
+import io.embernotch.model.Attempt;
+import io.embernotch.model.Job;
+import io.embernotch.model.Machine;
+import io.embernotch.model.MachineType;
+import io.embernotch.model.Phase;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Everything the steward knows: jobs, machines and the open attempts that tie them. */
+public final class Ledger {
+  /** A job that has ended, and whose every attempt is proven gone. */
+  public record Ended(Phase phase, int tasks, int done) {}
+
+  /** Jobs that have not ended, or still have open attempts. */
+  public final Map<String, Job> jobs = new LinkedHashMap<>();
+  public final Map<String, Ended> ended = new HashMap<>();
+  public final Map<String, Machine> machines = new TreeMap<>();
+  public final Map<String, MachineType> types = new LinkedHashMap<>();
+
+  public Machine machine(String name, long token) {
+    return machines.computeIfAbsent(
+        name,
+        n -> {
+          Machine m = new Machine(n);
+          m.token = token;
+          return m;
+        });
+  }
+
+  /** Opens an attempt; the job's pieces must then be committed before its start may be sent. */
+  public Attempt open(Job job, int task, long number, Machine m, double now) {
+    Attempt a = new Attempt(job, task, number, m.name, m.zone, m.token);
+    a.createdAt = now;
+    job.open.put(task, a);
+    m.open.put(Machine.taskKey(job.spec.ref(), task), a);
+    return a;
+  }
+
+  public void close(Attempt a, double now) {
+    if (a.job.open.get(a.task) == a) {
+      a.job.open.remove(a.task);
+    }
+    Machine m = machines.get(a.machine);
+    if (m != null && m.open.remove(Machine.taskKey(a.job.spec.ref(), a.task), a) && m.open.isEmpty()) {
+      m.idleSince = now;
+    }
+  }
+
+  public static boolean isOpen(Attempt a) {
+    return a.job.open.get(a.task) == a;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/embernotch/steward/Peers.java
@@ -0,0 +1,66 @@
+package io.embernotch.steward;
+
+import io.embernotch.actor.Clock;
+import io.embernotch.settings.Settings;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+
+/** Which of the other controllers have been heard from lately, and what they say of the store. */
+final class Peers {
+  private record Heard(double at, boolean stateOk) {}
+
+  private final Clock clock;
+  private final double liveS;
+  private final double renewS;
+  private final Map<String, Heard> heard = new HashMap<>();
+  private final Map<String, Double> renewedAt = new HashMap<>();
+
+  Peers(Settings settings, Clock clock) {
+    this.clock = clock;
+    this.liveS = settings.workers().reportS();
+    this.renewS = settings.workers().reportS();
+    for (Settings.Member m : settings.members()) {
+      renewedAt.put(m.node(), clock.now());
+    }
+  }
+
+  void heard(String node, boolean stateOk) {
+    heard.put(node, new Heard(clock.now(), stateOk));
+  }
+
+  boolean isLive(String node) {
+    Heard h = heard.get(node);
+    return h != null && clock.now() - h.at < liveS;
+  }
+
+  Set<String> live() {
+    Set<String> out = new TreeSet<>();
+    for (String node : heard.keySet()) {
+      if (isLive(node)) {
+        out.add(node);
+      }
+    }
+    return out;
+  }
+
+  /** True if some other controller is served by the state service. */
+  boolean anyWithState() {
+    return heard.entrySet().stream().anyMatch(e -> isLive(e.getKey()) && e.getValue().stateOk);
+  }
+
+  /** Nodes whose connection is worth renewing now: it may hang behind a cut that is over. */
+  List<String> newlySilent() {
+    List<String> out = new ArrayList<>();
+    for (Map.Entry<String, Double> e : renewedAt.entrySet()) {
+      if (!isLive(e.getKey()) && clock.now() - e.getValue() > renewS) {
+        e.setValue(clock.now());
+        out.add(e.getKey());
+      }
+    }
+    return out;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/embernotch/steward/RestartDesk.java
@@ -0,0 +1,90 @@
+package io.embernotch.steward;
+
+import io.embernotch.model.Attempt;
+import io.embernotch.model.Job;
+import io.embernotch.model.JobSpec;
+import io.embernotch.model.Machine;
+import io.embernotch.model.Shape;
+import io.embernotch.model.TaskState;
+import io.embernotch.straggler.Restart;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Takes proposals to restart slow tasks, checks them, and lets a few batches a second through. */
+final class RestartDesk {
+  private final Env env;
+  private final Ledger ledger;
+  private final Map<String, Deque<List<Restart>>> proposed = new HashMap<>();
+  private final Map<String, Double> nextAt = new HashMap<>();
+
+  RestartDesk(Env env, Ledger ledger) {
+    this.env = env;
+    this.ledger = ledger;
+  }
+
+  /** A round's proposals, cut into batches that one commit can hold. A newer round replaces an older one. */
+  void propose(String from, List<Restart> restarts) {
+    int batch = Math.max(1, env.settings().stateLimits().txnOps() - 1);
+    Deque<List<Restart>> queue = new ArrayDeque<>();
+    for (int i = 0; i < restarts.size(); i += batch) {
+      queue.add(restarts.subList(i, Math.min(restarts.size(), i + batch)));
+    }
+    proposed.put(from, queue);
+  }
+
+  List<Restart> due() {
+    double now = env.clock().now();
+    List<Restart> out = new ArrayList<>();
+    proposed.forEach(
+        (from, queue) -> {
+          if (!queue.isEmpty() && now >= nextAt.getOrDefault(from, -1e9)) {
+            nextAt.put(from, now + 1 / env.operator().batchesPerS());
+            for (Restart r : queue.poll()) {
+              if (valid(r)) {
+                out.add(r);
+              }
+            }
+          }
+        });
+    return out;
+  }
+
+  /** The world may have moved since the round: the task must still run there, and the room be free. */
+  private boolean valid(Restart r) {
+    Job job = ledger.jobs.get(r.ref());
+    Machine target = ledger.machines.get(r.target());
+    if (job == null || job.end != null || job.spec.shape() != Shape.ARRAY || target == null || target.type == null) {
+      return false;
+    }
+    Attempt a = job.open.get(r.task());
+    JobSpec spec = job.spec;
+    return a != null
+        && a.number == r.attempt()
+        && a.state == TaskState.RUNNING
+        && !a.stopping
+        && !a.machine.equals(r.target())
+        && target.up()
+        && !target.deleting
+        && !target.cordoned
+        && target.recallAt < 0
+        && spec.allows(target.type.name(), target.zone, target.spot)
+        && (!spec.oneZone() || job.open.size() == 1 || a.zone.equals(target.zone))
+        && roomOn(target, spec);
+  }
+
+  private static boolean roomOn(Machine m, JobSpec spec) {
+    double cpus = m.type.cpus();
+    double gpus = m.type.gpus();
+    double mem = m.type.memGb();
+    for (Attempt a : m.open.values()) {
+      cpus -= a.job.spec.cpus();
+      gpus -= a.job.spec.gpus();
+      mem -= a.job.spec.memGb();
+    }
+    return cpus >= spec.cpus() && gpus >= spec.gpus() && mem >= spec.memGb();
+  }
+}
--- /dev/null
+++ b/src/main/java/io/embernotch/steward/Steward.java
@@ -0,0 +1,732 @@
+package io.embernotch.steward;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.embernotch.actor.Actor;
+import io.embernotch.codec.BadInput;
+import io.embernotch.codec.JobCodec;
+import io.embernotch.codec.Json;
+import io.embernotch.codec.RunCodec;
+import io.embernotch.http.Answer;
+import io.embernotch.model.Attempt;
+import io.embernotch.model.Cause;
+import io.embernotch.model.Job;
+import io.embernotch.model.Machine;
+import io.embernotch.model.MachineType;
+import io.embernotch.model.Phase;
+import io.embernotch.model.Shape;
+import io.embernotch.model.TaskState;
+import io.embernotch.plan.Fleet;
+import io.embernotch.plan.Plan;
+import io.embernotch.plan.Planner;
+import io.embernotch.store.Changes;
+import io.embernotch.store.Entry;
+import io.embernotch.store.StoreFailure;
+import io.embernotch.straggler.MachineView;
+import io.embernotch.straggler.Restart;
+import io.vertx.core.Promise;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The one that writes, for one stewardship: it owns the ledger, and lives from the moment its node
+ * acquires the key until it loses it.
+ */
+final class Steward extends Actor<StewardMessage> implements Workers.Outcome, FleetKeeper.Outcome {
+  private static final Logger LOG = LoggerFactory.getLogger(Steward.class);
+
+  /** What a steward needs of its controller. */
+  interface Host {
+    boolean live();
+
+    Set<String> controllers();
+
+    void view(String controller, long epoch, MachineView view);
+
+    void forget(String controller, long epoch, String machine);
+
+    void outranked(String why);
+
+    /** Gives leadership up, since this node is badly placed for it. */
+    void resign(String why);
+
+    void ended(String ref, Phase phase, int tasks, int done);
+  }
+
+  private final Env env;
+  private final Host host;
+  private final long epoch;
+  private final Ledger ledger = new Ledger();
+  private final Committer committer;
+  private final Workers workers;
+  private final FleetKeeper fleet;
+  private final StragglerFeed feed;
+  private final Planner planner;
+  private final RestartDesk restarts;
+  private final Demand demand = new Demand();
+  private final double acquiredAt;
+  private final List<StewardMessage> waiting = new ArrayList<>();
+  private boolean loaded;
+  private boolean stopped;
+  private boolean planArmed;
+  private double plannedAt = -1e9;
+
+  Steward(Env env, Host host, long epoch, Collection<MachineType> types) {
+    super(env.loop());
+    this.env = env;
+    this.host = host;
+    this.epoch = epoch;
+    this.acquiredAt = env.clock().now();
+    types.forEach(t -> ledger.types.put(t.name(), t));
+    this.committer =
+        new Committer(
+            env.settings(), env.store(), env.clock(), env.timers(), epoch,
+            () -> host.outranked("a commit failed on the steward's key"));
+    this.workers = new Workers(env, ledger, epoch, this);
+    this.fleet = new FleetKeeper(env, ledger, workers, epoch, this);
+    this.feed =
+        new StragglerFeed(
+            env, ledger, (node, v) -> host.view(node, epoch, v), (node, m) -> host.forget(node, epoch, m));
+    this.planner = new Planner(env.settings(), env.operator());
+    this.restarts = new RestartDesk(env, ledger);
+  }
+
+  void start() {
+    load();
+    scheduleTick();
+  }
+
+  void stop() {
+    stopped = true;
+    committer.close();
+    for (StewardMessage m : waiting) {
+      refuse(m);
+    }
+    waiting.clear();
+  }
+
+  long epoch() {
+    return epoch;
+  }
+
+  private void scheduleTick() {
+    env.timers().after(env.settings().workers().reportS() / 8, () -> {
+      if (!stopped) {
+        tell(new StewardMessage.Tick());
+        scheduleTick();
+      }
+    });
+  }
+
+  // ---- taking over
+
+  private void load() {
+    if (stopped) {
+      return;
+    }
+    env.store()
+        .list(RunCodec.JOB)
+        .compose(jobs -> env.store().list(RunCodec.RUN).map(runs -> read(jobs, runs)))
+        .onSuccess(
+            jobsEpoch -> {
+              if (!stopped) {
+                begin(jobsEpoch);
+              }
+            })
+        .onFailure(
+            e -> {
+              LOG.info("reading the store failed: {}", e.getMessage());
+              env.timers().after(env.settings().workers().reportS() / 10, this::load);
+            });
+  }
+
+  private long read(Changes jobs, Changes runs) {
+    ledger.jobs.clear();
+    ledger.ended.clear();
+    ledger.machines.clear();
+    Map<String, Job> all = new LinkedHashMap<>();
+    Map<String, Integer> sizes = new HashMap<>();
+    for (Entry e : jobs.events()) {
+      Job job = RunCodec.readJob(e.value());
+      all.put(job.spec.ref(), job);
+      sizes.put(job.spec.ref(), RunCodec.readPiece(e.value()));
+    }
+    for (Entry e : runs.events()) {
+      String[] parts = e.key().substring(RunCodec.RUN.length()).split("/");
+      Job job = all.get(parts[0]);
+      if (job != null) {
+        int piece = parts.length > 1 ? Integer.parseInt(parts[1]) : 0;
+        RunCodec.readRun(e.value(), job, sizes.get(parts[0]), piece);
+        if (job.end == null || !job.open.isEmpty()) {
+          committer.know(e.key(), e.stamp());
+        }
+      }
+    }
+    for (Job job : all.values()) {
+      if (job.end != null && job.open.isEmpty()) {
+        ledger.ended.put(job.spec.ref(), new Ledger.Ended(job.end, job.spec.tasks(), job.done.cardinality()));
+        continue;
+      }
+      committer.knowPieceSize(job.spec.ref(), sizes.get(job.spec.ref()));
+      // Numbers of attempts are never used twice, whatever an earlier steward left unwritten.
+      job.nextAttempt = Math.max(job.nextAttempt, Workers.baseToken(epoch));
+      ledger.jobs.put(job.spec.ref(), job);
+      for (Attempt a : job.open.values()) {
+        Machine m = ledger.machine(a.machine, workers.base());
+        m.zone = a.zone;
+        m.open.put(Machine.taskKey(job.spec.ref(), a.task), a);
+        a.startToken = workers.base() - 1;
+        job.restarted.set(a.task);
+      }
+      if (job.end == Phase.CANCELLED) {
+        job.open.values().forEach(a -> ask(a, 0));
+      } else if (job.spec.shape() == Shape.GANG && job.open.size() < job.spec.tasks() && !job.open.isEmpty()) {
+        breakGang(job, 0);
+      }
+    }
+    return jobs.epoch();
+  }
+
+  private void begin(long jobsEpoch) {
+    loaded = true;
+    LOG.info(
+        "took over {} jobs, {} ended, {} machines with tasks after {} ms",
+        ledger.jobs.size(), ledger.ended.size(), ledger.machines.size(),
+        Math.round((env.clock().now() - acquiredAt) * 1000));
+    watchJobs(jobsEpoch);
+    List<StewardMessage> held = new ArrayList<>(waiting);
+    waiting.clear();
+    held.forEach(this::receive);
+    planSoon();
+  }
+
+  /** The backstop for messages about new jobs that never came. */
+  private void watchJobs(long from) {
+    if (stopped) {
+      return;
+    }
+    double hold = 3 * env.settings().workers().reportS();
+    env.store()
+        .watch(RunCodec.JOB, from, hold)
+        .onSuccess(
+            changes -> {
+              for (Entry e : changes.events()) {
+                if (e.present()) {
+                  tell(new StewardMessage.JobCreated(RunCodec.readJob(e.value()), RunCodec.readPiece(e.value())));
+                }
+              }
+              watchJobs(Math.max(from, changes.epoch()));
+            })
+        .onFailure(
+            e -> {
+              if (StoreFailure.kindOf(e) == StoreFailure.Kind.TOO_OLD) {
+                rereadJobs();
+              } else {
+                env.timers().after(env.settings().workers().reportS() / 6, () -> watchJobs(from));
+              }
+            });
+  }
+
+  private void rereadJobs() {
+    env.store()
+        .list(RunCodec.JOB)
+        .onSuccess(
+            jobs -> {
+              for (Entry e : jobs.events()) {
+                tell(new StewardMessage.JobCreated(RunCodec.readJob(e.value()), RunCodec.readPiece(e.value())));
+              }
+              watchJobs(jobs.epoch());
+            })
+        .onFailure(e -> env.timers().after(env.settings().workers().reportS(), this::rereadJobs));
+  }
+
+  // ---- messages
+
+  @Override
+  protected void receive(StewardMessage message) {
+    if (stopped) {
+      refuse(message);
+    } else if (!loaded && !(message instanceof StewardMessage.Tick)) {
+      waiting.add(message);
+    } else if (message instanceof StewardMessage.Report m) {
+      report(m);
+    } else if (message instanceof StewardMessage.Ask m) {
+      ask(m);
+    } else if (message instanceof StewardMessage.JobCreated m) {
+      jobCreated(m.job(), m.piece());
+    } else if (message instanceof StewardMessage.Propose m) {
+      restarts.propose(m.from(), m.restarts());
+    } else if (message instanceof StewardMessage.Tick) {
+      tick();
+    } else if (message instanceof StewardMessage.MakePlan) {
+      makePlan();
+    }
+  }
+
+  private static void refuse(StewardMessage message) {
+    if (message instanceof StewardMessage.Report m) {
+      m.reply().complete(null);
+    } else if (message instanceof StewardMessage.Ask m) {
+      m.reply().complete(Answer.later("no steward yet"));
+    }
+  }
+
+  private void report(StewardMessage.Report m) {
+    Machine known = ledger.machines.get(m.report().machine());
+    int openBefore = known == null ? 0 : known.open.size();
+    byte[] body = workers.report(m.report(), host.live());
+    m.reply().complete(body);
+    Machine now = ledger.machines.get(m.report().machine());
+    if (now != null && now.open.size() != openBefore) {
+      planSoon();
+    }
+  }
+
+  private void jobCreated(Job job, int piece) {
+    String ref = job.spec.ref();
+    if (ledger.jobs.containsKey(ref) || ledger.ended.containsKey(ref)) {
+      return;
+    }
+    ledger.jobs.put(ref, job);
+    committer.knowPieceSize(ref, piece);
+    demand.seen(job.spec, env.clock().now());
+    LOG.debug("job {}: {} x {} of {}", ref, job.spec.tasks(), job.spec.shape(), job.spec.team());
+    planSoon();
+  }
+
+  private void ask(StewardMessage.Ask m) {
+    switch (m.what()) {
+      case POLL -> poll(m.ref(), m.reply());
+      case ABORT -> abort(m.ref(), m.reply());
+      case OVERVIEW -> m.reply().complete(Answer.of(200, Json.bytes(overview())));
+    }
+  }
+
+  private void poll(String ref, Promise<Answer> reply) {
+    Ledger.Ended ended = ledger.ended.get(ref);
+    if (ended != null) {
+      reply.complete(Answer.of(200, JobCodec.status(ref, ended.phase(), ended.done(), 0)));
+      return;
+    }
+    if (!host.live()) {
+      reply.complete(Answer.later("leadership is not proven"));
+      return;
+    }
+    Job job = ledger.jobs.get(ref);
+    if (job != null) {
+      // An end is told only once it is in the store; until then the job is as it was.
+      boolean told = job.end != null && !committer.isDirty(job, 0);
+      Phase phase = told ? job.end : job.running() > 0 || job.end != null ? Phase.RUNNING : Phase.QUEUED;
+      reply.complete(Answer.of(200, JobCodec.status(ref, phase, job.done.cardinality(), job.running())));
+      return;
+    }
+    lookUp(ref, reply, () -> poll(ref, reply));
+  }
+
+  /** Only the store can tell that a job was never accepted. */
+  private void lookUp(String ref, Promise<Answer> reply, Runnable found) {
+    env.store()
+        .get(RunCodec.JOB + ref)
+        .onSuccess(
+            entry -> {
+              if (!entry.present()) {
+                reply.complete(Answer.error(404, "no such job"));
+              } else if (stopped) {
+                reply.complete(Answer.later("no steward"));
+              } else {
+                jobCreated(RunCodec.readJob(entry.value()), RunCodec.readPiece(entry.value()));
+                found.run();
+              }
+            })
+        .onFailure(e -> reply.complete(Answer.later("the state service does not answer")));
+  }
+
+  private void abort(String ref, Promise<Answer> reply) {
+    Ledger.Ended ended = ledger.ended.get(ref);
+    if (ended != null) {
+      reply.complete(Answer.of(200, JobCodec.brief(ref, ended.phase())));
+      return;
+    }
+    Job job = ledger.jobs.get(ref);
+    if (job == null) {
+      lookUp(ref, reply, () -> abort(ref, reply));
+      return;
+    }
+    if (job.end == null) {
+      LOG.debug("job {} is cancelled", ref);
+      job.end = Phase.CANCELLED;
+      for (Attempt a : List.copyOf(job.open.values())) {
+        ask(a, 0);
+      }
+      committer.now(job, 0, null);
+      planSoon();
+    }
+    Phase end = job.end;
+    Answer answer = Answer.of(200, JobCodec.brief(ref, end));
+    if (committer.isDirty(job, 0)) {
+      committer.now(job, 0, () -> reply.tryComplete(answer));
+      env.timers().after(env.settings().workers().reportS(), () -> reply.tryComplete(Answer.later("not in the store yet")));
+    } else {
+      reply.complete(answer);
+    }
+  }
+
+  // ---- what workers tell
+
+  @Override
+  public void running(Attempt a, Machine m) {
+    // A gang counts as started with its first running task; nothing else hangs on it here.
+  }
+
+  @Override
+  public void exited(Attempt a, Machine m, Cause cause, boolean saved) {
+    Job job = a.job;
+    double now = env.clock().now();
+    LOG.debug("{} exited: {}{}", a, cause, saved ? ", saved" : "");
+    if (cause == Cause.DONE && job.spec.shape() != Shape.SERVICE) {
+      finished(a, m, now);
+    } else {
+      failed(a, m, cause, now);
+    }
+    close(a);
+  }
+
+  private void finished(Attempt a, Machine m, double now) {
+    Job job = a.job;
+    m.errorStreak = 0;
+    m.failedJobs.clear();
+    job.errorMachines.clear();
+    job.backoffUntil = 0;
+    if (a.runningAt >= 0 && !job.restarted.get(a.task) && !job.done.get(a.task)) {
+      double ran = Math.max(0.1, now - a.runningAt);
+      job.finishedSumS += ran;
+      job.finishedCount++;
+      m.ratios.addLast(job.meanS() / ran);
+      while (m.ratios.size() > StragglerFeed.LATELY) {
+        m.ratios.removeFirst();
+      }
+    }
+    if (job.end != null) {
+      return;
+    }
+    if (job.spec.shape() == Shape.GANG) {
+      // A gang completes together: when one task is done, every task is.
+      job.done.set(0, job.spec.tasks());
+    } else {
+      job.done.set(a.task);
+    }
+    if (job.remaining() == 0) {
+      job.end = Phase.DONE;
+      committer.now(job, 0, null);
+      for (Attempt other : job.open.values()) {
+        other.stopping = false;
+      }
+    }
+  }
+
+  private void failed(Attempt a, Machine m, Cause cause, double now) {
+    Job job = a.job;
+    double report = env.settings().workers().reportS();
+    switch (cause) {
+      case ERROR -> blame(a, m, now);
+      case NO_ROOM, BUSY -> m.avoidUntil = now + report;
+      case UNKNOWN -> job.backoffUntil = now + report / 3;
+      default -> { }
+    }
+    if (job.spec.shape() == Shape.GANG && job.end == null) {
+      breakGang(job, a.stopping ? a.stopGraceS : 0);
+    }
+  }
+
+  /** A task that fails is the machine's fault, unless its job fails wherever it goes. */
+  private void blame(Attempt a, Machine m, double now) {
+    Job job = a.job;
+    double report = env.settings().workers().reportS();
+    job.errors++;
+    if (job.done.isEmpty()) {
+      job.errorMachines.add(m.name);
+    }
+    if (job.errorMachines.size() >= 3) {
+      job.backoffUntil = now + Math.min(env.settings().workers().leaseS(), report * (1 << Math.min(5, job.errors - 3)));
+      for (String name : job.errorMachines) {
+        Machine other = ledger.machines.get(name);
+        if (other != null && other.failedJobs.equals(Set.of(job.spec.ref()))) {
+          other.errorStreak = 0;
+          other.avoidUntil = 0;
+          other.cordoned = false;
+          other.failedJobs.clear();
+        }
+      }
+      return;
+    }
+    m.errorStreak++;
+    m.failedJobs.add(job.spec.ref());
+    m.avoidUntil = now + report * (1 << Math.min(4, m.errorStreak));
+    if ((m.failedJobs.size() >= 2 || m.errorStreak >= 3) && !m.cordoned) {
+      LOG.info("machine {} fails what it starts", m.name);
+      m.cordoned = true;
+    }
+  }
+
+  @Override
+  public void gone(Attempt a, Machine m, String why) {
+    LOG.info("{} is gone: {}", a, why);
+    if (a.job.spec.shape() == Shape.GANG && a.job.end == null) {
+      breakGang(a.job, 0);
+    }
+    close(a);
+  }
+
+  /** Stops what is left of a gang's attempt; the next one starts when all of it has ended. */
+  private void breakGang(Job job, double graceS) {
+    for (Attempt a : List.copyOf(job.open.values())) {
+      if (!a.stopping) {
+        ask(a, graceS);
+      }
+    }
+  }
+
+  /** Wants an attempt to end. One whose start has not left ends here and now. */
+  private void ask(Attempt a, double graceS) {
+    if (a.start == Attempt.Start.UNCOMMITTED || a.start == Attempt.Start.READY) {
+      close(a);
+      return;
+    }
+    if (!a.stopping || graceS < a.stopGraceS) {
+      a.stopping = true;
+      a.stopGraceS = graceS;
+      a.stopAskedAt = env.clock().now();
+      a.stopSentAt = -1e9;
+    }
+    Machine m = ledger.machines.get(a.machine);
+    if (m != null && loaded) {
+      workers.flush(m);
+    }
+  }
+
+  private void close(Attempt a) {
+    ledger.close(a, env.clock().now());
+    if (a.start != Attempt.Start.UNCOMMITTED && a.start != Attempt.Start.READY) {
+      a.job.restarted.set(a.task);
+    }
+    committer.later(a.job, a.task);
+    planSoon();
+  }
+
+  @Override
+  public void outranked(long token) {
+    host.outranked("a worker has seen token " + token);
+  }
+
+  @Override
+  public void changed() {
+    planSoon();
+  }
+
+  @Override
+  public boolean settled(String ref, int task) {
+    Job job = ledger.jobs.get(ref);
+    return job == null || !(committer.isDirty(job, task) || committer.isDirty(job, 0));
+  }
+
+  // ---- what the fleet tells
+
+  @Override
+  public void machineGone(Machine m) {
+    if (ledger.machines.get(m.name) != m) {
+      return;
+    }
+    for (Attempt a : List.copyOf(m.open.values())) {
+      gone(a, m, "its machine was returned");
+    }
+    ledger.machines.remove(m.name);
+    workers.deleted(m.name);
+    planSoon();
+  }
+
+  @Override
+  public void deaf() {
+    host.resign("most machines are silent");
+  }
+
+  // ---- time
+
+  private void tick() {
+    if (!loaded || !host.live()) {
+      return;
+    }
+    double now = env.clock().now();
+    for (Attempt a : fleet.expired(acquiredAt + env.settings().holdS())) {
+      gone(a, ledger.machines.get(a.machine), "the worker's lease is over");
+    }
+    for (Machine m : List.copyOf(ledger.machines.values())) {
+      drain(m, now);
+      workers.flush(m);
+    }
+    fleet.tick();
+    retire();
+    for (Restart r : restarts.due()) {
+      restart(r);
+    }
+    feed.flush(host.controllers());
+    if (now - plannedAt > env.settings().workers().reportS() / 3) {
+      planSoon();
+    }
+  }
+
+  /** Empties machines that the cloud takes back, and returns those that are to hold nothing more. */
+  private void drain(Machine m, double now) {
+    if (m.recallAt >= 0) {
+      for (Attempt a : List.copyOf(m.open.values())) {
+        if (!a.stopping && a.job.end == null) {
+          stopOne(a, a.job.spec.checkpointS() > 0 ? a.job.spec.saveS() : 0);
+        }
+      }
+    }
+    if ((m.recallAt >= 0 || m.cordoned) && m.open.isEmpty() && m.up()) {
+      fleet.giveBack(m);
+    }
+  }
+
+  private void stopOne(Attempt a, double graceS) {
+    if (a.job.spec.shape() == Shape.GANG) {
+      breakGang(a.job, graceS);
+    } else {
+      ask(a, graceS);
+    }
+  }
+
+  /** Lets go of jobs that have ended, once nothing of them is open or unwritten. */
+  private void retire() {
+    for (Job job : List.copyOf(ledger.jobs.values())) {
+      if (job.end != null && job.open.isEmpty() && !committer.isDirty(job)) {
+        String ref = job.spec.ref();
+        ledger.jobs.remove(ref);
+        ledger.ended.put(ref, new Ledger.Ended(job.end, job.spec.tasks(), job.done.cardinality()));
+        host.ended(ref, job.end, job.spec.tasks(), job.done.cardinality());
+      }
+    }
+  }
+
+  private void restart(Restart r) {
+    Job job = ledger.jobs.get(r.ref());
+    Attempt a = job.open.get(r.task());
+    LOG.info("restarting slow task {} on {} (gain {})", a, r.target(), String.format("%.4f", r.gain()));
+    job.wishes.put(r.task(), r.target());
+    committer.now(job, r.task(), () -> {
+      if (Ledger.isOpen(a) && !a.stopping && job.end == null) {
+        ask(a, a.job.spec.checkpointS() > 0 ? a.job.spec.saveS() : 0);
+      }
+    });
+  }
+
+  // ---- planning
+
+  private void planSoon() {
+    if (!planArmed && loaded && !stopped) {
+      planArmed = true;
+      double spacing = env.settings().workers().reportS() / 60;
+      double wait = Math.max(0.001, plannedAt + spacing - env.clock().now());
+      env.timers().after(wait, () -> tell(new StewardMessage.MakePlan()));
+    }
+  }
+
+  private void makePlan() {
+    planArmed = false;
+    double now = env.clock().now();
+    if (!host.live() || (!fleet.listedOnce() && now - acquiredAt < env.settings().workers().reportS() && ledger.machines.isEmpty())) {
+      return;
+    }
+    plannedAt = now;
+    Plan plan =
+        planner.plan(
+            now, ledger.jobs.values(), ledger.machines.values(), ledger.types,
+            fleet::exhausted, fleet.expected(), demand.headroom(env.operator(), ledger.jobs.values()));
+    for (Plan.Stop s : plan.stops) {
+      LOG.info("stopping {}: {}", s.attempt(), s.why());
+      stopOne(s.attempt(), s.graceS());
+    }
+    for (Plan.Start s : plan.starts) {
+      begin(s, now);
+    }
+    if (fleet.listedOnce()) {
+      plan.buys.forEach(fleet::rent);
+      for (Machine m : plan.returns) {
+        LOG.debug("machine {} is idle", m.name);
+        fleet.giveBack(m);
+      }
+    }
+  }
+
+  private void begin(Plan.Start s, double now) {
+    Job job = s.job();
+    long number = job.nextAttempt++;
+    for (Plan.Placement p : s.placements()) {
+      Attempt a = ledger.open(job, p.task(), number, p.machine(), now);
+      job.wishes.remove(p.task());
+      committer.now(job, p.task(), () -> {
+        if (Ledger.isOpen(a) && a.start == Attempt.Start.UNCOMMITTED && job.end == null) {
+          a.start = Attempt.Start.READY;
+          flushSoon(p.machine());
+        }
+      });
+    }
+  }
+
+  private final ArrayDeque<Machine> toFlush = new ArrayDeque<>();
+
+  /** Gathers the starts of one commit, so that each machine gets one command. */
+  private void flushSoon(Machine m) {
+    if (toFlush.isEmpty()) {
+      env.loop().execute(() -> {
+        Set<Machine> all = Set.copyOf(toFlush);
+        toFlush.clear();
+        if (!stopped && host.live()) {
+          all.forEach(workers::flush);
+        }
+      });
+    }
+    toFlush.add(m);
+  }
+
+  // ---- for operators
+
+  private ObjectNode overview() {
+    ObjectNode o = Json.object();
+    o.put("epoch", epoch);
+    Map<String, int[]> classes = new TreeMap<>();
+    for (Job j : ledger.jobs.values()) {
+      int[] c = classes.computeIfAbsent(j.spec.jobClass(), k -> new int[4]);
+      c[0]++;
+      c[1] += j.pendingCount();
+      c[2] += j.running();
+      c[3] += j.open.size();
+    }
+    ObjectNode queue = o.putObject("queue");
+    classes.forEach(
+        (name, c) ->
+            queue.putObject(name).put("jobs", c[0]).put("pending", c[1]).put("running", c[2]).put("placed", c[3]));
+    ObjectNode machines = o.putObject("machines");
+    for (Machine m : ledger.machines.values()) {
+      ObjectNode n = machines.putObject(m.name);
+      n.put("type", m.type == null ? null : m.type.name()).put("zone", m.zone).put("spot", m.spot);
+      n.put("state", m.deleting ? "returning" : m.failed ? "failed" : !m.up() ? "booting" : m.cordoned ? "cordoned" : "up");
+      n.put("tasks", m.open.size());
+    }
+    o.put("ended", ledger.ended.size());
+    return o;
+  }
+
+  /** Malformed proposals of peers are dropped by the desk; this is for tests. */
+  Ledger ledger() {
+    return ledger;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/embernotch/steward/Workers.java
@@ -0,0 +1,395 @@
+package io.embernotch.steward;
+
+import io.embernotch.codec.BadInput;
+import io.embernotch.codec.WorkerCodec;
+import io.embernotch.http.CallFailed;
+import io.embernotch.http.Reply;
+import io.embernotch.model.Attempt;
+import io.embernotch.model.Attempt.Start;
+import io.embernotch.model.Cause;
+import io.embernotch.model.JobSpec;
+import io.embernotch.model.Machine;
+import io.embernotch.model.Order;
+import io.embernotch.model.TaskReport;
+import io.embernotch.model.TaskState;
+import io.embernotch.model.WorkerReport;
+import io.embernotch.settings.HostPort;
+import io.embernotch.settings.Settings;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Talks to workers: sends orders, reads reports, and works out from them which attempts are there
+ * and which are proven gone. What follows from that for jobs is the {@link Outcome}'s business.
+ */
+final class Workers {
+  private static final Logger LOG = LoggerFactory.getLogger(Workers.class);
+  private static final int EPOCH_BITS = 20;
+
+  /** What is told of attempts. */
+  interface Outcome {
+    void running(Attempt a, Machine m);
+
+    /** The attempt has exited on its machine; it is still open. */
+    void exited(Attempt a, Machine m, Cause cause, boolean saved);
+
+    /** The attempt is proven gone without an exit. */
+    void gone(Attempt a, Machine m, String why);
+
+    /** A worker has seen a token newer than ours. */
+    void outranked(long token);
+
+    /** Something changed that a plan may use. */
+    void changed();
+
+    /** True once everything that an exited attempt's end means is in the store. */
+    boolean settled(String ref, int task);
+  }
+
+  private final Env env;
+  private final Ledger ledger;
+  private final Outcome outcome;
+  private final long epochBase;
+  private final double callS;
+  private final Set<String> deleted = new HashSet<>();
+
+  Workers(Env env, Ledger ledger, long epoch, Outcome outcome) {
+    this.env = env;
+    this.ledger = ledger;
+    this.outcome = outcome;
+    this.epochBase = baseToken(epoch);
+    this.callS = env.settings().workers().reportS() * 2 / 3;
+  }
+
+  /** Lowest token of a stewardship: the counter below it is raised machine by machine. */
+  static long baseToken(long epoch) {
+    return epoch << EPOCH_BITS;
+  }
+
+  long base() {
+    return epochBase;
+  }
+
+  /** True for machines that were deleted: lists lag, and packets may be late. */
+  boolean wasDeleted(String name) {
+    return deleted.contains(name);
+  }
+
+  void deleted(String name) {
+    deleted.add(name);
+  }
+
+  /** Takes a report that a worker sent, and returns the body of the 200; null if it must not get one. */
+  byte[] report(WorkerReport r, boolean trusted) {
+    if (wasDeleted(r.machine())) {
+      return null;
+    }
+    Machine m = ledger.machine(r.machine(), epochBase);
+    if (m.deleting && !r.newerThan(m.session, m.seq)) {
+      return null;
+    }
+    if (!absorb(r, m)) {
+      return null;
+    }
+    double now = env.clock().now();
+    m.renewedAt = now;
+    List<Order> orders = new ArrayList<>();
+    if (r.session() == m.session) {
+      addStops(m, orders);
+    }
+    if (trusted && r.session() == m.session) {
+      addStartsInResponse(m, orders);
+      addReaps(m, r, orders);
+    }
+    return WorkerCodec.response(m.token, orders);
+  }
+
+  /** Learns from a report, whichever way it came. False if it shows us to be outranked. */
+  boolean absorb(WorkerReport r, Machine m) {
+    if (r.token() > m.token) {
+      if (r.token() >>> EPOCH_BITS > epochBase >>> EPOCH_BITS) {
+        outcome.outranked(r.token());
+        return false;
+      }
+      m.token = r.token();
+    }
+    if (!r.newerThan(m.session, m.seq)) {
+      return true;
+    }
+    double now = env.clock().now();
+    boolean first = !m.up();
+    if (first) {
+      m.idleSince = now;
+      m.bornAt = m.bornAt == 0 ? now : m.bornAt;
+      LOG.debug("machine {} is up after {} s", m.name, Math.round(now - m.bornAt));
+    }
+    m.type = ledger.types.getOrDefault(r.type(), m.type);
+    m.zone = r.zone();
+    m.spot = r.spot();
+    m.address = r.address();
+    boolean newSession = r.session() > m.session;
+    if (newSession && m.session > 0) {
+      m.images.clear();
+    }
+    m.heardAt = now;
+    m.seenToken = r.token();
+    if (r.recallS() != null && m.recallAt < 0) {
+      LOG.info("machine {} is taken back in {} s", m.name, r.recallS());
+      m.recallAt = now + r.recallS();
+      outcome.changed();
+    }
+    long oldSession = m.session;
+    m.session = r.session();
+    m.seq = r.seq();
+    Set<String> listed = new HashSet<>();
+    for (TaskReport t : r.tasks()) {
+      String key = Machine.taskKey(t.ref(), t.task());
+      Attempt a = m.open.get(key);
+      if (a != null && a.number == t.attempt()) {
+        listed.add(key);
+        present(a, m, t, now);
+      }
+    }
+    for (Attempt a : List.copyOf(m.open.values())) {
+      if (!listed.contains(Machine.taskKey(a.job.spec.ref(), a.task))) {
+        absent(a, m, r, newSession && oldSession > 0);
+      }
+    }
+    if (first || newSession) {
+      outcome.changed();
+    }
+    return true;
+  }
+
+  private void present(Attempt a, Machine m, TaskReport t, double now) {
+    a.start = Start.HELD;
+    TaskState before = a.state;
+    if (t.state() == TaskState.EXITED) {
+      boolean hadImage = before != null && before != TaskState.FETCHING;
+      if (hadImage || t.cause() == Cause.DONE) {
+        cache(m, a.job.spec);
+      }
+      outcome.exited(a, m, t.cause(), t.saved());
+      return;
+    }
+    a.state = t.state();
+    if (t.state() != TaskState.FETCHING) {
+      cache(m, a.job.spec);
+    }
+    if (t.state() == TaskState.RUNNING && a.runningAt < 0) {
+      a.runningAt = now;
+      outcome.running(a, m);
+    }
+  }
+
+  /** Remembers the image, and forgets the least recently used ones that no longer fit. */
+  private void cache(Machine m, JobSpec spec) {
+    m.images.remove(spec.image());
+    m.images.add(spec.image());
+    while (m.images.size() > 32) {
+      m.images.remove(m.images.iterator().next());
+    }
+  }
+
+  private void absent(Attempt a, Machine m, WorkerReport r, boolean newSession) {
+    switch (a.start) {
+      case HELD -> outcome.gone(a, m, newSession ? "new session" : "no longer reported");
+      // A response is executed before the next report or dropped, so this start never happened.
+      case IN_RESPONSE -> a.start = Start.READY;
+      case UNSURE -> {
+        // The late command carries at most startToken: a worker past it refuses the command. In a
+        // later session than the one it named it is refused as well.
+        if (r.token() > a.startToken || (newSession && a.startToken >= epochBase)) {
+          outcome.gone(a, m, "never started");
+        }
+      }
+      case UNCOMMITTED, READY, SENDING -> {
+        // Nothing has left, or the direct command's own answer will tell.
+      }
+    }
+  }
+
+  /** Sends what is due straight to the machine, unless something is already on the way. */
+  void flush(Machine m) {
+    double now = env.clock().now();
+    if (m.doInFlight || m.address == null || m.session == 0 || now - m.doFailedAt < callS) {
+      return;
+    }
+    List<Order> orders = new ArrayList<>();
+    List<Attempt> starting = new ArrayList<>();
+    for (Attempt a : m.open.values()) {
+      if (a.start == Start.READY && !a.stopping) {
+        orders.add(new Order(Order.Verb.START, a.job.spec.ref(), a.task, a.number, 0));
+        starting.add(a);
+      } else if (stopDue(a) && now - a.stopSentAt > env.settings().workers().reportS()) {
+        orders.add(stop(a));
+        a.stopSentAt = now;
+      }
+    }
+    if (orders.isEmpty()) {
+      return;
+    }
+    for (Attempt a : starting) {
+      a.start = Start.SENDING;
+      a.startToken = m.token;
+    }
+    direct(m, orders, starting);
+  }
+
+  private static boolean stopDue(Attempt a) {
+    return a.stopping && (a.start == Start.HELD || a.start == Start.UNSURE || a.start == Start.IN_RESPONSE);
+  }
+
+  private void direct(Machine m, List<Order> orders, List<Attempt> starting) {
+    HostPort to;
+    try {
+      to = HostPort.parse(m.address);
+    } catch (IllegalArgumentException e) {
+      LOG.info("machine {} has no usable address: {}", m.name, m.address);
+      m.doFailedAt = env.clock().now();
+      starting.forEach(a -> a.start = Start.READY);
+      return;
+    }
+    long token = m.token;
+    m.doInFlight = true;
+    env.workers()
+        .call("POST", to, "/do", WorkerCodec.direct(token, m.session, orders), callS)
+        .onSuccess(reply -> directAnswered(m, token, starting, reply))
+        .onFailure(e -> directFailed(m, token, starting, e));
+  }
+
+  private void directAnswered(Machine m, long token, List<Attempt> starting, Reply reply) {
+    m.doInFlight = false;
+    if (ledger.machines.get(m.name) != m) {
+      return;
+    }
+    boolean done = reply.status() == 200;
+    WorkerReport r;
+    try {
+      r = WorkerCodec.read(reply.body());
+    } catch (BadInput e) {
+      LOG.info("unreadable answer {} of {}: {}", reply.status(), m.name, e.getMessage());
+      directFailed(m, token, starting, new CallFailed(done, e.getMessage()));
+      return;
+    }
+    for (Attempt a : starting) {
+      if (a.start == Start.SENDING) {
+        // Executed: it is listed, or was and has ended since. Refused: nothing of it is left.
+        a.start = done ? Start.HELD : Start.READY;
+      }
+    }
+    if (!done) {
+      m.doFailedAt = env.clock().now();
+    }
+    if (done && !r.newerThan(m.session, m.seq) && r.session() == m.session) {
+      // A newer report overtook this answer, and spoke before we knew of the starts in it.
+      return;
+    }
+    if (absorb(r, m) && done) {
+      flush(m);
+    }
+  }
+
+  private void directFailed(Machine m, long token, List<Attempt> starting, Throwable e) {
+    m.doInFlight = false;
+    m.doFailedAt = env.clock().now();
+    boolean sent = !(e instanceof CallFailed f) || f.sent;
+    LOG.info("direct command to {} failed, sent {}: {}", m.name, sent, e.getMessage());
+    if (sent) {
+      // It may yet arrive, even minutes late. Under a higher token the worker will refuse it.
+      m.unsureToken = Math.max(m.unsureToken, token);
+      m.token = Math.max(m.token, token + 1);
+    }
+    for (Attempt a : starting) {
+      if (a.start == Start.SENDING) {
+        a.start = sent ? Start.UNSURE : Start.READY;
+      }
+    }
+  }
+
+  private void addStops(Machine m, List<Order> orders) {
+    for (Attempt a : m.open.values()) {
+      if (stopDue(a)) {
+        orders.add(stop(a));
+        a.stopSentAt = env.clock().now();
+      }
+    }
+  }
+
+  private static Order stop(Attempt a) {
+    return new Order(Order.Verb.STOP, a.job.spec.ref(), a.task, a.number, a.stopGraceS);
+  }
+
+  /** Where the direct way has just failed, starts go out with the response instead. */
+  private void addStartsInResponse(Machine m, List<Order> orders) {
+    if (m.doInFlight || env.clock().now() - m.doFailedAt > 2 * env.settings().workers().reportS()) {
+      return;
+    }
+    for (Attempt a : m.open.values()) {
+      if (a.start == Start.READY && !a.stopping) {
+        orders.add(new Order(Order.Verb.START, a.job.spec.ref(), a.task, a.number, 0));
+        a.start = Start.IN_RESPONSE;
+        a.startToken = m.token;
+      }
+    }
+  }
+
+  /**
+   * Lets the worker forget exited attempts, once what they mean is in the store and no copy of
+   * their start can arrive any more: the worker would run a forgotten attempt once more.
+   */
+  private void addReaps(Machine m, WorkerReport r, List<Order> orders) {
+    boolean noLateStart = !m.doInFlight && r.token() > m.unsureToken && r.token() >= epochBase;
+    for (TaskReport t : r.tasks()) {
+      Attempt a = m.open.get(Machine.taskKey(t.ref(), t.task()));
+      boolean ours = a != null && a.number == t.attempt();
+      if (t.state() == TaskState.EXITED) {
+        if (!ours && noLateStart && outcome.settled(t.ref(), t.task())) {
+          orders.add(new Order(Order.Verb.FORGET, t.ref(), t.task(), t.attempt(), 0));
+        }
+      } else if (!ours) {
+        // Nothing that we let run is missing from the ledger, so this must not run.
+        LOG.warn("machine {} runs {}/{}#{}, which should be gone", m.name, t.ref(), t.task(), t.attempt());
+        orders.add(new Order(Order.Verb.STOP, t.ref(), t.task(), t.attempt(), 0));
+      }
+    }
+  }
+
+  /**
+   * True once the machine's worker must have killed everything: nobody can have renewed its lease
+   * for longer than it lasts. An earlier steward may have done so until {@code othersUntil}.
+   */
+  boolean leaseOver(Machine m, double othersUntil) {
+    double last = m.seenToken >= epochBase ? m.renewedAt : Math.max(m.renewedAt, othersUntil);
+    double life = env.settings().workers().leaseS() * (1 + 2 * Settings.DRIFT) + 0.5;
+    return env.clock().now() > last + life;
+  }
+
+  /** Asks a silent machine for its state; the answer counts as news, but renews nothing. */
+  void probe(Machine m, Runnable silent) {
+    if (m.probing || m.address == null) {
+      return;
+    }
+    m.probing = true;
+    env.workers()
+        .call("GET", HostPort.parse(m.address), "/status", null, callS)
+        .onSuccess(
+            reply -> {
+              m.probing = false;
+              try {
+                absorb(WorkerCodec.read(reply.body()), m);
+              } catch (BadInput e) {
+                LOG.info("unreadable status of {}: {}", m.name, e.getMessage());
+              }
+            })
+        .onFailure(
+            e -> {
+              m.probing = false;
+              silent.run();
+            });
+  }
+}
--- /dev/null
+++ b/src/main/java/io/embernotch/store/Changes.java
@@ -0,0 +1,6 @@
+package io.embernotch.store;
+
+import java.util.List;
+
+/** What a watch saw; an entry with a null value was dropped. */
+public record Changes(long epoch, List<Entry> events) {}
--- /dev/null
+++ b/src/main/java/io/embernotch/store/StoreClient.java
@@ -0,0 +1,242 @@
+package io.embernotch.store;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.embernotch.actor.Clock;
+import io.embernotch.actor.Timers;
+import io.embernotch.codec.BadInput;
+import io.embernotch.codec.Json;
+import io.embernotch.http.CallFailed;
+import io.embernotch.http.Caller;
+import io.embernotch.http.Reply;
+import io.embernotch.settings.Settings;
+import io.embernotch.store.StoreFailure.Kind;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Function;
+
+/** The state service, paced under its limits. Futures fail with {@link StoreFailure} only. */
+public final class StoreClient {
+  /** Share of the service's limits that one controller takes; the others need some too. */
+  private static final double SHARE = 0.7;
+
+  private static final int PAGE = 1000;
+  private static final int THROTTLED = 429;
+
+  private final Caller caller;
+  private final Clock clock;
+  private final Timers timers;
+  private final Settings settings;
+  private final Pacer requests;
+  private final Pacer writes;
+  private final double timeoutS;
+  private double answeredAt = -1e9;
+  private double failingSince = -1;
+
+  public StoreClient(Caller caller, Clock clock, Timers timers, Settings settings) {
+    this.caller = caller;
+    this.clock = clock;
+    this.timers = timers;
+    this.settings = settings;
+    this.requests = new Pacer(clock, timers, settings.stateLimits().rps() * SHARE, 0.5);
+    this.writes = new Pacer(clock, timers, settings.stateLimits().writeRps() * SHARE, 0.5);
+    this.timeoutS = settings.workers().reportS() / 2;
+  }
+
+  /** When the service last answered anything but a refusal. */
+  public double answeredAt() {
+    return answeredAt;
+  }
+
+  /** Seconds for which it has refused or not answered, 0 if its last answer was good. */
+  public double failingForS() {
+    return failingSince < 0 ? 0 : clock.now() - failingSince;
+  }
+
+  public Future<Entry> get(String key) {
+    return send("GET", "/store/" + key, null, 0, false, timeoutS)
+        .compose(
+            reply ->
+                switch (reply.status()) {
+                  case 200 -> parsed(reply, o -> entry(o));
+                  case 404 -> Future.succeededFuture(new Entry(key, null, 0));
+                  default -> odd(reply);
+                });
+  }
+
+  /** Everything under a prefix, page by page, and the epoch of the first page. */
+  public Future<Changes> list(String prefix) {
+    return listFrom(prefix, null, new ArrayList<>(), -1);
+  }
+
+  private Future<Changes> listFrom(String prefix, String after, List<Entry> sofar, long firstEpoch) {
+    String path = "/store?starts=" + prefix + (after == null ? "" : "&after=" + after) + "&page=" + PAGE;
+    return send("GET", path, null, 0, false, timeoutS * 2)
+        .compose(
+            reply -> {
+              if (reply.status() != 200) {
+                return odd(reply);
+              }
+              return parsed(reply, o -> o)
+                  .compose(
+                      o -> {
+                        for (JsonNode p : Json.need(o, "pairs")) {
+                          sofar.add(entry((ObjectNode) p));
+                        }
+                        long epoch = firstEpoch >= 0 ? firstEpoch : Json.whole(o, "epoch");
+                        if (Json.flagOr(o, "truncated", false) && !sofar.isEmpty()) {
+                          return listFrom(prefix, sofar.get(sofar.size() - 1).key(), sofar, epoch);
+                        }
+                        return Future.succeededFuture(new Changes(epoch, sofar));
+                      });
+            });
+  }
+
+  public Future<Commit> commit(Txn txn) {
+    return commit(txn, false);
+  }
+
+  public Future<Commit> commit(Txn txn, boolean urgent) {
+    return send("POST", "/commit", txn.bytes(), txn.changes(), urgent, timeoutS)
+        .compose(
+            reply ->
+                switch (reply.status()) {
+                  case 200 -> parsed(reply, o -> new Commit(true, Json.whole(o, "epoch"), Set.of()));
+                  case 409 -> parsed(reply, o -> new Commit(false, Json.whole(o, "epoch"), failedKeys(o)));
+                  case 400 -> new String(reply.body()).contains("lease")
+                      ? Future.failedFuture(new StoreFailure(Kind.NO_LEASE, "no such lease"))
+                      : odd(reply);
+                  default -> odd(reply);
+                });
+  }
+
+  public Future<Long> grant(double lifeS) {
+    byte[] body = Json.bytes(Json.object().put("life_ms", Math.round(lifeS * 1000)));
+    return send("POST", "/leases", body, 0, true, timeoutS)
+        .compose(reply -> reply.status() == 200 ? parsed(reply, o -> Json.whole(o, "permit")) : odd(reply));
+  }
+
+  /** True if the lease got its full time again, false if it has ended. */
+  public Future<Boolean> extend(long permit, double withinS) {
+    return send("POST", "/leases/" + permit + "/extend", null, 0, true, withinS)
+        .compose(
+            reply ->
+                switch (reply.status()) {
+                  case 200 -> Future.succeededFuture(true);
+                  case 404 -> Future.succeededFuture(false);
+                  default -> odd(reply);
+                });
+  }
+
+  public Future<Void> revoke(long permit) {
+    return send("DELETE", "/leases/" + permit, null, 0, true, timeoutS).mapEmpty();
+  }
+
+  /** Waits until something under the prefix has changed after {@code epoch}, or the time is out. */
+  public Future<Changes> watch(String prefix, long epoch, double holdS) {
+    String path =
+        "/changes?starts=" + prefix + "&after=" + epoch + "&hold_ms=" + Math.round(holdS * 1000);
+    return send("GET", path, null, 0, false, holdS + timeoutS)
+        .compose(
+            reply ->
+                switch (reply.status()) {
+                  case 200 -> parsed(reply, StoreClient::changes);
+                  case 410 -> Future.failedFuture(new StoreFailure(Kind.TOO_OLD, "too old"));
+                  default -> odd(reply);
+                });
+  }
+
+  private Future<Reply> send(
+      String method, String path, byte[] body, int changes, boolean urgent, double withinS) {
+    Promise<Reply> promise = Promise.promise();
+    attempt(method, path, body, changes, urgent, clock.now() + withinS, promise);
+    return promise.future();
+  }
+
+  private void attempt(
+      String method, String path, byte[] body, int changes, boolean urgent, double until, Promise<Reply> promise) {
+    Runnable call = () -> callOnce(method, path, body, changes, urgent, until, promise);
+    requests.pass(1, urgent, () -> writes.pass(changes, urgent, call));
+  }
+
+  private void callOnce(
+      String method, String path, byte[] body, int changes, boolean urgent, double until, Promise<Reply> promise) {
+    double left = until - clock.now();
+    if (left <= 0) {
+      promise.fail(new StoreFailure(Kind.REFUSED, "not sent in time"));
+      return;
+    }
+    caller
+        .call(method, settings.state(), path, body, left)
+        .onSuccess(
+            reply -> {
+              if (reply.status() == THROTTLED) {
+                // Not executed. Wait for some of a second's worth to come free, then try again.
+                timers.after(0.1, () -> attempt(method, path, body, changes, urgent, until, promise));
+              } else if (reply.status() == 503) {
+                failing();
+                promise.fail(new StoreFailure(Kind.REFUSED, "state service answers 503"));
+              } else {
+                answeredAt = clock.now();
+                failingSince = -1;
+                promise.complete(reply);
+              }
+            })
+        .onFailure(
+            e -> {
+              failing();
+              boolean sent = !(e instanceof CallFailed f) || f.sent;
+              promise.fail(new StoreFailure(sent ? Kind.UNKNOWN : Kind.REFUSED, e.getMessage()));
+            });
+  }
+
+  private void failing() {
+    if (failingSince < 0) {
+      failingSince = clock.now();
+    }
+  }
+
+  private static <T> Future<T> parsed(Reply reply, Function<ObjectNode, T> read) {
+    try {
+      return Future.succeededFuture(read.apply(reply.json()));
+    } catch (BadInput e) {
+      return Future.failedFuture(new StoreFailure(Kind.UNKNOWN, "unreadable answer: " + e.getMessage()));
+    }
+  }
+
+  private static <T> Future<T> odd(Reply reply) {
+    return Future.failedFuture(
+        new StoreFailure(Kind.UNKNOWN, "answer " + reply.status() + " " + new String(reply.body())));
+  }
+
+  private static Entry entry(ObjectNode o) {
+    JsonNode v = Json.opt(o, "v");
+    return new Entry(Json.text(o, "key"), v == null ? null : (ObjectNode) v, Json.whole(o, "stamp"));
+  }
+
+  private static Set<String> failedKeys(ObjectNode o) {
+    Set<String> out = new HashSet<>();
+    for (JsonNode n : Json.need(o, "failed")) {
+      out.add(n.asText());
+    }
+    return out;
+  }
+
+  private static Changes changes(ObjectNode o) {
+    List<Entry> out = new ArrayList<>();
+    for (JsonNode e : Json.need(o, "events")) {
+      JsonNode drop = Json.opt(e, "drop");
+      if (drop != null) {
+        out.add(new Entry(drop.asText(), null, Json.whole(e, "stamp")));
+      } else {
+        JsonNode v = Json.opt(e, "v");
+        out.add(new Entry(Json.text(e, "write"), v instanceof ObjectNode n ? n : null, Json.whole(e, "stamp")));
+      }
+    }
+    return new Changes(Json.whole(o, "epoch"), out);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/embernotch/store/StoreFailure.java
@@ -0,0 +1,28 @@
+package io.embernotch.store;
+
+/** The state service did not do what it was asked, or did not say. */
+public final class StoreFailure extends RuntimeException {
+  private static final long serialVersionUID = 1L;
+
+  public enum Kind {
+    /** It was not executed and never will be. */
+    REFUSED,
+    /** It may have been executed, or may yet be. */
+    UNKNOWN,
+    /** The lease that the write names has ended. */
+    NO_LEASE,
+    /** The watch asks for changes that are no longer kept. */
+    TOO_OLD
+  }
+
+  public final Kind kind;
+
+  public StoreFailure(Kind kind, String message) {
+    super(message, null, false, false);
+    this.kind = kind;
+  }
+
+  public static Kind kindOf(Throwable t) {
+    return t instanceof StoreFailure f ? f.kind : Kind.UNKNOWN;
+  }
+}
