Tell an end only once the store holds it, and from then on always

Cause: a poll of a cancelled job looked at whether its piece was dirty. Closing the job's attempts makes it dirty again, and the poll then fell back to running (went_back). Conclusion: the end has a flag of its own, set by the commit that wrote it.

--- a/src/main/java/io/embernotch/codec/RunCodec.java
+++ b/src/main/java/io/embernotch/codec/RunCodec.java
@@ -99,6 +99,7 @@
     if (piece == 0) {
       job.nextAttempt = Json.whole(o, "next");
       job.end = readEnd(o);
+      job.endKept = job.end != null;
     }
     JsonNode done = Json.opt(o, "done");
     if (done != null) {
--- a/src/main/java/io/embernotch/model/Job.java
+++ b/src/main/java/io/embernotch/model/Job.java
@@ -14,6 +14,8 @@
   public final long submittedMs;
   /** DONE or CANCELLED once that is decided, else null. */
   public Phase end;
+  /** The store is known to hold the end: only then may anybody be told, and from then on always. */
+  public boolean endKept;
   public final BitSet done = new BitSet();
   public final Map<Integer, Attempt> open = new TreeMap<>();
   public long nextAttempt = 1;
--- a/src/main/java/io/embernotch/steward/Steward.java
+++ b/src/main/java/io/embernotch/steward/Steward.java
@@ -323,8 +323,7 @@
     Job job = ledger.jobs.get(ref);
     if (job != null) {
       // An end is told only once it is in the store; until then the job is as it was.
-      boolean told = job.end != null && !committer.isDirty(job, 0);
-      Phase phase = told ? job.end : job.running() > 0 || job.end != null ? Phase.RUNNING : Phase.QUEUED;
+      Phase phase = job.endKept ? job.end : job.running() > 0 || job.end != null ? Phase.RUNNING : Phase.QUEUED;
       reply.complete(Answer.of(200, JobCodec.status(ref, phase, job.done.cardinality(), job.running())));
       return;
     }
@@ -366,12 +365,12 @@
       for (Attempt a : List.copyOf(job.open.values())) {
         ask(a, 0);
       }
-      committer.now(job, 0, null);
+      committer.now(job, 0, () -> job.endKept = true);
       planSoon();
     }
     Phase end = job.end;
     Answer answer = Answer.of(200, JobCodec.brief(ref, end));
-    if (committer.isDirty(job, 0)) {
+    if (!job.endKept) {
       committer.now(job, 0, () -> reply.tryComplete(answer));
       env.timers().after(env.settings().workers().reportS(), () -> reply.tryComplete(Answer.later("not in the store yet")));
     } else {
@@ -425,7 +424,7 @@
     }
     if (job.remaining() == 0) {
       job.end = Phase.DONE;
-      committer.now(job, 0, null);
+      committer.now(job, 0, () -> job.endKept = true);
       for (Attempt other : job.open.values()) {
         other.stopping = false;
       }
