--- a/src/main/java/io/embernotch/steward/Election.java
+++ b/src/main/java/io/embernotch/steward/Election.java
@@ -144,7 +144,7 @@
     }
     if (!entry.present()) {
       listener.stewardIs(null, 0);
-      double wait = Math.max(avoidUntil - clock.now(), listener.yieldFirst() ? lifeS : 0);
+      double wait = Math.max(avoidUntil - clock.now(), listener.yieldFirst() ? lifeS / 4 : 0);
       if (wait > 0) {
         // After the pause somebody else may have it, so look again rather than contend blindly.
         avoidUntil = Math.min(avoidUntil, clock.now());
--- a/src/main/java/io/embernotch/steward/FleetKeeper.java
+++ b/src/main/java/io/embernotch/steward/FleetKeeper.java
@@ -49,6 +49,7 @@
   private final Map<String, Double> fullUntil = new HashMap<>();
   private int bookings;
   private double listedAt = -1e9;
+  private boolean answering;
   private boolean listing;
   private boolean listedOnce;
   private boolean deleteBusy;
@@ -68,6 +69,18 @@
     return listedOnce;
   }
 
+  /**
+   * True while the cloud answers. What is idle when it does not is kept: it could not be returned
+   * now, nor replaced, and a deletion that was tried may be carried out at any later time.
+   */
+  boolean answers() {
+    return answering;
+  }
+
+  private double listEveryS() {
+    return Math.max(env.settings().cloudLimits().listLagS(), env.settings().workers().reportS());
+  }
+
   List<Fleet.Expected> expected() {
     List<Fleet.Expected> out = new ArrayList<>();
     for (Booking b : open.values()) {
@@ -135,8 +148,7 @@
 
   void tick() {
     double now = env.clock().now();
-    double every = Math.max(env.settings().cloudLimits().listLagS(), env.settings().workers().reportS());
-    if (!listing && now - listedAt > every) {
+    if (!listing && now - listedAt > listEveryS()) {
       list();
     }
     if (now - typesAt > 20 * env.settings().workers().reportS()) {
@@ -159,6 +171,7 @@
               if (r.succeeded()) {
                 listed(r.result());
               } else {
+                answering = false;
                 LOG.debug("machine list: {}", r.cause().getMessage());
               }
             });
@@ -172,6 +185,7 @@
     double now = env.clock().now();
     boolean news = !listedOnce;
     listedOnce = true;
+    answering = true;
     for (Listed l : list) {
       Machine m = ledger.machines.get(l.name());
       if (m == null) {
--- a/src/main/java/io/embernotch/steward/Steward.java
+++ b/src/main/java/io/embernotch/steward/Steward.java
@@ -658,6 +658,8 @@
     }
     if (fleet.listedOnce()) {
       plan.buys.forEach(fleet::rent);
+    }
+    if (fleet.answers()) {
       for (Machine m : plan.returns) {
         LOG.debug("machine {} is idle", m.name);
         fleet.giveBack(m);
--- /dev/null
+++ b/src/test/java/io/embernotch/codec/CodecTest.java
@@ -0,0 +1,121 @@
+package io.embernotch.codec;
+
+import static io.embernotch.testkit.World.job;
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.embernotch.model.Attempt;
+import io.embernotch.model.Cause;
+import io.embernotch.model.Job;
+import io.embernotch.model.JobSpec;
+import io.embernotch.model.Phase;
+import io.embernotch.model.TaskState;
+import io.embernotch.model.WorkerReport;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class CodecTest {
+  private static byte[] utf(String s) {
+    return s.getBytes(StandardCharsets.UTF_8);
+  }
+
+  private static JobSpec read(String json) {
+    return JobCodec.read(Json.parseObject(utf(json)));
+  }
+
+  @Test
+  void aJobSurvivesTheStore() {
+    JobSpec spec = read(job("j-1", "group", 4).replace("\"flavors\":null", "\"flavors\":[\"g8\"]"));
+    assertThat(JobCodec.read(JobCodec.write(spec))).isEqualTo(spec);
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "\"shards\":2 | \"shards\":0 | shards",
+        "\"shards\":2 | \"shards\":100001 | shards",
+        "\"shards\":2 | \"shards\":1.5 | shards",
+        "\"shards\":2 | \"shards\":\"2\" | shards",
+        "\"cores\":4.0 | \"cores\":-1 | cores",
+        "\"cores\":4.0 | \"cores\":\"x\" | cores",
+        "\"cores\":4.0 | \"other\":1 | cores",
+        "\"shape\":\"array\" | \"shape\":\"ring\" | shape",
+        "\"rank\":\"standard\" | \"rank\":\"vip\" | rank",
+        "\"loaner\":true | \"loaner\":1 | loaner",
+        "\"flavors\":null | \"flavors\":[] | flavors",
+        "\"flavors\":null | \"flavors\":[3] | flavors",
+        "\"ref\":\"j-1\" | \"ref\":\"x/../y\" | ref",
+        "\"due_s\":null | \"due_s\":true | due_s"
+      })
+  void badFieldsAreNamed(String good, String bad, String field) {
+    String json = job("j-1", "array", 2);
+    assertThat(json).contains(good);
+    assertThatThrownBy(() -> read(json.replace(good, bad))).isInstanceOf(BadInput.class).hasMessageContaining(field);
+  }
+
+  @Test
+  void whatIsNotAnObjectIsRefused() {
+    for (String s : new String[] {"", "[]", "3", "{", "{}x", "null"}) {
+      assertThatThrownBy(() -> Json.parseObject(utf(s))).as(s).isInstanceOf(BadInput.class);
+    }
+  }
+
+  @Test
+  void readsAReport() {
+    WorkerReport r =
+        WorkerCodec.read(
+            utf("{\"hearth\":\"n-1\",\"address\":\"10.1.0.2:9000\",\"flavor\":\"g8\",\"room\":\"a\",\"loaner\":true,"
+                + "\"tenure\":2,\"tick\":88,\"baton\":41,\"new_field\":1,\"shards\":["
+                + "{\"shard\":\"j-4/3\",\"try\":2,\"phase\":\"running\"},"
+                + "{\"shard\":\"j-3/0\",\"try\":1,\"phase\":\"exited\",\"cause\":\"halted\",\"stored\":true}]}"));
+    assertThat(r.recallS()).isNull();
+    assertThat(r.tasks().get(0).state()).isEqualTo(TaskState.RUNNING);
+    assertThat(r.tasks().get(1).cause()).isEqualTo(Cause.STOPPED);
+    assertThat(r.tasks().get(1).saved()).isTrue();
+    assertThat(r.newerThan(2, 87)).isTrue();
+    assertThat(r.newerThan(2, 88)).isFalse();
+    assertThat(r.newerThan(3, 1)).isFalse();
+  }
+
+  @Test
+  void progressOfTheLargestJobFitsInPieces() {
+    JobSpec spec = read(job("j-1", "array", 100_000));
+    Job job = new Job(spec, 1);
+    int size = RunCodec.piece(8);
+    job.done.set(0, 100_000);
+    for (int t = 0; t < 2 * size; t++) {
+      Attempt a = new Attempt(job, t, 1L << 50, "n-000123456", "a-rather-long-zone", 0);
+      job.open.put(t, a);
+    }
+    assertThat(Json.bytes(RunCodec.writeRun(job, size, 1)).length).isLessThanOrEqualTo(8 * 1024);
+    assertThat(Json.bytes(RunCodec.writeRun(job, size, 0)).length).isLessThanOrEqualTo(8 * 1024);
+  }
+
+  @Test
+  void progressSurvivesTheStore() {
+    JobSpec spec = read(job("j-1", "array", 10));
+    Job job = new Job(spec, 77);
+    job.done.set(1);
+    job.done.set(7);
+    job.nextAttempt = 5;
+    job.open.put(3, new Attempt(job, 3, 4, "n-1", "z1", 9));
+    job.open.put(8, new Attempt(job, 8, 4, "n-2", "z2", 9));
+    job.wishes.put(3, "n-9");
+    Job back = RunCodec.readJob(RunCodec.writeJob(job, 4));
+    for (int piece = 0; piece < 3; piece++) {
+      RunCodec.readRun(RunCodec.writeRun(job, 4, piece), back, 4, piece);
+    }
+    assertThat(back.submittedMs).isEqualTo(77);
+    assertThat(back.done).isEqualTo(job.done);
+    assertThat(back.open.keySet()).containsExactly(3, 8);
+    assertThat(back.open.get(8).zone).isEqualTo("z2");
+    assertThat(back.wishes).containsEntry(3, "n-9");
+    job.end = Phase.CANCELLED;
+    ObjectNode o = RunCodec.writeRun(job, 4, 0);
+    assertThat(RunCodec.readEnd(o)).isEqualTo(Phase.CANCELLED);
+  }
+}
--- /dev/null
+++ b/src/test/java/io/embernotch/peer/FrameTest.java
@@ -0,0 +1,61 @@
+package io.embernotch.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.embernotch.codec.BadInput;
+import io.embernotch.straggler.MachineView;
+import io.embernotch.straggler.Restart;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class FrameTest {
+  private static final MachineView VIEW =
+      new MachineView(
+          "n-1", "g8", "z1", true, 48, 0.004, true, 1.5, 2, 3, 4, List.of(0.5, 1.25),
+          List.of(
+              new MachineView.TaskView("j-1", 7, 3, 12, 40, 5, 1, 27, true, null, null),
+              new MachineView.TaskView("j-2", 8, 4, 13, 0, 5, 1, 27, false, "z1", List.of("g8", "h9"))));
+
+  private static List<Frame> all() {
+    return List.of(
+        new Frame.Beat("c1", null, 0, true),
+        new Frame.Ask(9, Frame.Ask.What.ABORT, "j-3"),
+        new Frame.View(44, VIEW),
+        new Frame.Forget(44, "n-1"),
+        new Frame.Propose("c2", 44, List.of(new Restart("j-1", 2, 3, "n-7", 0.25))));
+  }
+
+  @Test
+  void framesSurviveTheWireWhateverWayItCutsThem() {
+    for (int chunk : new int[] {1, 3, 1000}) {
+      List<Frame> got = new ArrayList<>();
+      FrameReader reader = new FrameReader(got::add);
+      for (Frame f : all()) {
+        byte[] bytes = FrameCodec.encode(f);
+        for (int i = 0; i < bytes.length; i += chunk) {
+          reader.feed(Arrays.copyOfRange(bytes, i, Math.min(bytes.length, i + chunk)));
+        }
+      }
+      assertThat(got).isEqualTo(all());
+    }
+  }
+
+  @Test
+  void malformedFramesAreRefused() {
+    byte[] good = FrameCodec.encode(new Frame.Forget(44, "n-1"));
+    byte[] version = good.clone();
+    version[4] = 9;
+    byte[] kind = good.clone();
+    kind[5] = 99;
+    byte[] tooLong = good.clone();
+    tooLong[0] = 127;
+    byte[] cut = good.clone();
+    cut[14] = 0x70;
+    for (byte[] bad : List.of(version, kind, tooLong, cut)) {
+      assertThatThrownBy(() -> new FrameReader(f -> {}).feed(bad)).isInstanceOf(BadInput.class);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/io/embernotch/settings/SettingsTest.java
@@ -0,0 +1,54 @@
+package io.embernotch.settings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.embernotch.testkit.World;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class SettingsTest {
+  @Test
+  void readsTheFileAndIgnoresWhatItDoesNotKnow() {
+    Settings s = SettingsReader.parse("novelty = 3\n" + World.toml(1) + "novelty = 4\n");
+    assertThat(s.node()).isEqualTo("c1");
+    assertThat(s.members()).extracting(Settings.Member::node).containsExactly("c0", "c2");
+    assertThat(s.teams().get("red").gpusMax()).isEqualTo(24);
+    assertThat(s.stateLimits().txnOps()).isEqualTo(12);
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "lease_s = 30.0 | lease_s = 'x' | cluster.workers.lease_s",
+        "lease_s = 30.0 | other = 1 | cluster.workers.lease_s: missing",
+        "lease_s = 30.0 | lease_s = 60.0 | cancel_s",
+        "txn_ops = 12 | txn_ops = 1.5 | cluster.state.txn_ops",
+        "cloud = '10.2.0.2:8443' | cloud = 'nowhere' | external.cloud",
+        "client_listen='10.0.0.2:8080' | client_listen='10.0.0.2:99999' | client_listen",
+        "name = 'blue' | name = 'red' | red is named twice",
+        "node='c0' | node='c1' | names this node itself",
+        "zones = ['z1', 'z2'] | zones = [] | cluster.zones"
+      })
+  void aWrongFieldIsNamed(String good, String bad, String message) {
+    String toml = World.toml(1);
+    assertThat(toml).contains(good);
+    assertThatThrownBy(() -> SettingsReader.parse(toml.replace(good, bad)))
+        .isInstanceOf(SettingsException.class)
+        .hasMessageContaining(message);
+  }
+
+  @Test
+  void operatorDefaultsAreThoseOfTheSchema() {
+    assertThat(OperatorSettings.parse("")).isEqualTo(OperatorSettings.DEFAULTS);
+  }
+
+  @Test
+  void operatorSettingsAreChecked() {
+    assertThat(OperatorSettings.parse("straggler { beta: 0.4 enabled: false }").beta()).isEqualTo(0.4);
+    assertThatThrownBy(() -> OperatorSettings.parse("straggler { beta: 4 }")).hasMessageContaining("straggler.beta");
+    assertThatThrownBy(() -> OperatorSettings.parse("stragler { }")).hasMessageContaining("stragler");
+  }
+}
--- /dev/null
+++ b/src/test/java/io/embernotch/testkit/FakeState.java
@@ -0,0 +1,234 @@
+package io.embernotch.testkit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.embernotch.codec.Json;
+import io.embernotch.http.Reply;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** The state service of PROTOCOL, in memory. */
+public final class FakeState {
+  private record Value(ObjectNode v, long stamp, long permit) {}
+
+  private record Change(String key, ObjectNode v, long stamp) {}
+
+  private record Watch(String prefix, long after, Promise<Reply> promise) {}
+
+  private static final class Lease {
+    double lifeS;
+    double until;
+  }
+
+  private final FakeTime time;
+  private final TreeMap<String, Value> data = new TreeMap<>();
+  private final Map<Long, Lease> leases = new HashMap<>();
+  private final List<Change> changes = new ArrayList<>();
+  private final List<Watch> watches = new ArrayList<>();
+  private long epoch = 10;
+  private long nextLease = 1;
+  /** Every request is refused, and no lease runs out. */
+  public boolean outage;
+  public int commits;
+
+  public FakeState(FakeTime time) {
+    this.time = time;
+    sweep();
+  }
+
+  private void sweep() {
+    time.after(0.05, () -> {
+      if (!outage) {
+        expire();
+      }
+      sweep();
+    });
+  }
+
+  private void expire() {
+    leases.entrySet().removeIf(e -> {
+      if (e.getValue().until > time.now()) {
+        return false;
+      }
+      dropAttached(e.getKey());
+      return true;
+    });
+  }
+
+  private void dropAttached(long permit) {
+    for (String key : List.copyOf(data.keySet())) {
+      if (data.get(key).permit == permit) {
+        epoch++;
+        data.remove(key);
+        changed(key, null);
+      }
+    }
+  }
+
+  /** Ends an outage: every lease gets its full time again. */
+  public void recover() {
+    outage = false;
+    leases.values().forEach(l -> l.until = time.now() + l.lifeS);
+  }
+
+  public ObjectNode value(String key) {
+    Value v = data.get(key);
+    return v == null ? null : v.v;
+  }
+
+  public long stamp(String key) {
+    Value v = data.get(key);
+    return v == null ? 0 : v.stamp;
+  }
+
+  public Future<Reply> handle(String method, String path, byte[] body) {
+    if (outage) {
+      return reply(503, Json.object().put("error", "down"));
+    }
+    if (path.startsWith("/store/")) {
+      return get(path.substring(7));
+    }
+    if (path.startsWith("/store?")) {
+      return list(query(path, "starts"), query(path, "after"));
+    }
+    if (path.startsWith("/changes")) {
+      return watch(query(path, "starts"), Long.parseLong(query(path, "after")), Double.parseDouble(query(path, "hold_ms")) / 1000);
+    }
+    if (path.equals("/commit")) {
+      return commit(Json.parseObject(body));
+    }
+    if (path.equals("/leases")) {
+      Lease l = new Lease();
+      l.lifeS = Json.parseObject(body).get("life_ms").asDouble() / 1000;
+      l.until = time.now() + l.lifeS;
+      leases.put(nextLease, l);
+      return reply(200, Json.object().put("permit", nextLease++));
+    }
+    long permit = Long.parseLong(path.split("/")[2]);
+    Lease l = leases.get(permit);
+    if (l == null) {
+      return reply(404, Json.object());
+    }
+    if (method.equals("DELETE")) {
+      leases.remove(permit);
+      dropAttached(permit);
+    } else {
+      l.until = time.now() + l.lifeS;
+    }
+    return reply(200, Json.object());
+  }
+
+  private Future<Reply> get(String key) {
+    Value v = data.get(key);
+    if (v == null) {
+      return reply(404, Json.object().put("epoch", epoch));
+    }
+    ObjectNode o = Json.object().put("key", key).put("stamp", v.stamp);
+    o.set("v", v.v);
+    return reply(200, o);
+  }
+
+  private Future<Reply> list(String prefix, String after) {
+    ObjectNode o = Json.object().put("epoch", epoch).put("truncated", false);
+    ArrayNode pairs = o.putArray("pairs");
+    data.tailMap(prefix).forEach((k, v) -> {
+      if (k.startsWith(prefix) && (after == null || k.compareTo(after) > 0)) {
+        ObjectNode p = pairs.addObject().put("key", k).put("stamp", v.stamp);
+        p.set("v", v.v);
+      }
+    });
+    return reply(200, o);
+  }
+
+  private Future<Reply> commit(ObjectNode o) {
+    commits++;
+    ArrayNode failed = Json.object().putArray("failed");
+    for (JsonNode w : o.get("when")) {
+      if (stamp(w.get("key").asText()) != w.get("stamp").asLong()) {
+        failed.add(w.get("key").asText());
+      }
+    }
+    for (JsonNode a : o.get("apply")) {
+      if (a.has("permit") && !leases.containsKey(a.get("permit").asLong())) {
+        return reply(400, Json.object().put("error", "no such lease"));
+      }
+    }
+    if (!failed.isEmpty()) {
+      ObjectNode r = Json.object().put("epoch", epoch);
+      r.set("failed", failed);
+      return reply(409, r);
+    }
+    epoch++;
+    for (JsonNode a : o.get("apply")) {
+      if (a.has("write")) {
+        String key = a.get("write").asText();
+        ObjectNode v = a.get("v").deepCopy();
+        data.put(key, new Value(v, epoch, a.path("permit").asLong(0)));
+        changed(key, v);
+      } else {
+        data.remove(a.get("drop").asText());
+        changed(a.get("drop").asText(), null);
+      }
+    }
+    return reply(200, Json.object().put("epoch", epoch));
+  }
+
+  private void changed(String key, ObjectNode v) {
+    changes.add(new Change(key, v, epoch));
+    for (Watch w : List.copyOf(watches)) {
+      if (key.startsWith(w.prefix)) {
+        watches.remove(w);
+        time.execute(() -> w.promise.tryComplete(events(w.prefix, w.after)));
+      }
+    }
+  }
+
+  private Future<Reply> watch(String prefix, long after, double holdS) {
+    Promise<Reply> promise = Promise.promise();
+    boolean any = changes.stream().anyMatch(c -> c.stamp > after && c.key.startsWith(prefix));
+    if (any) {
+      promise.complete(events(prefix, after));
+    } else {
+      Watch w = new Watch(prefix, after, promise);
+      watches.add(w);
+      time.after(holdS, () -> {
+        watches.remove(w);
+        promise.tryComplete(events(prefix, after));
+      });
+    }
+    return promise.future();
+  }
+
+  private Reply events(String prefix, long after) {
+    ObjectNode o = Json.object().put("epoch", epoch);
+    ArrayNode list = o.putArray("events");
+    for (Change c : changes) {
+      if (c.stamp > after && c.key.startsWith(prefix)) {
+        ObjectNode e = list.addObject().put(c.v == null ? "drop" : "write", c.key).put("stamp", c.stamp);
+        if (c.v != null) {
+          e.set("v", c.v);
+        }
+      }
+    }
+    return new Reply(200, Json.bytes(o));
+  }
+
+  private static String query(String path, String name) {
+    for (String part : path.substring(path.indexOf('?') + 1).split("&")) {
+      if (part.startsWith(name + "=")) {
+        return part.substring(name.length() + 1);
+      }
+    }
+    return null;
+  }
+
+  private static Future<Reply> reply(int status, ObjectNode o) {
+    return Future.succeededFuture(new Reply(status, Json.bytes(o)));
+  }
+}
--- /dev/null
+++ b/src/test/java/io/embernotch/testkit/FakeWorker.java
@@ -0,0 +1,155 @@
+package io.embernotch.testkit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.embernotch.codec.Json;
+import io.embernotch.http.Reply;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+
+/** A worker of PROTOCOL: keeps the highest token, obeys orders, and kills all when its lease ends. */
+public final class FakeWorker {
+  private static final class Task {
+    long attempt;
+    String phase = "running";
+    String cause;
+  }
+
+  public final String name;
+  public final String type;
+  public final String zone;
+  public final boolean spot;
+  public final String address;
+  private final Map<String, Task> tasks = new LinkedHashMap<>();
+  /** Every start that was carried out, as JOB/TASK#TRY. */
+  public final List<String> started = new ArrayList<>();
+  public final List<String> reaped = new ArrayList<>();
+  public long session = 1;
+  public long seq;
+  public long token;
+  public Double recallS;
+  /** Neither reports leave nor commands arrive. */
+  public boolean cut;
+  /** Every task that starts fails at once. */
+  public boolean sick;
+  double lastRenewed;
+  int node;
+
+  FakeWorker(String name, String type, String zone, boolean spot, String address, double now) {
+    this.name = name;
+    this.type = type;
+    this.zone = zone;
+    this.spot = spot;
+    this.address = address;
+    this.lastRenewed = now;
+  }
+
+  /** Task names that are on the machine and have not exited. */
+  public TreeSet<String> alive() {
+    TreeSet<String> out = new TreeSet<>();
+    tasks.forEach((k, t) -> {
+      if (!t.phase.equals("exited")) {
+        out.add(k);
+      }
+    });
+    return out;
+  }
+
+  public boolean holds(String task) {
+    return tasks.containsKey(task);
+  }
+
+  public void exit(String task, String cause) {
+    tasks.get(task).phase = "exited";
+    tasks.get(task).cause = cause;
+  }
+
+  void endSession(double now) {
+    tasks.clear();
+    session++;
+    seq = 0;
+    lastRenewed = now;
+  }
+
+  public byte[] report() {
+    seq++;
+    ObjectNode o = Json.object();
+    o.put("hearth", name).put("address", address).put("flavor", type).put("room", zone).put("loaner", spot);
+    o.put("tenure", session).put("tick", seq).put("baton", token);
+    if (recallS != null) {
+      o.put("recall_s", recallS);
+    }
+    ArrayNode list = o.putArray("shards");
+    tasks.forEach((k, t) -> {
+      ObjectNode n = list.addObject().put("shard", k).put("try", t.attempt).put("phase", t.phase);
+      if (t.cause != null) {
+        n.put("cause", t.cause);
+      }
+    });
+    return Json.bytes(o);
+  }
+
+  /** Takes the answer to a report; true if it renews the lease. */
+  boolean answer(byte[] body) {
+    ObjectNode o = Json.parseObject(body);
+    long given = o.get("baton").asLong();
+    if (given < token) {
+      return false;
+    }
+    token = given;
+    obey(o.get("orders"));
+    return true;
+  }
+
+  /** POST /do. */
+  public Reply direct(byte[] body) {
+    ObjectNode o = Json.parseObject(body);
+    if (o.get("baton").asLong() < token || o.get("tenure").asLong() != session) {
+      return new Reply(409, report());
+    }
+    token = o.get("baton").asLong();
+    obey(o.get("orders"));
+    return new Reply(200, report());
+  }
+
+  private void obey(JsonNode orders) {
+    for (JsonNode c : orders) {
+      String task = c.get("shard").asText();
+      long attempt = c.get("try").asLong();
+      Task t = tasks.get(task);
+      switch (c.get("verb").asText()) {
+        case "run" -> {
+          if (t == null || t.attempt != attempt) {
+            Task n = new Task();
+            n.attempt = attempt;
+            if (t != null && !t.phase.equals("exited")) {
+              continue;
+            }
+            tasks.put(task, n);
+            started.add(task + "#" + attempt);
+            if (sick) {
+              n.phase = "exited";
+              n.cause = "error";
+            }
+          }
+        }
+        case "stop" -> {
+          if (t != null && t.attempt == attempt && !t.phase.equals("exited")) {
+            t.phase = "exited";
+            t.cause = "halted";
+          }
+        }
+        default -> {
+          if (t != null && t.attempt == attempt && t.phase.equals("exited")) {
+            tasks.remove(task);
+            reaped.add(task + "#" + attempt);
+          }
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/io/embernotch/testkit/World.java
@@ -0,0 +1,481 @@
+package io.embernotch.testkit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.embernotch.cloud.CloudClient;
+import io.embernotch.codec.Json;
+import io.embernotch.http.Answer;
+import io.embernotch.http.CallFailed;
+import io.embernotch.http.Caller;
+import io.embernotch.http.Reply;
+import io.embernotch.peer.Frame;
+import io.embernotch.peer.PeerLink;
+import io.embernotch.settings.HostPort;
+import io.embernotch.settings.OperatorSettings;
+import io.embernotch.settings.Settings;
+import io.embernotch.settings.SettingsReader;
+import io.embernotch.steward.Controller;
+import io.embernotch.steward.Env;
+import io.embernotch.store.StoreClient;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.BiConsumer;
+
+/** Controllers, state service, cloud and workers on one fake clock, each to be disturbed at will. */
+public final class World {
+  /** What a message on its way to a worker meets. */
+  public enum Fate {
+    ARRIVES,
+    /** It is never carried out, and no answer comes. */
+    LOST,
+    /** The sender gives up; {@link #releaseHeld()} delivers it later. */
+    HELD
+  }
+
+  private static final double HOP_S = 0.002;
+
+  public final FakeTime time = new FakeTime();
+  public final FakeState state = new FakeState(time);
+  public final TreeMap<String, FakeWorker> workers = new TreeMap<>();
+  public final List<Node> nodes = new ArrayList<>();
+  private final Map<String, List<String>> bookings = new HashMap<>();
+  private final List<Runnable> held = new ArrayList<>();
+  private final List<String> broken = new ArrayList<>();
+  public final List<String> deleted = new ArrayList<>();
+  public final List<Integer> rentals = new ArrayList<>();
+  public Fate directFate = Fate.ARRIVES;
+  public Fate commitFate = Fate.ARRIVES;
+  public boolean cloudDown;
+  /** Names that machine lists leave out, as an old list would. */
+  public final TreeSet<String> unlisted = new TreeSet<>();
+  /** Rented machines do not come up. */
+  public boolean noBoot;
+  public double bootS = 5;
+  private int nextMachine = 1;
+
+  /** One controller, as long as it lives. */
+  public final class Node {
+    public final int index;
+    public final Settings settings;
+    public Controller controller;
+    public boolean down;
+    public boolean noState;
+    public boolean noPeers;
+    public boolean noWorkers;
+    private int life;
+    private BiConsumer<Frame, PeerLink.Back> frames;
+
+    Node(int index, String operator) {
+      this.index = index;
+      this.settings = SettingsReader.parse(toml(index));
+    }
+
+    public void start() {
+      int mine = ++life;
+      down = false;
+      FakeTimeOf clock = new FakeTimeOf(this, mine);
+      Caller caller = (method, to, path, body, timeout) -> call(this, mine, method, to, path, body, timeout);
+      Env env =
+          new Env(
+              settings, OperatorSettings.DEFAULTS, time, clock, clock,
+              new StoreClient(caller, time, clock, settings),
+              new CloudClient(caller, time, clock, settings),
+              caller);
+      controller = new Controller(env, new Link(this));
+      controller.start();
+    }
+
+    /** Ends the process: its timers and the answers to its calls go nowhere. */
+    public void kill() {
+      down = true;
+      life++;
+    }
+  }
+
+  /** The timers of one life of a node: they stop with it. */
+  private final class FakeTimeOf implements io.embernotch.actor.Timers, java.util.concurrent.Executor {
+    private final Node node;
+    private final int life;
+
+    FakeTimeOf(Node node, int life) {
+      this.node = node;
+      this.life = life;
+    }
+
+    @Override
+    public Runnable after(double seconds, Runnable task) {
+      return time.after(seconds, () -> {
+        if (node.life == life) {
+          task.run();
+        }
+      });
+    }
+
+    @Override
+    public void execute(Runnable task) {
+      after(0, task);
+    }
+  }
+
+  private final class Link implements PeerLink {
+    private final Node from;
+
+    Link(Node from) {
+      this.from = from;
+    }
+
+    @Override
+    public void onFrame(BiConsumer<Frame, Back> handler) {
+      from.frames = handler;
+    }
+
+    @Override
+    public void send(String node, Frame frame) {
+      for (Node to : nodes) {
+        if (to.settings.node().equals(node)) {
+          deliver(from, to, frame);
+        }
+      }
+    }
+
+    @Override
+    public void renew(String node) {
+      // Connections of the fake do not hang.
+    }
+  }
+
+  private void deliver(Node from, Node to, Frame frame) {
+    time.after(HOP_S, () -> {
+      if (!from.down && !to.down && !from.noPeers && !to.noPeers) {
+        to.frames.accept(frame, reply -> deliver(to, from, reply));
+      }
+    });
+  }
+
+  public World(int controllers) {
+    for (int i = 0; i < controllers; i++) {
+      nodes.add(new Node(i, null));
+    }
+    nodes.forEach(Node::start);
+  }
+
+  public static String toml(int index) {
+    StringBuilder s = new StringBuilder();
+    s.append("node='c").append(index).append("'\nlocation='z1'\nclient_listen='10.0.0.").append(index + 1)
+        .append(":8080'\nback='10.0.0.").append(index + 1).append(":8081'\n");
+    for (int i = 0; i < 3; i++) {
+      if (i != index) {
+        s.append("[[members]]\nnode='c").append(i).append("'\nlocation='z1'\naddress='10.0.0.").append(i + 1).append(":8081'\n");
+      }
+    }
+    s.append("""
+        [external]
+        cloud = '10.2.0.2:8443'
+        state = '10.2.0.1:2379'
+        [cluster]
+        count = 3
+        zones = ['z1', 'z2']
+        time_bound_ms = 1000.0
+        [[cluster.teams]]
+        name = 'red'
+        gpus = 8.0
+        gpus_max = 24.0
+        [[cluster.teams]]
+        name = 'blue'
+        gpus = 8.0
+        gpus_max = 64.0
+        [cluster.workers]
+        report_s = 3.0
+        lease_s = 30.0
+        gang_wait_s = 30.0
+        gang_peer_s = 4.0
+        cancel_s = 50.0
+        [cluster.state]
+        rps = 250.0
+        write_rps = 100.0
+        value_kb = 8.0
+        txn_ops = 12
+        [cluster.cloud]
+        rps = 10.0
+        list_lag_s = 3.0
+        [cluster.quota]
+        cpu_share = 0.3
+        memory_mb = 256.0
+        max_connections = 1000
+        """);
+    return s.toString();
+  }
+
+  // ---- time
+
+  /** Lets time pass, with workers reporting, and checks the rules on the way. */
+  public void pass(double seconds) {
+    for (double left = seconds; left > 0; left -= 0.25) {
+      time.pass(Math.min(0.25, left));
+      checkRunTwice();
+    }
+  }
+
+  private void checkRunTwice() {
+    Map<String, String> where = new HashMap<>();
+    for (FakeWorker w : workers.values()) {
+      for (String t : w.alive()) {
+        String other = where.put(t, w.name);
+        if (other != null) {
+          broken.add(t + " is on " + other + " and " + w.name);
+        }
+      }
+    }
+  }
+
+  /** Rules seen broken so far: tasks that were on two machines at once. */
+  public List<String> broken() {
+    return broken;
+  }
+
+  // ---- users
+
+  public Answer submit(int node, String json) {
+    return await(nodes.get(node).controller.submit(json.getBytes(StandardCharsets.UTF_8)));
+  }
+
+  public Answer poll(int node, String ref) {
+    return await(nodes.get(node).controller.poll(ref));
+  }
+
+  public Answer abort(int node, String ref) {
+    return await(nodes.get(node).controller.abort(ref));
+  }
+
+  public String phase(int node, String ref) {
+    Answer a = poll(node, ref);
+    return a.status() == 200 ? Json.parseObject(a.body()).get("phase").asText() : "status " + a.status();
+  }
+
+  public <T> T await(Future<T> f) {
+    for (int i = 0; i < 500 && !f.isComplete(); i++) {
+      time.pass(0.01);
+    }
+    return f.result();
+  }
+
+  /** The node that is steward and can prove it, or null. */
+  public Node steward() {
+    for (Node n : nodes) {
+      if (!n.down) {
+        Answer a = await(n.controller.overview());
+        if (Json.parseObject(a.body()).get("live").asBoolean()) {
+          return n;
+        }
+      }
+    }
+    return null;
+  }
+
+  // ---- the network
+
+  private Future<Reply> call(Node from, int life, String method, HostPort to, String path, byte[] body, double timeout) {
+    Promise<Reply> promise = Promise.promise();
+    time.after(timeout, () -> {
+      if (from.life == life) {
+        promise.tryFail(new CallFailed(true, "no answer in time"));
+      }
+    });
+    time.after(HOP_S, () -> {
+      Future<Reply> reply = arrive(from, method, to, path, body);
+      if (reply != null) {
+        reply.onSuccess(r -> time.after(HOP_S, () -> {
+          if (from.life == life) {
+            promise.tryComplete(r);
+          }
+        }));
+      }
+    });
+    return promise.future();
+  }
+
+  private Future<Reply> arrive(Node from, String method, HostPort to, String path, byte[] body) {
+    if (to.equals(from.settings.state())) {
+      if (from.noState) {
+        return Future.succeededFuture(new Reply(503, "{}".getBytes(StandardCharsets.UTF_8)));
+      }
+      if (path.equals("/commit") && commitFate != Fate.ARRIVES && new String(body).contains("run/")) {
+        if (commitFate == Fate.HELD) {
+          held.add(() -> state.handle(method, path, body));
+        }
+        return null;
+      }
+      return state.handle(method, path, body);
+    }
+    if (to.equals(from.settings.cloud())) {
+      return cloudDown
+          ? Future.succeededFuture(new Reply(503, "{\"error\":\"trouble\"}".getBytes(StandardCharsets.UTF_8)))
+          : Future.succeededFuture(cloud(method, path, body));
+    }
+    FakeWorker w = workers.values().stream().filter(x -> x.address.equals(to.toString())).findFirst().orElse(null);
+    if (w == null || w.cut || from.noWorkers || directFate == Fate.LOST) {
+      return null;
+    }
+    if (directFate == Fate.HELD && path.equals("/do")) {
+      held.add(() -> w.direct(body));
+      return null;
+    }
+    return Future.succeededFuture(path.equals("/do") ? w.direct(body) : new Reply(200, w.report()));
+  }
+
+  /** Delivers what was held back, minutes late perhaps. */
+  public void releaseHeld() {
+    List<Runnable> all = new ArrayList<>(held);
+    held.clear();
+    all.forEach(Runnable::run);
+  }
+
+  public int heldCount() {
+    return held.size();
+  }
+
+  // ---- the cloud
+
+  private Reply cloud(String method, String path, byte[] body) {
+    if (path.equals("/machine_types")) {
+      return json("{\"flavors\":[{\"name\":\"g8\",\"cores\":48,\"cards\":8,\"mem_gb\":288,\"local_gb\":100,"
+          + "\"fetch_gb_per_s\":1.0,\"rate\":12.0,\"market_price\":4.0,\"boot_s\":5,\"rooms\":[\"z1\",\"z2\"]}]}");
+    }
+    if (path.equals("/machines") && method.equals("POST")) {
+      ObjectNode o = Json.parseObject(body);
+      String booking = o.get("booking").asText();
+      List<String> names = bookings.get(booking);
+      if (names == null) {
+        names = new ArrayList<>();
+        rentals.add(o.get("number").asInt());
+        for (int i = 0; i < o.get("number").asInt(); i++) {
+          names.add(boot(o.get("flavor").asText(), o.get("room").asText(), o.get("loaner").asBoolean()));
+        }
+        bookings.put(booking, names);
+      }
+      ObjectNode r = Json.object();
+      ArrayNode list = r.putArray("hearths");
+      names.forEach(list::add);
+      return new Reply(200, Json.bytes(r));
+    }
+    if (path.equals("/machines/delete")) {
+      for (JsonNode n : Json.parseObject(body).get("hearths")) {
+        workers.remove(n.asText());
+        deleted.add(n.asText());
+      }
+      return json("{}");
+    }
+    ObjectNode r = Json.object().put("truncated", false);
+    ArrayNode list = r.putArray("hearths");
+    for (FakeWorker w : workers.values()) {
+      if (!unlisted.contains(w.name)) {
+        list.addObject().put("ref", w.name).put("address", w.address).put("flavor", w.type).put("room", w.zone)
+            .put("loaner", w.spot).put("phase", "running").put("age_s", 10);
+      }
+    }
+    return new Reply(200, Json.bytes(r));
+  }
+
+  private static Reply json(String s) {
+    return new Reply(200, s.getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** A machine that somebody rented: it is up after a while, and reports. */
+  public String boot(String type, String zone, boolean spot) {
+    String name = String.format("n-%06d", nextMachine++);
+    String address = "10.1.0." + nextMachine + ":9000";
+    if (!noBoot) {
+      time.after(bootS, () -> {
+        if (!deleted.contains(name)) {
+          FakeWorker w = new FakeWorker(name, type, zone, spot, address, time.now());
+          workers.put(name, w);
+          reportLoop(w);
+        }
+      });
+    }
+    return name;
+  }
+
+  // ---- workers
+
+  private void reportLoop(FakeWorker w) {
+    if (workers.get(w.name) != w) {
+      return;
+    }
+    double lease = nodes.get(0).settings.workers().leaseS();
+    if (time.now() - w.lastRenewed > lease) {
+      w.endSession(time.now());
+    }
+    if (!w.cut) {
+      report(w, 0);
+    }
+    time.after(1.0, () -> reportLoop(w));
+  }
+
+  private void report(FakeWorker w, int hops) {
+    Node n = nodes.get(w.node);
+    if (n.down || n.noWorkers) {
+      w.node = (w.node + 1) % nodes.size();
+      return;
+    }
+    double sentAt = time.now();
+    long session = w.session;
+    n.controller
+        .report(w.report())
+        .onSuccess(a -> {
+          if (n.down || w.cut || w.session != session) {
+            return;
+          }
+          if (a.status() == 200) {
+            if (w.answer(a.body())) {
+              w.lastRenewed = sentAt;
+            }
+          } else {
+            String to = a.status() == 421 ? Json.parseObject(a.body()).path("steward").asText("") : "";
+            w.node = to.isEmpty() ? (w.node + 1) % nodes.size() : Integer.parseInt(to.substring(1));
+            if (!to.isEmpty() && hops < 2) {
+              report(w, hops + 1);
+            }
+          }
+        });
+  }
+
+  /** Ends the run of every task of a job that is on a machine. */
+  public void finish(String ref) {
+    for (FakeWorker w : workers.values()) {
+      for (String t : w.alive()) {
+        if (t.startsWith(ref + "/")) {
+          w.exit(t, "done");
+        }
+      }
+    }
+  }
+
+  /** Where each live task of a job is. */
+  public Map<String, FakeWorker> running(String ref) {
+    Map<String, FakeWorker> out = new TreeMap<>();
+    for (FakeWorker w : workers.values()) {
+      for (String t : w.alive()) {
+        if (t.startsWith(ref + "/")) {
+          out.put(t, w);
+        }
+      }
+    }
+    return out;
+  }
+
+  public static String job(String ref, String shape, int tasks) {
+    return "{\"ref\":\"" + ref + "\",\"jobclass\":\"c\",\"owner\":\"red\",\"shape\":\"" + shape
+        + "\",\"rank\":\"standard\",\"shards\":" + tasks + ",\"cores\":4.0,\"cards\":1.0,\"mem_gb\":20.0,"
+        + "\"bundle\":\"img\",\"size_gb\":1.0,\"flavors\":null,\"room\":null,\"one_zone\":false,\"scatter\":false,"
+        + "\"loaner\":true,\"expect_s\":30.0,\"snapshot_s\":10.0,\"flush_s\":2.0,\"due_s\":null}";
+  }
+}
