--- a/src/test/java/io/embernotch/testkit/World.java
+++ b/src/test/java/io/embernotch/testkit/World.java
@@ -398,6 +398,7 @@
           FakeWorker w = new FakeWorker(name, type, zone, spot, address, time.now());
           workers.put(name, w);
           reportLoop(w);
+          leaseLoop(w);
         }
       });
     }
@@ -410,16 +411,19 @@
     if (workers.get(w.name) != w) {
       return;
     }
-    double lease = nodes.get(0).settings.workers().leaseS();
-    if (time.now() - w.lastRenewed > lease) {
-      w.endSession(time.now());
-    }
     if (!w.cut) {
       report(w, 0);
     }
     time.after(1.0, () -> reportLoop(w));
   }
 
+  private void leaseLoop(FakeWorker w) {
+    if (time.now() - w.lastRenewed > nodes.get(0).settings.workers().leaseS()) {
+      w.endSession(time.now());
+    }
+    time.after(0.1, () -> leaseLoop(w));
+  }
+
   private void report(FakeWorker w, int hops) {
     Node n = nodes.get(w.node);
     if (n.down || n.noWorkers) {
