--- a/src/main/java/io/embernotch/plan/Planner.java
+++ b/src/main/java/io/embernotch/plan/Planner.java
@@ -64,21 +64,28 @@
     usage = new Usage(settings.teams(), jobs);
     usage.markGuaranteed(jobs);
     slots = slots(machines, expected);
-    for (Job job : inOrder(jobs)) {
-      if (job.spec.shape() == Shape.GANG) {
-        placeGang(job);
-      } else {
-        placeTasks(job);
-      }
-    }
-    for (Fleet.Headroom h : headroom) {
-      keepFree(h);
-    }
+    List<Job> order = inOrder(jobs);
+    int live = 0;
+    while (live < order.size() && order.get(live).spec.priority() == Priority.PRODUCTION) {
+      place(order.get(live++));
+    }
+    // Room for the next live service goes before all other work, or that would fill it.
+    headroom.stream().filter(h -> h.like().priority() == Priority.PRODUCTION).forEach(this::keepFree);
+    order.subList(live, order.size()).forEach(this::place);
+    headroom.stream().filter(h -> h.like().priority() != Priority.PRODUCTION).forEach(this::keepFree);
     collectBuys();
     collectReturns();
     return plan;
   }
 
+  private void place(Job job) {
+    if (job.spec.shape() == Shape.GANG) {
+      placeGang(job);
+    } else {
+      placeTasks(job);
+    }
+  }
+
   /** Live services first, then what is guaranteed, then by priority, then by age. */
   private static List<Job> inOrder(Collection<Job> jobs) {
     List<Job> order = new ArrayList<>();
@@ -190,7 +197,7 @@
       if (s.kind != kind || !s.allows(spec) || !(later ? s.fitsLater(spec) : s.fits(spec))) {
         continue;
       }
-      if (!zoneOk(spec, s.zone, zone, perZone)) {
+      if (!zoneOk(spec, s.zone, zone, perZone) || tooDear(spec, s)) {
         continue;
       }
       if (wish != null && s.machine != null && s.machine.name.equals(wish)) {
@@ -205,6 +212,27 @@
     return best;
   }
 
+  /**
+   * Work that may run on spot machines keeps off ordinary ones while spot machines are to be had,
+   * unless a service holds the machine anyway: it would only keep it from being returned.
+   */
+  private boolean tooDear(JobSpec spec, Slot s) {
+    return spec.spot() && spec.shape() == Shape.ARRAY && !s.spot && !s.pinned && spotToBeHad(spec);
+  }
+
+  private boolean spotToBeHad(JobSpec spec) {
+    for (MachineType t : types.values()) {
+      if (t.fits(spec) && t.spotPrice() < t.price()) {
+        for (String zone : t.zones()) {
+          if (spec.allows(t.name(), zone, true) && !pools.exhausted(t.name(), zone, true)) {
+            return true;
+          }
+        }
+      }
+    }
+    return false;
+  }
+
   private static boolean zoneOk(JobSpec spec, String zone, String fixed, Map<String, Integer> perZone) {
     if (fixed != null && !fixed.equals(zone)) {
       return false;
--- a/src/main/java/io/embernotch/plan/Slot.java
+++ b/src/main/java/io/embernotch/plan/Slot.java
@@ -4,6 +4,7 @@
 import io.embernotch.model.JobSpec;
 import io.embernotch.model.Machine;
 import io.embernotch.model.MachineType;
+import io.embernotch.model.Shape;
 import io.embernotch.model.TaskState;
 import java.util.HashSet;
 import java.util.Set;
@@ -32,6 +33,8 @@
   double freeingGpus;
   double freeingMem;
   boolean claimed;
+  /** Holds work that may not run on spot machines, so it is paid for whatever else it does. */
+  boolean pinned;
 
   Slot(Kind kind, Machine machine, MachineType type, String zone, boolean spot) {
     this.kind = kind;
@@ -49,6 +52,7 @@
     for (Attempt a : m.open.values()) {
       JobSpec j = a.job.spec;
       s.take(j);
+      s.pinned |= j.shape() == Shape.SERVICE;
       if (a.stopping) {
         s.willFree(j);
       }
--- a/src/main/java/io/embernotch/settings/OperatorSettings.java
+++ b/src/main/java/io/embernotch/settings/OperatorSettings.java
@@ -16,11 +16,12 @@
     double keepIdleBoots,
     double serviceHeadroom,
     double gangHeadroom,
+    double arrayHeadroom,
     double leaseReports) {
 
   /** What holds without an operator file; the same values as operator.proto gives. */
   public static final OperatorSettings DEFAULTS =
-      new OperatorSettings(true, 1.5, 0.5, 5.0, 2.0, 1.0, 0.15, 0.15, 1.0);
+      new OperatorSettings(true, 1.5, 0.5, 5.0, 2.0, 1.0, 0.15, 0.15, 0.15, 1.0);
 
   public static OperatorSettings read(Path file) {
     try {
@@ -48,6 +49,7 @@
         within("fleet.keep_idle_boots", f.getKeepIdleBoots(), 0, 1000),
         within("fleet.service_headroom", f.getServiceHeadroom(), 0, 10),
         within("fleet.gang_headroom", f.getGangHeadroom(), 0, 10),
+        within("fleet.array_headroom", f.getArrayHeadroom(), 0, 10),
         within("leadership.lease_reports", b.getLeadership().getLeaseReports(), 0.2, 20));
   }
 
--- a/src/main/java/io/embernotch/steward/Demand.java
+++ b/src/main/java/io/embernotch/steward/Demand.java
@@ -16,24 +16,27 @@
   private final Map<String, JobSpec> latest = new LinkedHashMap<>();
 
   void seen(JobSpec spec, double now) {
-    if (spec.shape() != Shape.ARRAY) {
-      latest.put(spec.jobClass(), spec);
-    }
+    latest.put(spec.jobClass(), spec);
   }
 
   List<Headroom> headroom(OperatorSettings operator, Collection<Job> jobs) {
     Map<String, Integer> open = new LinkedHashMap<>();
     for (Job j : jobs) {
-      if (j.end == null && j.spec.shape() != Shape.ARRAY) {
+      if (j.end == null) {
         latest.putIfAbsent(j.spec.jobClass(), j.spec);
-        open.merge(j.spec.jobClass(), j.spec.shape() == Shape.GANG ? 1 : j.spec.tasks(), Integer::sum);
+        open.merge(j.spec.jobClass(), j.spec.shape() == Shape.GANG ? 1 : j.remaining(), Integer::sum);
       }
     }
     List<Headroom> out = new ArrayList<>();
     open.forEach(
         (name, count) -> {
           JobSpec like = latest.get(name);
-          double share = like.shape() == Shape.GANG ? operator.gangHeadroom() : operator.serviceHeadroom();
+          double share =
+              switch (like.shape()) {
+                case ARRAY -> operator.arrayHeadroom();
+                case GANG -> operator.gangHeadroom();
+                case SERVICE -> operator.serviceHeadroom();
+              };
           out.add(new Headroom(like, (int) Math.ceil(count * share)));
         });
     return out;
--- a/src/main/java/io/embernotch/steward/Steward.java
+++ b/src/main/java/io/embernotch/steward/Steward.java
@@ -389,7 +389,12 @@
   public void exited(Attempt a, Machine m, Cause cause, boolean saved) {
     Job job = a.job;
     double now = env.clock().now();
-    LOG.debug("{} exited: {}{}", a, cause, saved ? ", saved" : "");
+    if (LOG.isDebugEnabled()) {
+      LOG.debug(
+          "{} exited: {}{}; {} s after its start, {} s of them running, {} s expected", a, cause,
+          saved ? ", saved" : "", Math.round(now - a.createdAt),
+          a.runningAt < 0 ? 0 : Math.round(now - a.runningAt), Math.round(job.spec.expectS()));
+    }
     if (cause == Cause.DONE && job.spec.shape() != Shape.SERVICE) {
       finished(a, m, now);
     } else {
