--- a/src/main/java/io/embernotch/app/Main.java
+++ b/src/main/java/io/embernotch/app/Main.java
@@ -17,7 +17,8 @@
       SubmitCommand.class,
       StatusCommand.class,
       CancelCommand.class,
-      OverviewCommand.class
+      OverviewCommand.class,
+      RehearseCommand.class
     })
 public final class Main implements Runnable {
   @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
--- a/src/main/java/io/embernotch/model/JobSpec.java
+++ b/src/main/java/io/embernotch/model/JobSpec.java
@@ -31,6 +31,13 @@
         && (spot || !onSpot);
   }
 
+  /** The same job with another number of tasks. */
+  public JobSpec withTasks(int number) {
+    return new JobSpec(
+        ref, jobClass, team, shape, priority, number, cpus, gpus, memGb, image, imageGb, types, zone,
+        oneZone, spread, spot, expectS, checkpointS, saveS, dueS);
+  }
+
   /** Most tasks that may be in one zone when the job must be spread. */
   public int zoneCap() {
     return spread ? (tasks + 1) / 2 : tasks;
--- a/src/main/java/io/embernotch/settings/OperatorSettings.java
+++ b/src/main/java/io/embernotch/settings/OperatorSettings.java
@@ -14,14 +14,14 @@
     double roundS,
     double batchesPerS,
     double keepIdleBoots,
-    double serviceHeadroom,
-    double gangHeadroom,
-    double arrayHeadroom,
+    double serviceSpare,
+    double gangSpare,
+    double arraySpare,
     double leaseReports) {
 
   /** What holds without an operator file; the same values as operator.proto gives. */
   public static final OperatorSettings DEFAULTS =
-      new OperatorSettings(true, 1.5, 0.5, 5.0, 2.0, 1.0, 0.15, 0.15, 0.15, 1.0);
+      new OperatorSettings(true, 1.5, 0.5, 5.0, 2.0, 0.2, 2.0, 1.0, 1.0, 1.0);
 
   public static OperatorSettings read(Path file) {
     try {
@@ -47,9 +47,9 @@
         within("straggler.round_s", s.getRoundS(), 0.1, 3600),
         within("straggler.batches_per_s", s.getBatchesPerS(), 0.01, 100),
         within("fleet.keep_idle_boots", f.getKeepIdleBoots(), 0, 1000),
-        within("fleet.service_headroom", f.getServiceHeadroom(), 0, 10),
-        within("fleet.gang_headroom", f.getGangHeadroom(), 0, 10),
-        within("fleet.array_headroom", f.getArrayHeadroom(), 0, 10),
+        within("fleet.service_spare", f.getServiceSpare(), 0, 100),
+        within("fleet.gang_spare", f.getGangSpare(), 0, 100),
+        within("fleet.array_spare", f.getArraySpare(), 0, 100),
         within("leadership.lease_reports", b.getLeadership().getLeaseReports(), 0.2, 20));
   }
 
--- a/src/main/java/io/embernotch/steward/Demand.java
+++ b/src/main/java/io/embernotch/steward/Demand.java
@@ -1,44 +1,72 @@
 package io.embernotch.steward;
 
-import io.embernotch.model.Job;
 import io.embernotch.model.JobSpec;
+import io.embernotch.model.MachineType;
 import io.embernotch.model.Shape;
 import io.embernotch.plan.Fleet.Headroom;
 import io.embernotch.settings.OperatorSettings;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
-/** What has been asked for lately, from which the room to keep free follows. */
+/**
+ * What has been asked for lately, from which the room to keep free follows. While a machine boots,
+ * jobs of a class come at its usual rate and as many end; what deviates from that must find room at
+ * once. The deviation of a count is its square root, so the room kept is so many deviations.
+ */
 final class Demand {
-  private final Map<String, JobSpec> latest = new LinkedHashMap<>();
+  /** Boot times over which the rate of a class is measured. */
+  private static final double WINDOW_BOOTS = 4;
 
-  void seen(JobSpec spec, double now) {
-    latest.put(spec.jobClass(), spec);
+  private record Arrival(double at, int tasks) {}
+
+  private static final class Kind {
+    JobSpec latest;
+    final Deque<Arrival> arrivals = new ArrayDeque<>();
+  }
+
+  private final Map<String, Kind> kinds = new LinkedHashMap<>();
+
+  /** A job came at {@code at}, by the steady clock; older ones first. */
+  void seen(JobSpec spec, double at) {
+    Kind k = kinds.computeIfAbsent(spec.jobClass(), c -> new Kind());
+    k.latest = spec;
+    k.arrivals.addLast(new Arrival(at, spec.tasks()));
   }
 
-  List<Headroom> headroom(OperatorSettings operator, Collection<Job> jobs) {
-    Map<String, Integer> open = new LinkedHashMap<>();
-    for (Job j : jobs) {
-      if (j.end == null) {
-        latest.putIfAbsent(j.spec.jobClass(), j.spec);
-        open.merge(j.spec.jobClass(), j.spec.shape() == Shape.GANG ? 1 : j.remaining(), Integer::sum);
+  List<Headroom> headroom(OperatorSettings operator, Collection<MachineType> types, double now) {
+    List<Headroom> out = new ArrayList<>();
+    for (Kind k : kinds.values()) {
+      double boot = bootS(k.latest, types);
+      double window = WINDOW_BOOTS * boot;
+      while (!k.arrivals.isEmpty() && now - k.arrivals.peekFirst().at > window) {
+        k.arrivals.removeFirst();
+      }
+      if (k.arrivals.isEmpty() || boot <= 0) {
+        continue;
       }
+      int jobs = k.arrivals.size();
+      double tasks = k.arrivals.stream().mapToInt(Arrival::tasks).sum() / (double) jobs;
+      double deviation = Math.sqrt(jobs / WINDOW_BOOTS);
+      double spare = deviation * spares(operator, k.latest.shape());
+      out.add(new Headroom(k.latest.withTasks(1), (int) Math.round(spare * tasks)));
     }
-    List<Headroom> out = new ArrayList<>();
-    open.forEach(
-        (name, count) -> {
-          JobSpec like = latest.get(name);
-          double share =
-              switch (like.shape()) {
-                case ARRAY -> operator.arrayHeadroom();
-                case GANG -> operator.gangHeadroom();
-                case SERVICE -> operator.serviceHeadroom();
-              };
-          out.add(new Headroom(like, (int) Math.ceil(count * share)));
-        });
     return out;
   }
+
+  private static double spares(OperatorSettings operator, Shape shape) {
+    return switch (shape) {
+      case ARRAY -> operator.arraySpare();
+      case GANG -> operator.gangSpare();
+      case SERVICE -> operator.serviceSpare();
+    };
+  }
+
+  private static double bootS(JobSpec spec, Collection<MachineType> types) {
+    return types.stream().filter(t -> t.fits(spec)).mapToDouble(MachineType::bootS).min().orElse(0);
+  }
 }
--- a/src/main/java/io/embernotch/steward/Steward.java
+++ b/src/main/java/io/embernotch/steward/Steward.java
@@ -27,6 +27,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -78,6 +79,7 @@
   private boolean stopped;
   private boolean planArmed;
   private double plannedAt = -1e9;
+  private double summedAt = -1e9;
 
   Steward(Env env, Host host, long epoch, Collection<MachineType> types) {
     super(env.loop());
@@ -170,6 +172,9 @@
         }
       }
     }
+    all.values().stream()
+        .sorted(Comparator.comparingLong(j -> j.submittedMs))
+        .forEach(j -> demand.seen(j.spec, acquiredAt - Math.max(0, env.clock().wallMs() - j.submittedMs) / 1000.0));
     for (Job job : all.values()) {
       if (job.end != null && job.open.isEmpty()) {
         ledger.ended.put(job.spec.ref(), new Ledger.Ended(job.end, job.spec.tasks(), job.done.cardinality()));
@@ -581,6 +586,10 @@
       restart(r);
     }
     feed.flush(host.controllers());
+    if (now - summedAt > env.settings().workers().leaseS() / 2) {
+      summedAt = now;
+      LOG.info("{}", Summary.of(ledger));
+    }
     if (now - plannedAt > env.settings().workers().reportS() / 3) {
       planSoon();
     }
@@ -653,7 +662,7 @@
     Plan plan =
         planner.plan(
             now, ledger.jobs.values(), ledger.machines.values(), ledger.types,
-            fleet::exhausted, fleet.expected(), demand.headroom(env.operator(), ledger.jobs.values()));
+            fleet::exhausted, fleet.expected(), demand.headroom(env.operator(), ledger.types.values(), now));
     for (Plan.Stop s : plan.stops) {
       LOG.info("stopping {}: {}", s.attempt(), s.why());
       stopOne(s.attempt(), s.graceS());
--- /dev/null
+++ b/src/main/java/io/embernotch/steward/Summary.java
@@ -0,0 +1,50 @@
+package io.embernotch.steward;
+
+import io.embernotch.model.Attempt;
+import io.embernotch.model.Job;
+import io.embernotch.model.Machine;
+import io.embernotch.model.Shape;
+
+/** One line on fleet and queue for the log. */
+final class Summary {
+  private Summary() {}
+
+  static String of(Ledger ledger) {
+    int[][] kinds = new int[2][5];
+    for (Machine m : ledger.machines.values()) {
+      int[] k = kinds[m.spot ? 1 : 0];
+      if (!m.up()) {
+        k[0]++;
+      } else if (m.open.isEmpty()) {
+        k[1]++;
+      } else if (has(m, Shape.SERVICE)) {
+        k[2]++;
+      } else if (has(m, Shape.GANG)) {
+        k[3]++;
+      } else {
+        k[4]++;
+      }
+    }
+    int pending = 0;
+    int open = 0;
+    for (Job j : ledger.jobs.values()) {
+      pending += j.pendingCount();
+      open += j.open.size();
+    }
+    return "machines: ordinary " + line(kinds[0]) + "; spot " + line(kinds[1]) + "; tasks: " + open
+        + " placed, " + pending + " waiting";
+  }
+
+  private static String line(int[] k) {
+    return k[0] + " booting, " + k[1] + " idle, " + k[2] + " with services, " + k[3] + " with gangs, " + k[4] + " with arrays";
+  }
+
+  private static boolean has(Machine m, Shape shape) {
+    for (Attempt a : m.open.values()) {
+      if (a.job.spec.shape() == shape) {
+        return true;
+      }
+    }
+    return false;
+  }
+}
--- a/src/test/java/io/embernotch/steward/RulesTest.java
+++ b/src/test/java/io/embernotch/steward/RulesTest.java
@@ -64,10 +64,10 @@
     assertThat(world.submit(0, gang).status()).isEqualTo(201);
     world.pass(3);
     world.noBoot = false;
-    world.boot("g8", "z1", false);
+    world.boot("g8", "z1", true);
     world.pass(8);
     assertThat(world.running("j-2")).isEmpty();
-    world.boot("g8", "z1", false);
+    world.boot("g8", "z1", true);
     world.pass(8);
     assertThat(world.running("j-2")).hasSize(2);
   }
@@ -105,7 +105,7 @@
     settle();
     run(job("j-5", "array", 1), "j-5", 1);
     FakeWorker cut = world.running("j-5").get("j-5/0");
-    world.boot("g8", "z1", false);
+    world.boot("g8", "z1", true);
     world.pass(6);
     cut.cut = true;
     world.cloudDown = true;
@@ -118,7 +118,7 @@
   @Test
   void aLateDirectCommandOfADeposedStewardStartsNothing() {
     Node old = settle();
-    String name = world.boot("g8", "z1", false);
+    String name = world.boot("g8", "z1", true);
     world.pass(8);
     FakeWorker w = world.workers.get(name);
     world.directFate = Fate.HELD;
@@ -138,7 +138,7 @@
   @Test
   void anUnansweredCommandIsReplacedOnlyUnderANewerToken() {
     settle();
-    world.boot("g8", "z1", false);
+    world.boot("g8", "z1", true);
     world.pass(8);
     world.directFate = Fate.HELD;
     world.submit(0, job("j-7", "array", 1));
@@ -158,7 +158,7 @@
   @Test
   void aLateTransactionDoesNotUndoANewerOne() {
     settle();
-    world.boot("g8", "z1", false);
+    world.boot("g8", "z1", true);
     world.pass(8);
     world.commitFate = Fate.HELD;
     world.submit(0, job("j-8", "array", 1));
@@ -177,7 +177,7 @@
   @Test
   void aCancelThatRacesAStartLeavesNothingRunning() {
     settle();
-    world.boot("g8", "z1", false);
+    world.boot("g8", "z1", true);
     world.pass(8);
     world.directFate = Fate.HELD;
     world.submit(0, job("j-9", "standing", 2));
@@ -302,7 +302,7 @@
   @Test
   void aSpreadServiceKeepsAtMostHalfInAZone() {
     settle();
-    world.boot("g8", "z1", false);
+    world.boot("g8", "z1", true);
     world.pass(8);
     world.submit(0, job("j-21", "standing", 5).replace("\"scatter\":false", "\"scatter\":true"));
     world.pass(15);
--- a/src/test/java/io/embernotch/testkit/World.java
+++ b/src/test/java/io/embernotch/testkit/World.java
@@ -347,7 +347,7 @@
   private Reply cloud(String method, String path, byte[] body) {
     if (path.equals("/machine_types")) {
       return json("{\"flavors\":[{\"name\":\"g8\",\"cores\":48,\"cards\":8,\"mem_gb\":288,\"local_gb\":100,"
-          + "\"fetch_gb_per_s\":1.0,\"rate\":12.0,\"market_price\":4.0,\"boot_s\":5,\"rooms\":[\"z1\",\"z2\"]}]}");
+          + "\"fetch_gb_per_s\":1.0,\"rate\":12.0,\"market_price\":4.0,\"boot_s\":60,\"rooms\":[\"z1\",\"z2\"]}]}");
     }
     if (path.equals("/machines") && method.equals("POST")) {
       ObjectNode o = Json.parseObject(body);
