--- a/src/main/java/io/embernotch/steward/FleetKeeper.java
+++ b/src/main/java/io/embernotch/steward/FleetKeeper.java
@@ -206,6 +206,10 @@
         double boot = m.type == null ? 0 : COUNTED_BOOTS * m.type.bootS();
         m.countUntil = Math.max(m.countUntil, Math.max(findUs, m.bornAt + boot));
       }
+      if (l.phase().equals("running")) {
+        m.wasUp = true;
+        find(m);
+      }
       if (l.phase().equals("failed") && !m.failed) {
         LOG.info("machine {} has failed", m.name);
         m.failed = true;
@@ -218,6 +222,16 @@
     }
   }
 
+  /**
+   * Machines that ran under an earlier steward are asked at once: until their workers find us by
+   * themselves, nothing could be started on them.
+   */
+  private void find(Machine m) {
+    if (!m.up() && !m.deleting) {
+      workers.probe(m, () -> {});
+    }
+  }
+
   private void watchBoots(double now) {
     for (Machine m : ledger.machines.values()) {
       if (m.up() || m.deleting || m.type == null) {
@@ -233,6 +247,15 @@
     }
   }
 
+  /**
+   * When the machine last gave a sign of life. One that ran under an earlier steward is given a
+   * report's time-out longer to find us; before, such a machine was taken for a booting one, and
+   * its services stayed down until its lease and the old steward's hold were over.
+   */
+  private double lastSign(Machine m) {
+    return m.up() ? m.heardAt : startedAt + env.settings().workers().reportS();
+  }
+
   /** Silent machines are probed, then deleted: the answer to the deletion proves their tasks gone. */
   private void watchSilence(double now) {
     double report = env.settings().workers().reportS();
@@ -240,11 +263,11 @@
     List<Machine> silent = new ArrayList<>();
     int up = 0;
     for (Machine m : ledger.machines.values()) {
-      if (!m.up() || m.deleting) {
+      if (m.deleting || !(m.up() || m.wasUp || !m.open.isEmpty())) {
         continue;
       }
       up++;
-      if (now - m.heardAt > quiet) {
+      if (now - lastSign(m) > quiet) {
         silent.add(m);
       }
     }
@@ -256,8 +279,8 @@
     }
     for (Machine m : silent) {
       workers.probe(m, () -> {});
-      if (now - m.heardAt > quiet + report) {
-        LOG.info("machine {} has been silent for {} s with {} tasks", m.name, Math.round(now - m.heardAt), m.open.size());
+      if (now - lastSign(m) > quiet + report) {
+        LOG.info("machine {} has been silent for {} s with {} tasks", m.name, Math.round(now - lastSign(m)), m.open.size());
         giveBack(m);
       }
     }
--- a/src/test/java/io/embernotch/steward/RulesTest.java
+++ b/src/test/java/io/embernotch/steward/RulesTest.java
@@ -352,4 +352,19 @@
     assertThat(world.running("j-24")).hasSize(24);
     assertThat(world.deleted).isEmpty();
   }
+
+  @Test
+  void aMachineThatWasCutWhenLeadershipMovedIsReplacedSoon() {
+    // It had never reported to the new steward, and was once taken for a machine still booting.
+    Node old = settle();
+    run(job("j-25", "standing", 8), "j-25", 8);
+    run(job("j-26", "standing", 8), "j-26", 8);
+    run(job("j-27", "standing", 8), "j-27", 8);
+    FakeWorker cut = world.running("j-25").get("j-25/0");
+    cut.cut = true;
+    old.kill();
+    world.pass(24);
+    assertThat(world.deleted).containsExactly(cut.name);
+    assertThat(world.running("j-25").get("j-25/0")).isNotNull();
+  }
 }
