--- a/src/main/java/io/embernotch/plan/Planner.java
+++ b/src/main/java/io/embernotch/plan/Planner.java
@@ -244,7 +244,8 @@
   private double score(JobSpec spec, Slot s, Map<String, Integer> perZone) {
     double score = s.fetchS(spec) - PACK_S * s.used();
     if (spec.spot() && !s.spot) {
-      score += PACK_S / 2;
+      // Room beside a service is paid for already; any other ordinary machine is dearer than spot.
+      score += s.pinned ? -PACK_S : PACK_S / 2;
     }
     if (spec.spread()) {
       score += PACK_S * perZone.getOrDefault(s.zone, 0) / Math.max(1, spec.tasks());
@@ -394,7 +395,7 @@
       }
       double cost = s.fetchS(spec);
       for (Attempt a : victims) {
-        cost += a.job.spec.gpus() * lost(a) + a.job.spec.saveS();
+        cost += lost(a) / victims.size();
       }
       if (cost < bestCost) {
         best = s;
@@ -407,7 +408,8 @@
     }
     for (Attempt a : bestVictims) {
       best.willFree(a.job.spec);
-      plan.stops.add(new Plan.Stop(a, graceFor(a), "room for " + spec.ref()));
+      // A live service does not wait for others to save; they fall back to their last checkpoint.
+      plan.stops.add(new Plan.Stop(a, spec.priority() == Priority.PRODUCTION ? 0 : graceFor(a), "room for " + spec.ref()));
     }
     return best;
   }
@@ -415,7 +417,7 @@
   /** Seconds of progress that stopping this attempt loses or delays. */
   private double lost(Attempt a) {
     double ran = a.runningAt < 0 ? 0 : now - a.runningAt;
-    return a.job.spec.checkpointS() > 0 ? Math.min(ran, a.job.spec.saveS()) : ran;
+    return a.job.spec.checkpointS() > 0 ? Math.min(ran, a.job.spec.checkpointS() / 2) : ran;
   }
 
   static double graceFor(Attempt a) {
