--- a/src/main/java/io/embernotch/plan/Planner.java
+++ b/src/main/java/io/embernotch/plan/Planner.java
@@ -170,7 +170,7 @@
   /** Claims room that will be there: freed, booting, made by stopping others, or rented. */
   private Slot claimLater(JobSpec spec, String zone, Map<String, Integer> perZone) {
     Slot s = choose(spec, Slot.Kind.READY, zone, perZone, null, true);
-    if (s == null && spec.priority() == Priority.PRODUCTION) {
+    if (s == null && spec.priority().compareTo(Priority.NORMAL) > 0) {
       s = preempt(spec, zone, perZone);
     }
     if (s == null) {
@@ -428,7 +428,12 @@
     List<Attempt> lower = new ArrayList<>();
     for (Attempt a : s.machine.open.values()) {
       boolean planned = plan.stops.stream().anyMatch(p -> p.attempt() == a);
-      if (!a.stopping && !planned && a.job.spec.priority().compareTo(spec.priority()) < 0) {
+      boolean urgent = spec.priority() == Priority.PRODUCTION;
+      // Short of a live service, only work that saves its progress makes way.
+      if (!a.stopping
+          && !planned
+          && a.job.spec.priority().compareTo(spec.priority()) < 0
+          && (urgent || (a.job.spec.shape() == Shape.ARRAY && a.job.spec.checkpointS() > 0))) {
         lower.add(a);
       }
     }
