--- a/src/main/java/io/embernotch/app/LogSetup.java
+++ b/src/main/java/io/embernotch/app/LogSetup.java
@@ -26,6 +26,9 @@
     root.detachAndStopAllAppenders();
     root.addAppender(appender);
     root.setLevel(Level.WARN);
+    // Resets and failed connections are part of the day here, and are told of where they matter.
+    context.getLogger("io.vertx.core.net.impl").setLevel(Level.OFF);
+    context.getLogger("io.netty").setLevel(Level.ERROR);
     context.getLogger("io.embernotch").setLevel(level(System.getenv("LOG_LEVEL")));
     return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
   }
--- a/src/main/java/io/embernotch/plan/Planner.java
+++ b/src/main/java/io/embernotch/plan/Planner.java
@@ -41,6 +41,8 @@
   private Usage usage;
   private List<Slot> slots;
   private int bought;
+  /** The job being placed, or null while room is kept free for jobs to come. */
+  private Job placing;
   private Plan plan;
 
   public Planner(Settings settings, OperatorSettings operator) {
@@ -70,8 +72,10 @@
       place(order.get(live++));
     }
     // Room for the next live service goes before all other work, or that would fill it.
+    placing = null;
     headroom.stream().filter(h -> h.like().priority() == Priority.PRODUCTION).forEach(this::keepFree);
     order.subList(live, order.size()).forEach(this::place);
+    placing = null;
     headroom.stream().filter(h -> h.like().priority() != Priority.PRODUCTION).forEach(this::keepFree);
     collectBuys();
     collectReturns();
@@ -79,6 +83,7 @@
   }
 
   private void place(Job job) {
+    placing = job;
     if (job.spec.shape() == Shape.GANG) {
       placeGang(job);
     } else {
@@ -87,6 +92,13 @@
   }
 
   /** Live services first, then what is guaranteed, then by priority, then by age. */
+  private static final Comparator<Job> ORDER =
+      Comparator.comparing((Job j) -> j.spec.priority() != Priority.PRODUCTION)
+          .thenComparing(j -> !j.guaranteed)
+          .thenComparing(j -> j.spec.priority(), Comparator.reverseOrder())
+          .thenComparingLong(j -> j.submittedMs)
+          .thenComparing(j -> j.spec.ref());
+
   private static List<Job> inOrder(Collection<Job> jobs) {
     List<Job> order = new ArrayList<>();
     for (Job j : jobs) {
@@ -94,12 +106,7 @@
         order.add(j);
       }
     }
-    order.sort(
-        Comparator.comparing((Job j) -> j.spec.priority() != Priority.PRODUCTION)
-            .thenComparing(j -> !j.guaranteed)
-            .thenComparing(j -> j.spec.priority(), Comparator.reverseOrder())
-            .thenComparingLong(j -> j.submittedMs)
-            .thenComparing(j -> j.spec.ref()));
+    order.sort(ORDER);
     return order;
   }
 
@@ -170,7 +177,7 @@
   /** Claims room that will be there: freed, booting, made by stopping others, or rented. */
   private Slot claimLater(JobSpec spec, String zone, Map<String, Integer> perZone) {
     Slot s = choose(spec, Slot.Kind.READY, zone, perZone, null, true);
-    if (s == null && spec.priority().compareTo(Priority.NORMAL) > 0) {
+    if (s == null && placing != null && spec.priority() == Priority.PRODUCTION) {
       s = preempt(spec, zone, perZone);
     }
     if (s == null) {
@@ -276,15 +283,22 @@
       if (spec.zone() != null && !spec.zone().equals(zone)) {
         continue;
       }
-      double score = 0;
+      double ready = 0;
+      double coming = 0;
       for (Slot s : slots) {
-        if (!s.zone.equals(zone) || !s.allows(spec) || !s.fits(spec)) {
+        if (!s.zone.equals(zone) || !s.allows(spec)) {
           continue;
         }
-        double fit = Math.min(wanted, count(spec, s));
-        score += s.kind == Slot.Kind.READY ? fit : fit / 4;
+        if (s.kind != Slot.Kind.READY) {
+          coming += count(spec, s);
+        } else if (s.fits(spec)) {
+          ready += count(spec, s);
+        } else if (s.fitsLater(spec)) {
+          // Room that is being made must decide the zone, or the next plan makes room in another.
+          ready += 0.9;
+        }
       }
-      score = Math.min(score, wanted) + (canBuy(spec, zone) ? 0.1 : 0);
+      double score = Math.min(ready, wanted) + Math.min(0.5, coming / 4) + (canBuy(spec, zone) ? 0.1 : 0);
       if (score > bestScore) {
         bestScore = score;
         best = zone;
@@ -380,7 +394,12 @@
     }
   }
 
-  /** Stops work of lower priority on the machine where that destroys least. */
+  /**
+   * For live services only. Gangs of high priority once had arrays stopped as well, but guaranteed
+   * arrays come before them in the order and took the room back, twenty times a second.
+   *
+   * <p>Stops work of lower priority on the machine where that destroys least.
+   */
   private Slot preempt(JobSpec spec, String zone, Map<String, Integer> perZone) {
     Slot best = null;
     List<Attempt> bestVictims = null;
@@ -409,7 +428,7 @@
     for (Attempt a : bestVictims) {
       best.willFree(a.job.spec);
       // A live service does not wait for others to save; they fall back to their last checkpoint.
-      plan.stops.add(new Plan.Stop(a, spec.priority() == Priority.PRODUCTION ? 0 : graceFor(a), "room for " + spec.ref()));
+      plan.stops.add(new Plan.Stop(a, 0, "room for " + spec.ref()));
     }
     return best;
   }
@@ -420,20 +439,11 @@
     return a.job.spec.checkpointS() > 0 ? Math.min(ran, a.job.spec.checkpointS() / 2) : ran;
   }
 
-  static double graceFor(Attempt a) {
-    return a.job.spec.checkpointS() > 0 ? a.job.spec.saveS() : 0;
-  }
-
   private List<Attempt> victims(JobSpec spec, Slot s) {
     List<Attempt> lower = new ArrayList<>();
     for (Attempt a : s.machine.open.values()) {
       boolean planned = plan.stops.stream().anyMatch(p -> p.attempt() == a);
-      boolean urgent = spec.priority() == Priority.PRODUCTION;
-      // Short of a live service, only work that saves its progress makes way.
-      if (!a.stopping
-          && !planned
-          && a.job.spec.priority().compareTo(spec.priority()) < 0
-          && (urgent || (a.job.spec.shape() == Shape.ARRAY && a.job.spec.checkpointS() > 0))) {
+      if (!a.stopping && !planned && a.job.spec.priority().compareTo(spec.priority()) < 0) {
         lower.add(a);
       }
     }
--- a/src/main/java/io/embernotch/steward/Committer.java
+++ b/src/main/java/io/embernotch/steward/Committer.java
@@ -200,7 +200,7 @@
     if (closed) {
       return;
     }
-    LOG.info("commit of {} pieces: {}", batch.size(), e.getMessage());
+    LOG.debug("commit of {} pieces: {}", batch.size(), e.getMessage());
     if (StoreFailure.kindOf(e) == StoreFailure.Kind.REFUSED) {
       putBack(batch);
       timers.after(retryS, () -> {
--- a/src/main/java/io/embernotch/steward/FleetKeeper.java
+++ b/src/main/java/io/embernotch/steward/FleetKeeper.java
@@ -320,7 +320,7 @@
                 LOG.info("returned {}", names);
                 batch.forEach(outcome::machineGone);
               } else {
-                LOG.info("could not return {}: {}", names, r.cause().getMessage());
+                LOG.debug("could not return {}: {}", names, r.cause().getMessage());
                 batch.forEach(m -> m.deleteRetryAt = env.clock().now() + env.settings().workers().reportS() / 3);
               }
             });
--- /dev/null
+++ b/src/test/java/io/embernotch/plan/PlannerTest.java
@@ -0,0 +1,149 @@
+package io.embernotch.plan;
+
+import static io.embernotch.testkit.World.job;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.embernotch.codec.JobCodec;
+import io.embernotch.codec.Json;
+import io.embernotch.model.Attempt;
+import io.embernotch.model.Job;
+import io.embernotch.model.JobSpec;
+import io.embernotch.model.Machine;
+import io.embernotch.model.MachineType;
+import io.embernotch.settings.OperatorSettings;
+import io.embernotch.settings.SettingsReader;
+import io.embernotch.testkit.World;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class PlannerTest {
+  private static final MachineType G8 =
+      new MachineType("g8", 48, 8, 288, 100, 1, 12, 4, 60, List.of("z1", "z2"));
+
+  private final Planner planner = new Planner(SettingsReader.parse(World.toml(0)), OperatorSettings.DEFAULTS);
+  private final List<Job> jobs = new ArrayList<>();
+  private final List<Machine> machines = new ArrayList<>();
+  private boolean full;
+
+  private Plan plan() {
+    return planner.plan(1000, jobs, machines, Map.of("g8", G8), (t, z, s) -> full, List.of(), List.of());
+  }
+
+  private Job add(String json) {
+    JobSpec spec = JobCodec.read(Json.parseObject(json.getBytes()));
+    Job j = new Job(spec, jobs.size());
+    jobs.add(j);
+    return j;
+  }
+
+  private Machine machine(String name, boolean spot) {
+    Machine m = new Machine(name);
+    m.type = G8;
+    m.zone = "z1";
+    m.spot = spot;
+    m.heardAt = 999;
+    m.idleSince = 999;
+    machines.add(m);
+    return m;
+  }
+
+  private void run(Job j, int task, Machine m) {
+    Attempt a = new Attempt(j, task, 1, m.name, m.zone, 0);
+    a.start = Attempt.Start.HELD;
+    a.runningAt = 900;
+    j.open.put(task, a);
+    m.open.put(Machine.taskKey(j.spec.ref(), task), a);
+  }
+
+  private static String gang(String ref) {
+    return job(ref, "group", 1).replace("standard", "high").replace("\"cards\":1.0", "\"cards\":8.0").replace("\"owner\":\"red\"", "\"owner\":\"blue\"");
+  }
+
+  @Test
+  void liveServicesHaveLesserWorkStoppedAtOnce() {
+    full = true;
+    Machine m = machine("n-1", false);
+    Job array = add(job("j-1", "array", 8));
+    for (int t = 0; t < 8; t++) {
+      run(array, t, m);
+    }
+    add(job("j-2", "standing", 1).replace("standard", "production").replace("\"loaner\":true", "\"loaner\":false"));
+    Plan p = plan();
+    assertThat(p.stops).hasSize(1);
+    assertThat(p.stops.get(0).graceS()).isZero();
+    assertThat(p.starts).isEmpty();
+  }
+
+  @Test
+  void workOfEqualPriorityIsNeverStopped() {
+    full = true;
+    Machine m = machine("n-1", false);
+    Job array = add(job("j-1", "array", 8));
+    for (int t = 0; t < 8; t++) {
+      run(array, t, m);
+    }
+    add(job("j-2", "standing", 1));
+    assertThat(plan().stops).isEmpty();
+  }
+
+  @Test
+  void guaranteedWorkIsNotStoppedForWorkThatComesAfterIt() {
+    // It took the room back in the next plan and was stopped again, without end.
+    full = true;
+    Machine m = machine("n-1", false);
+    Job array = add(job("j-1", "array", 8));
+    for (int t = 0; t < 8; t++) {
+      run(array, t, m);
+    }
+    Job first = add(gang("j-2"));
+    run(first, 0, machine("n-2", false));
+    add(gang("j-3"));
+    Plan p = plan();
+    assertThat(array.guaranteed).isTrue();
+    assertThat(jobs.get(2).guaranteed).isFalse();
+    assertThat(p.stops).isEmpty();
+  }
+
+  @Test
+  void spotWorkKeepsOffIdleOrdinaryMachinesButUsesRoomBesideServices() {
+    Machine idle = machine("n-1", false);
+    Machine pinned = machine("n-2", false);
+    run(add(job("j-1", "standing", 1)), 0, pinned);
+    add(job("j-2", "array", 9));
+    Plan p = plan();
+    assertThat(p.starts).hasSize(1);
+    assertThat(p.starts.get(0).placements()).hasSize(7).allMatch(x -> x.machine() == pinned);
+    assertThat(p.buys).containsExactly(new Plan.Buy("g8", p.buys.get(0).zone(), true, 1));
+    assertThat(idle.open).isEmpty();
+  }
+
+  @Test
+  void theMachineWithTheImageIsPreferred() {
+    machine("n-1", true);
+    Machine cached = machine("n-2", true);
+    cached.images.add("img");
+    add(job("j-1", "array", 1));
+    assertThat(plan().starts.get(0).placements().get(0).machine()).isSameAs(cached);
+  }
+
+  @Test
+  void anIdleMachineIsReturnedAfterAWhile() {
+    Machine m = machine("n-1", true);
+    assertThat(plan().returns).isEmpty();
+    m.idleSince = 900;
+    assertThat(plan().returns).containsExactly(m);
+  }
+
+  @Test
+  void aGangWhoseZoneLacksRoomWaitsForMachinesInOneZone() {
+    machine("n-1", false);
+    add(gang("j-1").replace("\"shards\":1", "\"shards\":3").replace("\"one_zone\":false", "\"one_zone\":true"));
+    Plan p = plan();
+    assertThat(p.starts).isEmpty();
+    assertThat(p.buys).hasSize(1);
+    assertThat(p.buys.get(0).zone()).isEqualTo("z1");
+    assertThat(p.buys.get(0).number()).isEqualTo(2);
+  }
+}
