--- a/src/test/java/io/embernotch/steward/RulesTest.java
+++ b/src/test/java/io/embernotch/steward/RulesTest.java
@@ -367,4 +367,33 @@
     assertThat(world.deleted).containsExactly(cut.name);
     assertThat(world.running("j-25").get("j-25/0")).isNotNull();
   }
+
+  @Test
+  void slowTasksAreRestartedOnTheMachineThatThePaperChooses() {
+    world.nodes.get(1).kill();
+    world.nodes.get(2).kill();
+    world.pass(8);
+    String fast = world.boot("g8", "z1", true);
+    world.pass(6);
+    run12("j-30");
+    world.workers.get(fast).alive().forEach(t -> world.workers.get(fast).exit(t, "done"));
+    world.pass(200);
+    world.finish("j-30");
+    world.pass(4);
+    // The other machine has proven slow: 200 s for what took the fast one about ten.
+    run12("j-31");
+    FakeWorker quick = world.workers.get(fast);
+    assertThat(quick.alive()).hasSize(8);
+    quick.alive().forEach(t -> quick.exit(t, "done"));
+    world.pass(40);
+    assertThat(world.running("j-31")).hasSize(4);
+    assertThat(world.running("j-31").values()).allMatch(w -> w == quick);
+  }
+
+  /** Twelve tasks: eight fill the fast machine, four go to the other. */
+  private void run12(String ref) {
+    assertThat(world.submit(0, job(ref, "array", 12)).status()).isEqualTo(201);
+    world.pass(10);
+    assertThat(world.running(ref)).hasSize(12);
+  }
 }
