--- a/src/main/java/io/embernotch/settings/OperatorSettings.java
+++ b/src/main/java/io/embernotch/settings/OperatorSettings.java
@@ -21,7 +21,7 @@
 
   /** What holds without an operator file; the same values as operator.proto gives. */
   public static final OperatorSettings DEFAULTS =
-      new OperatorSettings(true, 1.5, 0.5, 5.0, 2.0, 0.2, 2.0, 1.0, 1.0, 1.0);
+      new OperatorSettings(true, 1.5, 0.5, 5.0, 2.0, 0.2, 2.0, 1.0, 0.5, 1.0);
 
   public static OperatorSettings read(Path file) {
     try {
