--- a/src/main/java/io/embernotch/app/Server.java
+++ b/src/main/java/io/embernotch/app/Server.java
@@ -55,7 +55,7 @@
             new CloudClient(cloud, clock, timers, settings),
             workers);
     Controller controller = new Controller(env, peers);
-    new HttpFront(controller)
+    new HttpFront(controller, clock, timers, settings.workers().leaseS())
         .listen(vertx, settings.clientListen())
         .compose(v -> peers.start(vertx, settings.back()))
         .onSuccess(
--- a/src/main/java/io/embernotch/app/SubmitCommand.java
+++ b/src/main/java/io/embernotch/app/SubmitCommand.java
@@ -18,7 +18,7 @@
     try {
       return call("POST", "/api/jobs", Files.readAllBytes(file));
     } catch (IOException e) {
-      throw new SettingsException("cannot read " + file + ": " + e.getMessage());
+      throw SettingsException.unreadable(file, e);
     }
   }
 }
--- a/src/main/java/io/embernotch/http/HttpFront.java
+++ b/src/main/java/io/embernotch/http/HttpFront.java
@@ -1,5 +1,7 @@
 package io.embernotch.http;
 
+import io.embernotch.actor.Clock;
+import io.embernotch.actor.Timers;
 import io.embernotch.settings.HostPort;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -19,10 +21,17 @@
   private static final String ABORT = "/abort";
 
   private final Door door;
+  private final Clock clock;
+  private final Timers timers;
+  private final double logEveryS;
+  private final Latencies latencies = new Latencies();
   private HttpServer server;
 
-  public HttpFront(Door door) {
+  public HttpFront(Door door, Clock clock, Timers timers, double logEveryS) {
     this.door = door;
+    this.clock = clock;
+    this.timers = timers;
+    this.logEveryS = logEveryS;
   }
 
   public Future<Void> listen(Vertx vertx, HostPort at) {
@@ -31,9 +40,25 @@
     server = vertx.createHttpServer(options);
     server.requestHandler(this::handle);
     server.exceptionHandler(e -> LOG.debug("connection failed: {}", e.getMessage()));
+    timers.after(logEveryS, this::logLatencies);
     return server.listen(at.port(), at.host()).mapEmpty();
   }
 
+  private void logLatencies() {
+    String line = latencies.line();
+    if (line != null) {
+      LOG.info("answered {}", line);
+    }
+    timers.after(logEveryS, this::logLatencies);
+  }
+
+  private static String kind(String path) {
+    if (path.startsWith(JOBS)) {
+      return path.equals(JOBS) ? "submit" : path.endsWith(ABORT) ? "abort" : "poll";
+    }
+    return path.equals("/hello") ? "report" : "other";
+  }
+
   private void handle(HttpServerRequest request) {
     request.exceptionHandler(e -> LOG.debug("request failed: {}", e.getMessage()));
     Gather gather = new Gather(request);
@@ -44,6 +69,7 @@
   /** Collects a body and lets it go as soon as it exceeds the limit. */
   private final class Gather {
     private final HttpServerRequest request;
+    private final double since = clock.now();
     private Buffer body = Buffer.buffer();
 
     Gather(HttpServerRequest request) {
@@ -71,6 +97,7 @@
                   if (r.failed()) {
                     LOG.error("{} {} failed", request.method(), request.path(), r.cause());
                   }
+                  latencies.record(kind(request.path()), clock.now() - since);
                   write(request.response(), r.succeeded() ? r.result() : Answer.error(500, "internal error"));
                 });
       }
--- a/src/main/java/io/embernotch/settings/OperatorSettings.java
+++ b/src/main/java/io/embernotch/settings/OperatorSettings.java
@@ -27,7 +27,7 @@
     try {
       return parse(Files.readString(file));
     } catch (IOException e) {
-      throw new SettingsException("cannot read " + file + ": " + e.getMessage());
+      throw SettingsException.unreadable(file, e);
     }
   }
 
--- a/src/main/java/io/embernotch/settings/SettingsException.java
+++ b/src/main/java/io/embernotch/settings/SettingsException.java
@@ -1,5 +1,9 @@
 package io.embernotch.settings;
 
+import java.io.IOException;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+
 /** A setting that is missing or wrong; the message is one line that names the field. */
 public final class SettingsException extends RuntimeException {
   private static final long serialVersionUID = 1L;
@@ -7,4 +11,9 @@
   public SettingsException(String message) {
     super(message);
   }
+
+  public static SettingsException unreadable(Path file, IOException e) {
+    String why = e instanceof NoSuchFileException ? "no such file" : e.getMessage();
+    return new SettingsException("cannot read " + file + ": " + why);
+  }
 }
--- a/src/main/java/io/embernotch/settings/SettingsReader.java
+++ b/src/main/java/io/embernotch/settings/SettingsReader.java
@@ -19,7 +19,7 @@
     try {
       return parse(Files.readString(file));
     } catch (IOException e) {
-      throw new SettingsException("cannot read " + file + ": " + e.getMessage());
+      throw SettingsException.unreadable(file, e);
     }
   }
 
