--- /dev/null
+++ b/src/main/java/io/embernotch/app/SettingsFiles.java
@@ -0,0 +1,24 @@
+package io.embernotch.app;
+
+import io.embernotch.settings.OperatorSettings;
+import io.embernotch.settings.Settings;
+import io.embernotch.settings.SettingsReader;
+import java.nio.file.Path;
+import picocli.CommandLine.Option;
+
+/** The two settings files, for the commands that read them. */
+final class SettingsFiles {
+  @Option(names = "--operator", paramLabel = "FILE", description = "the operators' own settings (protobuf text format)")
+  private Path operator;
+
+  @Option(names = "--config", paramLabel = "FILE", required = true, description = "the platform's settings (TOML)")
+  private Path config;
+
+  Settings platform() {
+    return SettingsReader.read(config);
+  }
+
+  OperatorSettings operator() {
+    return operator == null ? OperatorSettings.DEFAULTS : OperatorSettings.read(operator);
+  }
+}
--- a/src/main/java/io/embernotch/settings/OperatorSettings.java
+++ b/src/main/java/io/embernotch/settings/OperatorSettings.java
@@ -36,7 +36,8 @@
     try {
       TextFormat.merge(text, b);
     } catch (TextFormat.ParseException e) {
-      throw new SettingsException("operator settings, line " + e.getLine() + ": " + e.getMessage());
+      String why = e.getMessage().replaceAll("\\s+", " ");
+      throw new SettingsException("operator settings, line " + e.getLine() + ": " + why);
     }
     OperatorFile.Straggler s = b.getStraggler();
     OperatorFile.Fleet f = b.getFleet();
