--- a/src/main/java/io/embernotch/http/Latencies.java
+++ b/src/main/java/io/embernotch/actor/Latencies.java
@@ -1,23 +1,23 @@
-package io.embernotch.http;
+package io.embernotch.actor;
 
 import java.util.Map;
 import java.util.TreeMap;
 import org.HdrHistogram.Histogram;
 
 /** How long answers took since the last line about them, by kind of request. */
-final class Latencies {
+public final class Latencies {
   private static final long MOST_MS = 60_000;
 
   private final Map<String, Histogram> kinds = new TreeMap<>();
 
-  void record(String kind, double seconds) {
+  public void record(String kind, double seconds) {
     kinds
         .computeIfAbsent(kind, k -> new Histogram(MOST_MS, 2))
         .recordValue(Math.min(MOST_MS, Math.max(0, Math.round(seconds * 1000))));
   }
 
   /** One line on all kinds, or null if nothing was answered; starts anew. */
-  String line() {
+  public String line() {
     StringBuilder s = new StringBuilder();
     kinds.forEach(
         (kind, h) -> {
--- a/src/main/java/io/embernotch/app/Server.java
+++ b/src/main/java/io/embernotch/app/Server.java
@@ -22,6 +22,8 @@
 final class Server {
   private static final Logger LOG = LoggerFactory.getLogger(Server.class);
 
+  private static final double KEEP_S = 3600;
+
   private Server() {}
 
   static void start(Settings settings, OperatorSettings operator) {
@@ -40,9 +42,11 @@
     SystemClock clock = new SystemClock();
     VertxTimers timers = new VertxTimers(vertx, loop);
     double report = settings.workers().reportS();
-    VertxCaller store = new VertxCaller(vertx, timers, 8, report / 3);
-    VertxCaller cloud = new VertxCaller(vertx, timers, 4, report / 3);
-    VertxCaller workers = new VertxCaller(vertx, timers, 1, report / 3);
+    VertxCaller store = new VertxCaller(vertx, timers, 8, 1, report / 3, KEEP_S);
+    VertxCaller cloud = new VertxCaller(vertx, timers, 4, 1, report / 3, KEEP_S);
+    // Each worker has a connection to us already: ours to them are few at a time, and short-lived.
+    int direct = Math.max(8, settings.quota().maxConnections() / 5);
+    VertxCaller workers = new VertxCaller(vertx, timers, 1, direct, report / 3, report / 3);
     VertxPeerLink peers = new VertxPeerLink(vertx, timers, settings);
     Env env =
         new Env(
--- a/src/main/java/io/embernotch/cloud/CloudClient.java
+++ b/src/main/java/io/embernotch/cloud/CloudClient.java
@@ -9,6 +9,7 @@
 import io.embernotch.model.MachineType;
 import io.embernotch.settings.Settings;
 import io.embernotch.store.Pacer;
+import io.embernotch.store.Pacer.Rank;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import java.util.ArrayList;
@@ -38,12 +39,12 @@
   }
 
   public Future<List<MachineType>> types() {
-    return send("GET", "/machine_types", null, false)
+    return send("GET", "/machine_types", null, Rank.USUAL)
         .compose(r -> r.status() == 200 ? read(() -> CloudCodec.types(r.json())) : odd(r));
   }
 
   public Future<Rented> rent(String booking, String type, String zone, boolean spot, int number) {
-    return send("POST", "/machines", CloudCodec.rent(booking, type, zone, spot, number), false)
+    return send("POST", "/machines", CloudCodec.rent(booking, type, zone, spot, number), Rank.USUAL)
         .compose(
             r -> {
               if (r.status() == 200) {
@@ -55,8 +56,8 @@
             });
   }
 
-  public Future<Void> delete(List<String> names) {
-    return send("POST", "/machines/delete", CloudCodec.delete(names), true)
+  public Future<Void> delete(List<String> names, boolean urgent) {
+    return send("POST", "/machines/delete", CloudCodec.delete(names), urgent ? Rank.FIRST : Rank.SPARE)
         .compose(r -> r.status() == 200 ? Future.succeededFuture() : odd(r));
   }
 
@@ -66,7 +67,7 @@
 
   private Future<List<Listed>> listFrom(String after, List<Listed> sofar) {
     String path = "/machines?" + (after == null ? "" : "after=" + after + "&") + "page=" + PAGE;
-    return send("GET", path, null, false)
+    return send("GET", path, null, Rank.USUAL)
         .compose(r -> r.status() == 200 ? read(() -> CloudCodec.page(r.json())) : odd(r))
         .compose(
             page -> {
@@ -76,9 +77,9 @@
             });
   }
 
-  private Future<Reply> send(String method, String path, byte[] body, boolean urgent) {
+  private Future<Reply> send(String method, String path, byte[] body, Rank rank) {
     Promise<Reply> promise = Promise.promise();
-    pacer.pass(1, urgent, () -> caller.call(method, settings.cloud(), path, body, timeoutS).onComplete(promise));
+    pacer.pass(1, rank, () -> caller.call(method, settings.cloud(), path, body, timeoutS).onComplete(promise));
     return promise.future();
   }
 
--- a/src/main/java/io/embernotch/http/HttpFront.java
+++ b/src/main/java/io/embernotch/http/HttpFront.java
@@ -1,6 +1,7 @@
 package io.embernotch.http;
 
 import io.embernotch.actor.Clock;
+import io.embernotch.actor.Latencies;
 import io.embernotch.actor.Timers;
 import io.embernotch.settings.HostPort;
 import io.vertx.core.Future;
--- a/src/main/java/io/embernotch/http/VertxCaller.java
+++ b/src/main/java/io/embernotch/http/VertxCaller.java
@@ -9,26 +9,51 @@
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
+import java.util.HashMap;
+import java.util.Map;
 
 /** Calls over Vert.x's client, each with a time limit of its own. */
 public final class VertxCaller implements Caller {
   private final HttpClient client;
   private final Timers timers;
+  private final int most;
+  /** Hosts with a connection, or one being made. */
+  private final Map<String, Integer> hosts = new HashMap<>();
 
-  public VertxCaller(Vertx vertx, Timers timers, int connectionsPerHost, double connectS) {
+  /**
+   * @param most hosts to be connected to at a time; a call to one more fails unsent
+   * @param keepS idle connections are closed after this time
+   */
+  public VertxCaller(
+      Vertx vertx, Timers timers, int connectionsPerHost, int most, double connectS, double keepS) {
     this.timers = timers;
+    this.most = most;
     HttpClientOptions options = new HttpClientOptions();
     options.setConnectTimeout((int) Math.max(1, connectS * 1000));
     options.setTcpNoDelay(true);
-    options.setKeepAliveTimeout(3600);
-    this.client = vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(connectionsPerHost));
+    options.setKeepAliveTimeout((int) Math.max(1, keepS));
+    this.client =
+        vertx
+            .httpClientBuilder()
+            .with(options)
+            .with(new PoolOptions().setHttp1MaxSize(connectionsPerHost))
+            .withConnectHandler(this::opened)
+            .build();
   }
 
   @Override
   public Future<Reply> call(String method, HostPort to, String path, byte[] body, double timeoutS) {
+    String host = to.host() + ":" + to.port();
+    if (!hosts.containsKey(host)) {
+      if (hosts.size() >= most) {
+        return Future.failedFuture(new CallFailed(false, "too many connections"));
+      }
+      hosts.put(host, 0);
+    }
     Call call = new Call();
     call.cancelTimer = timers.after(timeoutS, call::timeOut);
     RequestOptions options =
@@ -39,11 +64,21 @@
             .setURI(path);
     client
         .request(options)
-        .onFailure(e -> call.fail(e.getMessage()))
+        .onFailure(
+            e -> {
+              hosts.remove(host, 0);
+              call.fail(e.getMessage());
+            })
         .onSuccess(request -> call.send(request, body));
     return call.promise.future();
   }
 
+  private void opened(HttpConnection connection) {
+    String host = connection.remoteAddress().hostAddress() + ":" + connection.remoteAddress().port();
+    hosts.merge(host, 1, Integer::sum);
+    connection.closeHandler(v -> hosts.computeIfPresent(host, (k, n) -> n > 1 ? n - 1 : null));
+  }
+
   /** One call under way; the first of answer, failure and time limit settles it. */
   private static final class Call {
     final Promise<Reply> promise = Promise.promise();
--- a/src/main/java/io/embernotch/model/Machine.java
+++ b/src/main/java/io/embernotch/model/Machine.java
@@ -49,6 +49,10 @@
   /** Empty since this time. */
   public double idleSince;
   public final Map<String, Attempt> open = new LinkedHashMap<>();
+  private Load load;
+  private double performance;
+  /** Counts the changes of its attempts. */
+  public int version;
   /** Images it has, least recently used first. */
   public final Set<String> images = new LinkedHashSet<>();
   /** Job mean over actual run time of the tasks it finished lately. */
@@ -58,6 +62,19 @@
     this.name = name;
   }
 
+  /** Something of its open attempts has changed. */
+  public void touched() {
+    load = null;
+    version++;
+  }
+
+  public Load load() {
+    if (load == null) {
+      load = new Load(open.values());
+    }
+    return load;
+  }
+
   public boolean up() {
     return heardAt >= 0;
   }
@@ -66,15 +83,18 @@
     return ref + "/" + task;
   }
 
+  /** Notes how fast a finished run was; the last {@code lately} count. */
+  public void finished(double ratio, int lately) {
+    ratios.addLast(ratio);
+    while (ratios.size() > lately) {
+      ratios.removeFirst();
+    }
+    performance = ratios.stream().mapToDouble(r -> r).average().orElse(0);
+    version++;
+  }
+
   /** Its own mean performance, or 0 if it finished nothing lately. */
   public double performance() {
-    if (ratios.isEmpty()) {
-      return 0;
-    }
-    double sum = 0;
-    for (double r : ratios) {
-      sum += r;
-    }
-    return sum / ratios.size();
+    return performance;
   }
 }
--- /dev/null
+++ b/src/main/java/io/embernotch/plan/Market.java
@@ -0,0 +1,90 @@
+package io.embernotch.plan;
+
+import io.embernotch.model.JobSpec;
+import io.embernotch.model.MachineType;
+import io.embernotch.model.Shape;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** Which machines a plan rents. */
+final class Market {
+  private static final boolean[] KINDS = {true, false};
+
+  private final Map<String, MachineType> types;
+  private final Fleet.Pools pools;
+  private final Slots slots;
+  private final Map<Plan.Buy, Integer> bought = new LinkedHashMap<>();
+  private int left;
+
+  Market(Map<String, MachineType> types, Fleet.Pools pools, Slots slots, int most) {
+    this.types = types;
+    this.pools = pools;
+    this.slots = slots;
+    this.left = most;
+  }
+
+  /** Rents the machine with the lowest price for a task of this size; zones are filled evenly. */
+  Slot buy(JobSpec spec, Zones zones) {
+    if (left <= 0) {
+      return null;
+    }
+    Slot best = null;
+    for (MachineType t : types.values()) {
+      if (!t.fits(spec)) {
+        continue;
+      }
+      for (String zone : t.zones()) {
+        for (boolean spot : KINDS) {
+          if (!spec.allows(t.name(), zone, spot)
+              || spot && spec.shape() != Shape.ARRAY
+              || zones.room(zone) == 0
+              || pools.exhausted(t.name(), zone, spot)) {
+            continue;
+          }
+          Slot s = new Slot(Slot.Kind.NEW, null, t, zone, spot);
+          double price = (spot ? t.spotPrice() : t.price()) / Math.max(1, s.count(spec, false));
+          s.score = price * (1 + 0.001 * slots.inZone(zone));
+          if (best == null || s.score < best.score) {
+            best = s;
+          }
+        }
+      }
+    }
+    if (best != null) {
+      left--;
+      bought.merge(new Plan.Buy(best.type.name(), best.zone, best.spot, 0), 1, Integer::sum);
+      slots.add(best);
+    }
+    return best;
+  }
+
+  boolean spotToBeHad(JobSpec spec) {
+    for (MachineType t : types.values()) {
+      if (t.fits(spec) && t.spotPrice() < t.price()) {
+        for (String zone : t.zones()) {
+          if (spec.allows(t.name(), zone, true) && !pools.exhausted(t.name(), zone, true)) {
+            return true;
+          }
+        }
+      }
+    }
+    return false;
+  }
+
+  boolean canBuy(JobSpec spec, String zone) {
+    for (MachineType t : types.values()) {
+      if (t.fits(spec) && t.zones().contains(zone)) {
+        for (boolean spot : KINDS) {
+          if (spec.allows(t.name(), zone, spot) && !pools.exhausted(t.name(), zone, spot)) {
+            return true;
+          }
+        }
+      }
+    }
+    return false;
+  }
+
+  void collect(Plan plan) {
+    bought.forEach((b, n) -> plan.buys.add(new Plan.Buy(b.type(), b.zone(), b.spot(), n)));
+  }
+}
--- a/src/main/java/io/embernotch/plan/Slot.java
+++ b/src/main/java/io/embernotch/plan/Slot.java
@@ -1,11 +1,10 @@
 package io.embernotch.plan;
 
-import io.embernotch.model.Attempt;
 import io.embernotch.model.JobSpec;
+import io.embernotch.model.Load;
 import io.embernotch.model.Machine;
 import io.embernotch.model.MachineType;
-import io.embernotch.model.Shape;
-import io.embernotch.model.TaskState;
+import io.embernotch.model.Priority;
 import java.util.HashSet;
 import java.util.Set;
 
@@ -24,7 +23,6 @@
   final MachineType type;
   final String zone;
   final boolean spot;
-  final Set<String> fetching = new HashSet<>();
   double cpus;
   double gpus;
   double mem;
@@ -35,6 +33,12 @@
   boolean claimed;
   /** Holds work that may not run on spot machines, so it is paid for whatever else it does. */
   boolean pinned;
+  /** Least priority of what runs there and is not being stopped; null if nothing is. */
+  Priority least;
+  /** How well it suits the job that is being placed: less is better. */
+  double score;
+  private Set<String> fetching = Set.of();
+  private boolean ownFetching;
 
   Slot(Kind kind, Machine machine, MachineType type, String zone, boolean spot) {
     this.kind = kind;
@@ -49,17 +53,16 @@
 
   static Slot of(Kind kind, Machine m) {
     Slot s = new Slot(kind, m, m.type, m.zone, m.spot);
-    for (Attempt a : m.open.values()) {
-      JobSpec j = a.job.spec;
-      s.take(j);
-      s.pinned |= j.shape() == Shape.SERVICE;
-      if (a.stopping) {
-        s.willFree(j);
-      }
-      if (a.state == TaskState.FETCHING || a.state == null) {
-        s.fetching.add(j.image());
-      }
-    }
+    Load l = m.load();
+    s.cpus -= l.cpus;
+    s.gpus -= l.gpus;
+    s.mem -= l.memGb;
+    s.freeingCpus = l.freeingCpus;
+    s.freeingGpus = l.freeingGpus;
+    s.freeingMem = l.freeingMemGb;
+    s.pinned = l.pinned;
+    s.least = l.least;
+    s.fetching = l.fetching;
     return s;
   }
 
@@ -67,26 +70,30 @@
     return j.allows(type.name(), zone, spot);
   }
 
-  boolean fits(JobSpec j) {
-    return cpus >= j.cpus() - EPS && gpus >= j.gpus() - EPS && mem >= j.memGb() - EPS;
+  /** Nothing more can go there whatever it is. */
+  boolean full() {
+    return cpus + freeingCpus <= EPS
+        || mem + freeingMem <= EPS
+        || (type.gpus() > 0 && gpus + freeingGpus <= EPS);
   }
 
-  boolean fitsLater(JobSpec j) {
-    return cpus + freeingCpus >= j.cpus() - EPS
-        && gpus + freeingGpus >= j.gpus() - EPS
-        && mem + freeingMem >= j.memGb() - EPS;
+  /** How many such tasks have room now, or once what is being stopped has ended. */
+  int count(JobSpec j, boolean later) {
+    double n = 10_000;
+    n = fits(n, later ? cpus + freeingCpus : cpus, j.cpus());
+    n = fits(n, later ? gpus + freeingGpus : gpus, j.gpus());
+    n = fits(n, later ? mem + freeingMem : mem, j.memGb());
+    return (int) Math.max(0, n);
   }
 
-  void take(JobSpec j) {
-    cpus -= j.cpus();
-    gpus -= j.gpus();
-    mem -= j.memGb();
+  private static double fits(double most, double free, double each) {
+    return each <= 0 ? most : Math.min(most, Math.floor((free + EPS) / each));
   }
 
-  void give(JobSpec j) {
-    cpus += j.cpus();
-    gpus += j.gpus();
-    mem += j.memGb();
+  void take(JobSpec j, int tasks) {
+    cpus -= j.cpus() * tasks;
+    gpus -= j.gpus() * tasks;
+    mem -= j.memGb() * tasks;
   }
 
   void willFree(JobSpec j) {
@@ -95,6 +102,14 @@
     freeingMem += j.memGb();
   }
 
+  void fetches(String image) {
+    if (!ownFetching) {
+      fetching = new HashSet<>(fetching);
+      ownFetching = true;
+    }
+    fetching.add(image);
+  }
+
   /** Share of the machine that is taken, by its scarcest amount. */
   double used() {
     double u = type.cpus() > 0 ? 1 - cpus / type.cpus() : 0;
--- a/src/main/java/io/embernotch/steward/Committer.java
+++ b/src/main/java/io/embernotch/steward/Committer.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.embernotch.actor.Clock;
+import io.embernotch.actor.Latencies;
 import io.embernotch.actor.Timers;
 import io.embernotch.codec.Json;
 import io.embernotch.codec.RunCodec;
@@ -9,10 +10,12 @@
 import io.embernotch.settings.Settings;
 import io.embernotch.store.Commit;
 import io.embernotch.store.Entry;
+import io.embernotch.store.Pacer.Rank;
 import io.embernotch.store.StoreClient;
 import io.embernotch.store.StoreFailure;
 import io.embernotch.store.Txn;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -34,14 +37,23 @@
   private static final class Dirty {
     final Job job;
     final int piece;
+    Rank rank;
     double due;
+    /** When somebody first began to wait for it, below 0 if nobody does. */
+    double awaitedSince = -1;
     List<Runnable> waiters = new ArrayList<>();
 
-    Dirty(Job job, int piece, double due) {
+    Dirty(Job job, int piece, Rank rank, double due) {
       this.job = job;
       this.piece = piece;
+      this.rank = rank;
       this.due = due;
     }
+
+    void hurry(Rank to, double by) {
+      rank = to.compareTo(rank) < 0 ? to : rank;
+      due = Math.min(due, by);
+    }
   }
 
   private final StoreClient store;
@@ -50,6 +62,7 @@
   private final long epoch;
   private final int maxChanges;
   private final double lazyS;
+  private final double overdueS;
   private final double retryS;
   private final int pieceSize;
   private final Runnable deposed;
@@ -59,8 +72,13 @@
   private Map<String, Dirty> inFlight = Map.of();
   private boolean busy;
   private boolean closed;
-  private boolean armed;
-  private double armedFor;
+  private double armedFor = Double.MAX_VALUE;
+  /** The most urgent rank for which a turn has been asked, or null. */
+  private Rank asked;
+  private long turns;
+  private final Latencies latencies = new Latencies();
+  private long transactions;
+  private long changes;
 
   Committer(Settings settings, StoreClient store, Clock clock, Timers timers, long epoch, Runnable deposed) {
     this.store = store;
@@ -68,7 +86,8 @@
     this.timers = timers;
     this.epoch = epoch;
     this.maxChanges = settings.stateLimits().txnOps();
-    this.lazyS = settings.workers().reportS() / 3;
+    this.lazyS = settings.workers().reportS();
+    this.overdueS = settings.workers().leaseS() / 2;
     this.retryS = settings.workers().reportS() / 15;
     this.pieceSize = RunCodec.piece(settings.stateLimits().valueKb());
     this.deposed = deposed;
@@ -76,6 +95,7 @@
 
   void close() {
     closed = true;
+    turns++;
   }
 
   /** Takes over what the store holds of a job's piece. */
@@ -98,61 +118,126 @@
   }
 
   boolean isDirty(Job job) {
-    return dirty.values().stream().anyMatch(d -> d.job == job)
-        || inFlight.values().stream().anyMatch(d -> d.job == job);
+    for (int task = 0; task < job.spec.tasks(); task += pieceSize(job)) {
+      if (isDirty(job, task)) {
+        return true;
+      }
+    }
+    return false;
   }
 
-  /** The piece with {@code task} has changed; it may wait a little for company. */
+  /** The piece with {@code task} has changed; it waits for company and for a quiet moment. */
   void later(Job job, int task) {
-    mark(job, task, clock.now() + lazyS, null);
+    mark(job, task, Rank.SPARE, clock.now() + lazyS, null);
   }
 
   /** The piece with {@code task} has changed; {@code durable} runs once that is committed. */
-  void now(Job job, int task, Runnable durable) {
-    mark(job, task, clock.now(), durable);
+  void now(Job job, int task, Rank rank, Runnable durable) {
+    mark(job, task, rank, clock.now(), durable);
   }
 
-  private void mark(Job job, int task, double due, Runnable durable) {
+  /** From decision to commit, what was written since the last line, and what waits; null if nothing was. */
+  String line() {
+    String delays = latencies.line();
+    if (delays == null) {
+      return null;
+    }
+    String out = delays + "; " + changes + " changes in " + transactions + " transactions, " + dirty.size() + " wait";
+    transactions = 0;
+    changes = 0;
+    return out;
+  }
+
+  private void mark(Job job, int task, Rank rank, double due, Runnable durable) {
     int piece = task / pieceSize(job);
-    Dirty d = dirty.computeIfAbsent(RunCodec.key(job.spec.ref(), piece), k -> new Dirty(job, piece, due));
-    d.due = Math.min(d.due, due);
+    Dirty d = dirty.computeIfAbsent(RunCodec.key(job.spec.ref(), piece), k -> new Dirty(job, piece, rank, due));
+    d.hurry(rank, due);
     if (durable != null) {
       d.waiters.add(durable);
+      d.awaitedSince = d.awaitedSince < 0 ? clock.now() : d.awaitedSince;
     }
-    arm(d.due);
+    arm(d);
   }
 
-  private void arm(double at) {
-    if (busy || closed || (armed && armedFor <= at)) {
+  private void arm(Dirty d) {
+    if (busy || closed) {
       return;
     }
-    armed = true;
-    armedFor = at;
-    timers.after(Math.max(0.001, at - clock.now()), () -> {
-      if (armedFor == at) {
-        armed = false;
-        pump();
-      }
-    });
+    double now = clock.now();
+    if (d.due <= now + 0.001) {
+      ask(d.rank);
+    } else if (d.due < armedFor) {
+      armedFor = d.due;
+      timers.after(d.due - now, () -> {
+        if (armedFor <= clock.now() + 0.001) {
+          armedFor = Double.MAX_VALUE;
+          next();
+        }
+      });
+    }
   }
 
-  private void pump() {
-    if (busy || closed || dirty.isEmpty()) {
+  /** Asks for a turn to write, as urgent as the most urgent of what is due. */
+  private void next() {
+    if (busy || closed) {
       return;
     }
     double now = clock.now();
-    double earliest = dirty.values().stream().mapToDouble(d -> d.due).min().orElse(now);
-    if (earliest > now + 0.002) {
-      arm(earliest);
+    Dirty first = null;
+    Dirty soonest = null;
+    for (Dirty d : dirty.values()) {
+      if (d.rank == Rank.SPARE && now - d.due > overdueS) {
+        d.rank = Rank.USUAL;
+      }
+      if (d.due <= now + 0.001 && (first == null || d.rank.compareTo(first.rank) < 0)) {
+        first = d;
+      }
+      if (soonest == null || d.due < soonest.due) {
+        soonest = d;
+      }
+    }
+    if (first != null) {
+      ask(first.rank);
+    } else if (soonest != null) {
+      arm(soonest);
+    }
+  }
+
+  private void ask(Rank rank) {
+    if (asked != null && asked.compareTo(rank) <= 0) {
       return;
     }
-    List<Map.Entry<String, Dirty>> order = new ArrayList<>(dirty.entrySet());
-    order.sort((a, b) -> Double.compare(a.getValue().due, b.getValue().due));
+    asked = rank;
+    long turn = ++turns;
+    // Under pressure a transaction waits to be worth its request, unless a live service needs it.
+    int least = rank == Rank.FIRST ? 1 : Math.max(1, Math.min(dirty.size(), maxChanges / 4));
+    store.turn(least, rank, () -> {
+      int made = turn == turns && !busy && !closed ? write(least, rank) : 0;
+      store.turnOver(least, made);
+    });
+  }
+
+  /** Puts what is due into one transaction, most urgent first; tells how many changes it made. */
+  private int write(int least, Rank rank) {
+    asked = null;
+    double now = clock.now();
+    int most = (int) Math.min(maxChanges, least + Math.max(0, Math.floor(store.credit())));
+    boolean spare = rank == Rank.SPARE || store.spare();
+    List<Map.Entry<String, Dirty>> order = new ArrayList<>();
+    for (Map.Entry<String, Dirty> e : dirty.entrySet()) {
+      Dirty d = e.getValue();
+      if (d.due <= now + 0.001 && (spare || d.rank != Rank.SPARE)) {
+        order.add(e);
+      }
+    }
+    order.sort(
+        Comparator.comparing((Map.Entry<String, Dirty> e) -> e.getValue().rank)
+            .thenComparingDouble(e -> e.getValue().due));
     Txn txn = new Txn().when(Election.KEY, epoch);
     Map<String, Dirty> batch = new LinkedHashMap<>();
     int bytes = 0;
     for (Map.Entry<String, Dirty> e : order) {
-      if (batch.size() >= maxChanges) {
+      if (batch.size() >= most) {
         break;
       }
       Dirty d = e.getValue();
@@ -164,13 +249,20 @@
       txn.when(e.getKey(), stamps.getOrDefault(e.getKey(), 0L)).write(e.getKey(), value);
       batch.put(e.getKey(), d);
     }
+    if (batch.isEmpty()) {
+      next();
+      return 0;
+    }
     batch.keySet().forEach(dirty::remove);
     inFlight = batch;
     busy = true;
+    transactions++;
+    changes += batch.size();
     store
-        .commit(txn)
+        .commitInTurn(txn)
         .onSuccess(c -> answered(c, batch))
         .onFailure(e -> unanswered(e, batch));
+    return batch.size();
   }
 
   private void answered(Commit commit, Map<String, Dirty> batch) {
@@ -182,9 +274,12 @@
       inFlight = Map.of();
       busy = false;
       for (Dirty d : batch.values()) {
+        if (d.awaitedSince >= 0) {
+          latencies.record(d.rank == Rank.FIRST ? "urgent commit" : "commit", clock.now() - d.awaitedSince);
+        }
         d.waiters.forEach(Runnable::run);
       }
-      rearm();
+      next();
       return;
     }
     if (commit.failed().contains(Election.KEY)) {
@@ -205,7 +300,7 @@
       putBack(batch);
       timers.after(retryS, () -> {
         busy = false;
-        rearm();
+        next();
       });
     } else {
       reread(batch);
@@ -220,7 +315,8 @@
           if (newer == null) {
             dirty.put(key, d);
           } else {
-            newer.due = Math.min(newer.due, d.due);
+            newer.hurry(d.rank, d.due);
+            newer.awaitedSince = d.awaitedSince >= 0 ? d.awaitedSince : newer.awaitedSince;
             List<Runnable> all = new ArrayList<>(d.waiters);
             all.addAll(newer.waiters);
             newer.waiters = all;
@@ -239,7 +335,7 @@
     if (i == keys.size()) {
       putBack(batch);
       busy = false;
-      rearm();
+      next();
       return;
     }
     store
@@ -251,9 +347,4 @@
             })
         .onFailure(e -> timers.after(retryS, () -> rereadNext(keys, i, batch)));
   }
-
-  private void rearm() {
-    armed = false;
-    dirty.values().stream().mapToDouble(d -> d.due).min().ifPresent(this::arm);
-  }
 }
--- a/src/main/java/io/embernotch/steward/Election.java
+++ b/src/main/java/io/embernotch/steward/Election.java
@@ -6,6 +6,7 @@
 import io.embernotch.codec.Json;
 import io.embernotch.settings.Settings;
 import io.embernotch.store.Entry;
+import io.embernotch.store.Pacer.Rank;
 import io.embernotch.store.StoreClient;
 import io.embernotch.store.StoreFailure;
 import io.embernotch.store.Txn;
@@ -193,7 +194,7 @@
   private void claim(long granted, double sentAt) {
     ObjectNode value = Json.object().put("node", node).put("permit", granted);
     store
-        .commit(new Txn().when(KEY, 0).write(KEY, value, granted), true)
+        .commit(new Txn().when(KEY, 0).write(KEY, value, granted), Rank.URGENT)
         .onSuccess(
             commit -> {
               if (commit.applied()) {
--- a/src/main/java/io/embernotch/steward/FleetKeeper.java
+++ b/src/main/java/io/embernotch/steward/FleetKeeper.java
@@ -10,9 +10,12 @@
 import io.embernotch.plan.Plan;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -26,6 +29,9 @@
   /** Boot times for which a machine is counted on; then another is rented in its place. */
   private static final double COUNTED_BOOTS = 1.6;
 
+  /** Share of a worker's lease for which a silent machine with live services is waited for. */
+  private static final double PATIENCE = 0.9;
+
   /** What is told of the fleet. */
   interface Outcome {
     /** The machine and all that was on it are gone. */
@@ -52,7 +58,9 @@
   private boolean answering;
   private boolean listing;
   private boolean listedOnce;
-  private boolean deleteBusy;
+  private final Set<Machine> leaving = new LinkedHashSet<>();
+  private boolean urgentDelete;
+  private boolean idleDelete;
   private double typesAt = -1e9;
 
   FleetKeeper(Env env, Ledger ledger, Workers workers, long epoch, Outcome outcome) {
@@ -97,9 +105,18 @@
     return type + "|" + zone + "|" + spot;
   }
 
+  /**
+   * Rents in as few calls as may be: while one is under way for a pool, what more is wanted there
+   * waits and comes with the next plan, unless it fills a call. A call for each plan's few machines
+   * used to take up all that the cloud allows.
+   */
   void rent(Plan.Buy buy) {
     int left = buy.number();
-    while (left > 0) {
+    boolean underWay = open.values().stream().anyMatch(b -> samePool(b, buy));
+    while (left > 0 && open.size() < env.settings().cloudLimits().rps()) {
+      if (underWay && left < CloudClient.MAX_RENT) {
+        return;
+      }
       int n = Math.min(left, CloudClient.MAX_RENT);
       Booking b = new Booking(bookingPrefix + ++bookings, buy.type(), buy.zone(), buy.spot(), n);
       open.put(b.name, b);
@@ -109,6 +126,10 @@
     }
   }
 
+  private static boolean samePool(Booking b, Plan.Buy buy) {
+    return b.type.equals(buy.type()) && b.zone.equals(buy.zone()) && b.spot == buy.spot();
+  }
+
   private void book(Booking b) {
     env.cloud()
         .rent(b.name, b.type, b.zone, b.spot, b.number)
@@ -279,45 +300,61 @@
     }
     for (Machine m : silent) {
       workers.probe(m, () -> {});
-      if (now - lastSign(m) > quiet + report) {
+      if (now - lastSign(m) > quiet + report && !worthWaitingFor(m, now)) {
         LOG.info("machine {} has been silent for {} s with {} tasks", m.name, Math.round(now - lastSign(m)), m.open.size());
         giveBack(m);
       }
     }
   }
 
+  /**
+   * A live service on a machine that only lost the network runs on until its lease is over, and
+   * would have to start anew elsewhere if the machine were returned before.
+   */
+  private boolean worthWaitingFor(Machine m, double now) {
+    return m.load().pinned && m.up() && now - m.renewedAt < PATIENCE * env.settings().workers().leaseS();
+  }
+
   /** Returns a machine. Nothing more is placed on it, and what is on it ends with it. */
   void giveBack(Machine m) {
     if (!m.deleting) {
       m.deleting = true;
       m.deleteRetryAt = 0;
-      sendDeletes(env.clock().now());
+      leaving.add(m);
+      if (!m.open.isEmpty()) {
+        sendDeletes(env.clock().now());
+      }
     }
   }
 
   private void sendDeletes(double now) {
-    if (deleteBusy) {
+    boolean urgent = leaving.stream().anyMatch(m -> !m.open.isEmpty() && m.deleteRetryAt <= now);
+    // Proofs that tasks wait for are never behind a call that only saves money.
+    if (urgent ? urgentDelete : urgentDelete || idleDelete) {
       return;
     }
     List<Machine> batch = new ArrayList<>();
     List<String> names = new ArrayList<>();
-    for (Machine m : ledger.machines.values()) {
-      if (m.deleting && m.deleteRetryAt <= now && batch.size() < CloudClient.MAX_DELETE && !m.doInFlight) {
+    leaving.removeIf(m -> ledger.machines.get(m.name) != m);
+    for (Machine m : leaving) {
+      if (m.deleteRetryAt <= now && batch.size() < CloudClient.MAX_DELETE && !m.doInFlight) {
         batch.add(m);
         names.add(m.name);
+        m.deleteRetryAt = Double.MAX_VALUE;
       }
     }
     if (batch.isEmpty()) {
       return;
     }
-    deleteBusy = true;
+    deleteBusy(urgent, true);
     env.cloud()
-        .delete(names)
+        .delete(names, urgent)
         .onComplete(
             r -> {
-              deleteBusy = false;
+              deleteBusy(urgent, false);
               if (r.succeeded()) {
                 LOG.info("returned {}", names);
+                leaving.removeAll(new HashSet<>(batch));
                 batch.forEach(outcome::machineGone);
               } else {
                 LOG.debug("could not return {}: {}", names, r.cause().getMessage());
@@ -326,6 +363,14 @@
             });
   }
 
+  private void deleteBusy(boolean urgent, boolean busy) {
+    if (urgent) {
+      urgentDelete = busy;
+    } else {
+      idleDelete = busy;
+    }
+  }
+
   /** Tasks on machines whose worker's lease must have run out are gone, deleted or not. */
   List<Attempt> expired(double othersUntil) {
     List<Attempt> out = new ArrayList<>();
--- a/src/main/java/io/embernotch/steward/Ledger.java
+++ b/src/main/java/io/embernotch/steward/Ledger.java
@@ -37,6 +37,7 @@
     a.createdAt = now;
     job.open.put(task, a);
     m.open.put(Machine.taskKey(job.spec.ref(), task), a);
+    m.touched();
     return a;
   }
 
@@ -45,8 +46,11 @@
       a.job.open.remove(a.task);
     }
     Machine m = machines.get(a.machine);
-    if (m != null && m.open.remove(Machine.taskKey(a.job.spec.ref(), a.task), a) && m.open.isEmpty()) {
-      m.idleSince = now;
+    if (m != null && m.open.remove(Machine.taskKey(a.job.spec.ref(), a.task), a)) {
+      m.touched();
+      if (m.open.isEmpty()) {
+        m.idleSince = now;
+      }
     }
   }
 
--- a/src/main/java/io/embernotch/steward/Steward.java
+++ b/src/main/java/io/embernotch/steward/Steward.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.embernotch.actor.Actor;
+import io.embernotch.actor.Latencies;
 import io.embernotch.codec.BadInput;
 import io.embernotch.codec.JobCodec;
 import io.embernotch.codec.Json;
@@ -13,6 +14,7 @@
 import io.embernotch.model.Machine;
 import io.embernotch.model.MachineType;
 import io.embernotch.model.Phase;
+import io.embernotch.model.Priority;
 import io.embernotch.model.Shape;
 import io.embernotch.model.TaskState;
 import io.embernotch.plan.Fleet;
@@ -20,6 +22,7 @@
 import io.embernotch.plan.Planner;
 import io.embernotch.store.Changes;
 import io.embernotch.store.Entry;
+import io.embernotch.store.Pacer.Rank;
 import io.embernotch.store.StoreFailure;
 import io.embernotch.straggler.MachineView;
 import io.embernotch.straggler.Restart;
@@ -30,6 +33,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -73,12 +77,16 @@
   private final Planner planner;
   private final RestartDesk restarts;
   private final Demand demand = new Demand();
+  /** Jobs whose end is decided, until nothing of them is open or unwritten. */
+  private final Set<Job> ending = new LinkedHashSet<>();
   private final double acquiredAt;
   private final List<StewardMessage> waiting = new ArrayList<>();
   private boolean loaded;
   private boolean stopped;
   private boolean planArmed;
   private double plannedAt = -1e9;
+  private double planTookS;
+  private final Latencies plans = new Latencies();
   private double summedAt = -1e9;
 
   Steward(Env env, Host host, long epoch, Collection<MachineType> types) {
@@ -154,6 +162,7 @@
     ledger.jobs.clear();
     ledger.ended.clear();
     ledger.machines.clear();
+    ending.clear();
     Map<String, Job> all = new LinkedHashMap<>();
     Map<String, Integer> sizes = new HashMap<>();
     for (Entry e : jobs.events()) {
@@ -184,6 +193,9 @@
       // Numbers of attempts are never used twice, whatever an earlier steward left unwritten.
       job.nextAttempt = Math.max(job.nextAttempt, Workers.baseToken(epoch));
       ledger.jobs.put(job.spec.ref(), job);
+      if (job.end != null) {
+        ending.add(job);
+      }
       for (Attempt a : job.open.values()) {
         Machine m = ledger.machine(a.machine, workers.base());
         m.zone = a.zone;
@@ -367,16 +379,17 @@
     if (job.end == null) {
       LOG.debug("job {} is cancelled", ref);
       job.end = Phase.CANCELLED;
+      ending.add(job);
       for (Attempt a : List.copyOf(job.open.values())) {
         ask(a, 0);
       }
-      committer.now(job, 0, () -> job.endKept = true);
+      committer.now(job, 0, Rank.FIRST, () -> job.endKept = true);
       planSoon();
     }
     Phase end = job.end;
     Answer answer = Answer.of(200, JobCodec.brief(ref, end));
     if (!job.endKept) {
-      committer.now(job, 0, () -> reply.tryComplete(answer));
+      committer.now(job, 0, Rank.FIRST, () -> reply.tryComplete(answer));
       env.timers().after(env.settings().workers().reportS(), () -> reply.tryComplete(Answer.later("not in the store yet")));
     } else {
       reply.complete(answer);
@@ -418,10 +431,7 @@
       double ran = Math.max(0.1, now - a.runningAt);
       job.finishedSumS += ran;
       job.finishedCount++;
-      m.ratios.addLast(job.meanS() / ran);
-      while (m.ratios.size() > StragglerFeed.LATELY) {
-        m.ratios.removeFirst();
-      }
+      m.finished(job.meanS() / ran, StragglerFeed.LATELY);
     }
     if (job.end != null) {
       return;
@@ -434,9 +444,11 @@
     }
     if (job.remaining() == 0) {
       job.end = Phase.DONE;
-      committer.now(job, 0, () -> job.endKept = true);
+      ending.add(job);
+      committer.now(job, 0, Rank.FIRST, () -> job.endKept = true);
       for (Attempt other : job.open.values()) {
         other.stopping = false;
+        touched(other);
       }
     }
   }
@@ -517,10 +529,18 @@
     }
     Machine m = ledger.machines.get(a.machine);
     if (m != null && loaded) {
+      m.touched();
       workers.flush(m);
     }
   }
 
+  private void touched(Attempt a) {
+    Machine m = ledger.machines.get(a.machine);
+    if (m != null) {
+      m.touched();
+    }
+  }
+
   private void close(Attempt a) {
     ledger.close(a, env.clock().now());
     if (a.start != Attempt.Start.UNCOMMITTED && a.start != Attempt.Start.READY) {
@@ -589,6 +609,14 @@
     if (now - summedAt > env.settings().workers().leaseS() / 2) {
       summedAt = now;
       LOG.info("{}", Summary.of(ledger));
+      String planned = plans.line();
+      if (planned != null) {
+        LOG.info("planned: {}", planned);
+      }
+      String commits = committer.line();
+      if (commits != null) {
+        LOG.info("written: {}", commits);
+      }
     }
     if (now - plannedAt > env.settings().workers().reportS() / 3) {
       planSoon();
@@ -619,9 +647,10 @@
 
   /** Lets go of jobs that have ended, once nothing of them is open or unwritten. */
   private void retire() {
-    for (Job job : List.copyOf(ledger.jobs.values())) {
-      if (job.end != null && job.open.isEmpty() && !committer.isDirty(job)) {
+    for (Job job : List.copyOf(ending)) {
+      if (job.open.isEmpty() && !committer.isDirty(job)) {
         String ref = job.spec.ref();
+        ending.remove(job);
         ledger.jobs.remove(ref);
         ledger.ended.put(ref, new Ledger.Ended(job.end, job.spec.tasks(), job.done.cardinality()));
         host.ended(ref, job.end, job.spec.tasks(), job.done.cardinality());
@@ -634,7 +663,7 @@
     Attempt a = job.open.get(r.task());
     LOG.info("restarting slow task {} on {} (gain {})", a, r.target(), String.format("%.4f", r.gain()));
     job.wishes.put(r.task(), r.target());
-    committer.now(job, r.task(), () -> {
+    committer.now(job, r.task(), Rank.USUAL, () -> {
       if (Ledger.isOpen(a) && !a.stopping && job.end == null) {
         ask(a, a.job.spec.checkpointS() > 0 ? a.job.spec.saveS() : 0);
       }
@@ -646,7 +675,8 @@
   private void planSoon() {
     if (!planArmed && loaded && !stopped) {
       planArmed = true;
-      double spacing = env.settings().workers().reportS() / 60;
+      // However long a plan takes, most of the time stays for reports.
+      double spacing = Math.max(env.settings().workers().reportS() / 60, 4 * planTookS);
       double wait = Math.max(0.001, plannedAt + spacing - env.clock().now());
       env.timers().after(wait, () -> tell(new StewardMessage.MakePlan()));
     }
@@ -663,6 +693,8 @@
         planner.plan(
             now, ledger.jobs.values(), ledger.machines.values(), ledger.types,
             fleet::exhausted, fleet.expected(), demand.headroom(env.operator(), ledger.types.values(), now));
+    planTookS = env.clock().now() - now;
+    plans.record("plan", planTookS);
     for (Plan.Stop s : plan.stops) {
       LOG.info("stopping {}: {}", s.attempt(), s.why());
       stopOne(s.attempt(), s.graceS());
@@ -684,10 +716,11 @@
   private void begin(Plan.Start s, double now) {
     Job job = s.job();
     long number = job.nextAttempt++;
+    Rank rank = job.spec.priority() == Priority.PRODUCTION ? Rank.FIRST : Rank.USUAL;
     for (Plan.Placement p : s.placements()) {
       Attempt a = ledger.open(job, p.task(), number, p.machine(), now);
       job.wishes.remove(p.task());
-      committer.now(job, p.task(), () -> {
+      committer.now(job, p.task(), rank, () -> {
         if (Ledger.isOpen(a) && a.start == Attempt.Start.UNCOMMITTED && job.end == null) {
           a.start = Attempt.Start.READY;
           flushSoon(p.machine());
--- a/src/main/java/io/embernotch/steward/StragglerFeed.java
+++ b/src/main/java/io/embernotch/steward/StragglerFeed.java
@@ -20,6 +20,17 @@
   /** Views that have not changed are sent again after this many rounds, lest a lost one be missed. */
   private static final int REPEAT_ROUNDS = 4;
 
+  /** What was last sent of a machine, and to whom. */
+  private static final class Sent {
+    final String owner;
+    int hash;
+    double at = -1e9;
+
+    Sent(String owner) {
+      this.owner = owner;
+    }
+  }
+
   /** Finished runs that make up a machine's recent performance. */
   static final int LATELY = 16;
 
@@ -27,9 +38,9 @@
   private final Ledger ledger;
   private final BiConsumer<String, MachineView> send;
   private final BiConsumer<String, String> forget;
-  private final Map<String, String> owners = new HashMap<>();
-  private final Map<String, Integer> sentHash = new HashMap<>();
-  private final Map<String, Double> sentAt = new HashMap<>();
+  private final Map<String, Sent> sentTo = new HashMap<>();
+  private Set<String> lastControllers = Set.of();
+  private long messages;
 
   StragglerFeed(
       Env env, Ledger ledger, BiConsumer<String, MachineView> send, BiConsumer<String, String> forget) {
@@ -39,39 +50,63 @@
     this.forget = forget;
   }
 
+  /**
+   * Sends what has changed, each machine at most once a round: a finished task changes its job's
+   * mean and so the views of all machines that run the job, many times between two rounds.
+   */
   void flush(Set<String> controllers) {
     double now = env.clock().now();
+    boolean moved = !controllers.equals(lastControllers);
+    lastControllers = controllers;
     for (Machine m : ledger.machines.values()) {
-      if (!m.up() || m.type == null) {
+      Sent sent = sent(m, controllers, moved);
+      if (sent == null || now - sent.at < env.operator().roundS()) {
         continue;
       }
-      String owner = Parts.owner(m.name, controllers);
-      String before = owners.put(m.name, owner);
-      if (before != null && !before.equals(owner)) {
-        forget.accept(before, m.name);
-        sentHash.remove(m.name);
-      }
       int hash = fingerprint(m);
-      boolean old = now - sentAt.getOrDefault(m.name, -1e9) > REPEAT_ROUNDS * env.operator().roundS();
-      Integer last = sentHash.get(m.name);
-      if (last == null || last != hash || old) {
-        sentHash.put(m.name, hash);
-        sentAt.put(m.name, now);
-        send.accept(owner, view(m, now));
+      if (sent.hash != hash || now - sent.at > REPEAT_ROUNDS * env.operator().roundS()) {
+        sent.hash = hash;
+        sent.at = now;
+        messages++;
+        send.accept(sent.owner, view(m, now));
       }
     }
-    owners.entrySet().removeIf(
+    sentTo.entrySet().removeIf(
         e -> {
-          if (ledger.machines.containsKey(e.getKey())) {
-            return false;
+          boolean gone = !ledger.machines.containsKey(e.getKey());
+          if (gone) {
+            forget.accept(e.getValue().owner, e.getKey());
           }
-          forget.accept(e.getValue(), e.getKey());
-          sentHash.remove(e.getKey());
-          sentAt.remove(e.getKey());
-          return true;
+          return gone;
         });
   }
 
+  /** Views sent since the last call, for the log. */
+  long messages() {
+    long n = messages;
+    messages = 0;
+    return n;
+  }
+
+  private Sent sent(Machine m, Set<String> controllers, boolean moved) {
+    Sent sent = sentTo.get(m.name);
+    if (sent == null) {
+      if (!m.up() || m.type == null) {
+        return null;
+      }
+      sent = new Sent(Parts.owner(m.name, controllers));
+      sentTo.put(m.name, sent);
+    } else if (moved) {
+      String owner = Parts.owner(m.name, controllers);
+      if (!owner.equals(sent.owner)) {
+        forget.accept(sent.owner, m.name);
+        sent = new Sent(owner);
+        sentTo.put(m.name, sent);
+      }
+    }
+    return sent;
+  }
+
   /** Changes with whatever a round would see differently, save for time passing. */
   private static int fingerprint(Machine m) {
     int h = m.ratios.hashCode() * 31 + (usable(m) ? 1 : 0);
--- a/src/main/java/io/embernotch/steward/Workers.java
+++ b/src/main/java/io/embernotch/steward/Workers.java
@@ -176,9 +176,12 @@
       outcome.exited(a, m, t.cause(), t.saved());
       return;
     }
-    a.state = t.state();
-    if (t.state() != TaskState.FETCHING) {
-      cache(m, a.job.spec);
+    if (before != t.state()) {
+      a.state = t.state();
+      m.touched();
+      if (t.state() != TaskState.FETCHING) {
+        cache(m, a.job.spec);
+      }
     }
     if (t.state() == TaskState.RUNNING && a.runningAt < 0) {
       a.runningAt = now;
--- a/src/main/java/io/embernotch/store/Pacer.java
+++ b/src/main/java/io/embernotch/store/Pacer.java
@@ -2,20 +2,37 @@
 
 import io.embernotch.actor.Clock;
 import io.embernotch.actor.Timers;
-import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.PriorityQueue;
 
-/** Lets work through at a given rate, with bursts of what collects in one second at most. */
+/**
+ * Lets work through at a given rate, with bursts of what collects in a given time at most. What
+ * waits goes by rank, then in the order it came.
+ */
 public final class Pacer {
-  private record Waiting(int cost, Runnable go) {}
+  /** How urgent something is. */
+  public enum Rank {
+    /** Goes at once, and may overdraw: what keeps leadership and proofs alive. */
+    URGENT,
+    /** What a live service or a user who cancelled waits for. */
+    FIRST,
+    USUAL,
+    /** Only once half of the burst is there, so that it never stands in the way of the rest. */
+    SPARE
+  }
+
+  private record Waiting(Rank rank, long order, double cost, Runnable go) {}
 
   private final Clock clock;
   private final Timers timers;
   private final double rate;
   private final double burst;
-  private final ArrayDeque<Waiting> queue = new ArrayDeque<>();
+  private final PriorityQueue<Waiting> queue =
+      new PriorityQueue<>(Comparator.comparing(Waiting::rank).thenComparingLong(Waiting::order));
   private double tokens;
   private double filledAt;
-  private boolean armed;
+  private long order;
+  private double armedFor = Double.MAX_VALUE;
 
   public Pacer(Clock clock, Timers timers, double rate, double burstS) {
     this.clock = clock;
@@ -26,37 +43,67 @@
     this.filledAt = clock.now();
   }
 
-  /** Runs {@code go} as soon as {@code cost} may be spent; urgent work goes first and may overdraw. */
-  public void pass(int cost, boolean urgent, Runnable go) {
+  /** Runs {@code go} as soon as {@code cost} may be spent, and spends it. */
+  public void pass(double cost, Rank rank, Runnable go) {
     fill();
-    if (cost <= 0 || urgent || (queue.isEmpty() && tokens >= Math.min(cost, burst))) {
-      tokens -= cost;
+    if (cost <= 0 || rank == Rank.URGENT || (mayGo(cost, rank) && nobodyBefore(rank))) {
+      tokens -= Math.max(0, cost);
       go.run();
       return;
     }
-    queue.add(new Waiting(cost, go));
+    queue.add(new Waiting(rank, order++, cost, go));
     arm();
   }
 
+  /** What could be spent now. */
+  public double credit() {
+    fill();
+    return tokens;
+  }
+
+  private boolean nobodyBefore(Rank rank) {
+    return queue.isEmpty() || queue.peek().rank.compareTo(rank) > 0;
+  }
+
+  private double needed(double cost, Rank rank) {
+    return Math.min(rank == Rank.SPARE ? Math.max(cost, burst / 2) : cost, burst);
+  }
+
+  private boolean mayGo(double cost, Rank rank) {
+    return tokens >= needed(cost, rank);
+  }
+
   private void fill() {
     double now = clock.now();
     tokens = Math.min(burst, tokens + (now - filledAt) * rate);
     filledAt = now;
   }
 
+  /** Takes back what was spent on a turn that is not used. */
+  public void giveBack(double cost) {
+    tokens += cost;
+  }
+
   private void arm() {
-    if (armed || queue.isEmpty()) {
+    if (queue.isEmpty()) {
       return;
     }
-    armed = true;
-    double missing = Math.min(queue.peek().cost, burst) - tokens;
-    timers.after(Math.max(0.001, missing / rate), this::release);
+    double missing = needed(queue.peek().cost, queue.peek().rank) - tokens;
+    double wait = Math.max(0.001, missing / rate);
+    double at = clock.now() + wait;
+    if (at < armedFor) {
+      armedFor = at;
+      timers.after(wait, () -> release(at));
+    }
   }
 
-  private void release() {
-    armed = false;
+  private void release(double at) {
+    if (at != armedFor) {
+      return;
+    }
+    armedFor = Double.MAX_VALUE;
     fill();
-    while (!queue.isEmpty() && tokens >= Math.min(queue.peek().cost, burst)) {
+    while (!queue.isEmpty() && mayGo(queue.peek().cost, queue.peek().rank)) {
       Waiting w = queue.poll();
       tokens -= w.cost;
       w.go.run();
--- a/src/main/java/io/embernotch/store/StoreClient.java
+++ b/src/main/java/io/embernotch/store/StoreClient.java
@@ -10,6 +10,7 @@
 import io.embernotch.http.Caller;
 import io.embernotch.http.Reply;
 import io.embernotch.settings.Settings;
+import io.embernotch.store.Pacer.Rank;
 import io.embernotch.store.StoreFailure.Kind;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -21,8 +22,11 @@
 
 /** The state service, paced under its limits. Futures fail with {@link StoreFailure} only. */
 public final class StoreClient {
-  /** Share of the service's limits that one controller takes; the others need some too. */
-  private static final double SHARE = 0.7;
+  /** Shares of the service's limits that one controller takes; the others need some too. */
+  private static final double REQUESTS_SHARE = 0.7;
+
+  /** The others only write the submissions that they take. */
+  private static final double WRITES_SHARE = 0.85;
 
   private static final int PAGE = 1000;
   private static final int THROTTLED = 429;
@@ -42,8 +46,8 @@
     this.clock = clock;
     this.timers = timers;
     this.settings = settings;
-    this.requests = new Pacer(clock, timers, settings.stateLimits().rps() * SHARE, 0.5);
-    this.writes = new Pacer(clock, timers, settings.stateLimits().writeRps() * SHARE, 0.5);
+    this.requests = new Pacer(clock, timers, settings.stateLimits().rps() * REQUESTS_SHARE, 0.5);
+    this.writes = new Pacer(clock, timers, settings.stateLimits().writeRps() * WRITES_SHARE, 0.5);
     this.timeoutS = settings.workers().reportS() / 2;
   }
 
@@ -58,7 +62,7 @@
   }
 
   public Future<Entry> get(String key) {
-    return send("GET", "/store/" + key, null, 0, false, timeoutS)
+    return send("GET", "/store/" + key, null, 0, Rank.USUAL, timeoutS)
         .compose(
             reply ->
                 switch (reply.status()) {
@@ -75,7 +79,7 @@
 
   private Future<Changes> listFrom(String prefix, String after, List<Entry> sofar, long firstEpoch) {
     String path = "/store?starts=" + prefix + (after == null ? "" : "&after=" + after) + "&page=" + PAGE;
-    return send("GET", path, null, 0, false, timeoutS * 2)
+    return send("GET", path, null, 0, Rank.USUAL, timeoutS * 2)
         .compose(
             reply -> {
               if (reply.status() != 200) {
@@ -97,11 +101,15 @@
   }
 
   public Future<Commit> commit(Txn txn) {
-    return commit(txn, false);
+    return commit(txn, Rank.USUAL);
+  }
+
+  public Future<Commit> commit(Txn txn, Rank rank) {
+    return answered(send("POST", "/commit", txn.bytes(), txn.changes(), rank, timeoutS));
   }
 
-  public Future<Commit> commit(Txn txn, boolean urgent) {
-    return send("POST", "/commit", txn.bytes(), txn.changes(), urgent, timeoutS)
+  private static Future<Commit> answered(Future<Reply> sent) {
+    return sent
         .compose(
             reply ->
                 switch (reply.status()) {
@@ -114,15 +122,42 @@
                 });
   }
 
+  /**
+   * Runs {@code go} when {@code least} changes may be made. What is written is decided only then, so
+   * that what has become urgent meanwhile goes first.
+   */
+  public void turn(int least, Rank rank, Runnable go) {
+    writes.pass(least, rank, go);
+  }
+
+  /** How many more changes than its turn gave may be made now; half a burst of them is spare. */
+  public double credit() {
+    return writes.credit();
+  }
+
+  public boolean spare() {
+    return writes.credit() >= settings.stateLimits().writeRps() * WRITES_SHARE / 4;
+  }
+
+  /** Ends a turn of {@code least} changes that wrote {@code made}. */
+  public void turnOver(int least, int made) {
+    writes.giveBack(least - made);
+  }
+
+  /** Commits within a turn. */
+  public Future<Commit> commitInTurn(Txn txn) {
+    return answered(send("POST", "/commit", txn.bytes(), 0, Rank.URGENT, timeoutS));
+  }
+
   public Future<Long> grant(double lifeS) {
     byte[] body = Json.bytes(Json.object().put("life_ms", Math.round(lifeS * 1000)));
-    return send("POST", "/leases", body, 0, true, timeoutS)
+    return send("POST", "/leases", body, 0, Rank.URGENT, timeoutS)
         .compose(reply -> reply.status() == 200 ? parsed(reply, o -> Json.whole(o, "permit")) : odd(reply));
   }
 
   /** True if the lease got its full time again, false if it has ended. */
   public Future<Boolean> extend(long permit, double withinS) {
-    return send("POST", "/leases/" + permit + "/extend", null, 0, true, withinS)
+    return send("POST", "/leases/" + permit + "/extend", null, 0, Rank.URGENT, withinS)
         .compose(
             reply ->
                 switch (reply.status()) {
@@ -133,14 +168,14 @@
   }
 
   public Future<Void> revoke(long permit) {
-    return send("DELETE", "/leases/" + permit, null, 0, true, timeoutS).mapEmpty();
+    return send("DELETE", "/leases/" + permit, null, 0, Rank.URGENT, timeoutS).mapEmpty();
   }
 
   /** Waits until something under the prefix has changed after {@code epoch}, or the time is out. */
   public Future<Changes> watch(String prefix, long epoch, double holdS) {
     String path =
         "/changes?starts=" + prefix + "&after=" + epoch + "&hold_ms=" + Math.round(holdS * 1000);
-    return send("GET", path, null, 0, false, holdS + timeoutS)
+    return send("GET", path, null, 0, Rank.USUAL, holdS + timeoutS)
         .compose(
             reply ->
                 switch (reply.status()) {
@@ -151,20 +186,20 @@
   }
 
   private Future<Reply> send(
-      String method, String path, byte[] body, int changes, boolean urgent, double withinS) {
+      String method, String path, byte[] body, int changes, Rank rank, double withinS) {
     Promise<Reply> promise = Promise.promise();
-    attempt(method, path, body, changes, urgent, clock.now() + withinS, promise);
+    attempt(method, path, body, changes, rank, clock.now() + withinS, promise);
     return promise.future();
   }
 
   private void attempt(
-      String method, String path, byte[] body, int changes, boolean urgent, double until, Promise<Reply> promise) {
-    Runnable call = () -> callOnce(method, path, body, changes, urgent, until, promise);
-    requests.pass(1, urgent, () -> writes.pass(changes, urgent, call));
+      String method, String path, byte[] body, int changes, Rank rank, double until, Promise<Reply> promise) {
+    Runnable call = () -> callOnce(method, path, body, changes, rank, until, promise);
+    requests.pass(1, rank, () -> writes.pass(changes, rank, call));
   }
 
   private void callOnce(
-      String method, String path, byte[] body, int changes, boolean urgent, double until, Promise<Reply> promise) {
+      String method, String path, byte[] body, int changes, Rank rank, double until, Promise<Reply> promise) {
     double left = until - clock.now();
     if (left <= 0) {
       promise.fail(new StoreFailure(Kind.REFUSED, "not sent in time"));
@@ -176,7 +211,7 @@
             reply -> {
               if (reply.status() == THROTTLED) {
                 // Not executed. Wait for some of a second's worth to come free, then try again.
-                timers.after(0.1, () -> attempt(method, path, body, changes, urgent, until, promise));
+                timers.after(0.1, () -> attempt(method, path, body, changes, rank, until, promise));
               } else if (reply.status() == 503) {
                 failing();
                 promise.fail(new StoreFailure(Kind.REFUSED, "state service answers 503"));
--- a/src/test/java/io/embernotch/http/LatenciesTest.java
+++ b/src/test/java/io/embernotch/actor/LatenciesTest.java
@@ -1,4 +1,4 @@
-package io.embernotch.http;
+package io.embernotch.actor;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
