--- a/src/main/java/io/embernotch/http/Answer.java
+++ b/src/main/java/io/embernotch/http/Answer.java
@@ -14,7 +14,11 @@
 
   /** Cannot be taken now: the caller is told at once when to come back. */
   public static Answer later(String why) {
-    return new Answer(503, reason(why), 1);
+    return later(why, 1);
+  }
+
+  public static Answer later(String why, int retryAfterS) {
+    return new Answer(503, reason(why), Math.max(1, retryAfterS));
   }
 
   private static byte[] reason(String why) {
--- a/src/main/java/io/embernotch/peer/Frame.java
+++ b/src/main/java/io/embernotch/peer/Frame.java
@@ -21,6 +21,9 @@
     }
   }
 
+  /** A submission, passed on by a controller that the state service does not answer. */
+  record Submit(long id, byte[] body) implements Frame {}
+
   record Told(long id, int status, int retryAfterS, byte[] body) implements Frame {}
 
   /** The steward's view of a machine in the receiver's part. */
--- a/src/main/java/io/embernotch/peer/FrameCodec.java
+++ b/src/main/java/io/embernotch/peer/FrameCodec.java
@@ -27,6 +27,7 @@
   private static final byte VIEW = 5;
   private static final byte FORGET = 6;
   private static final byte PROPOSE = 7;
+  private static final byte SUBMIT = 8;
 
   private FrameCodec() {}
 
@@ -58,6 +59,9 @@
     } else if (frame instanceof Frame.Ask f) {
       b.put(ASK).putLong(f.id()).put((byte) f.what().ordinal());
       text(b, f.ref());
+    } else if (frame instanceof Frame.Submit f) {
+      b.put(SUBMIT).putLong(f.id());
+      blob(b, f.body());
     } else if (frame instanceof Frame.Told f) {
       b.put(TOLD).putLong(f.id()).putShort((short) f.status()).putShort((short) f.retryAfterS());
       blob(b, f.body());
@@ -98,6 +102,7 @@
             case BEAT -> new Frame.Beat(text(b), text(b), b.getLong(), flag(b));
             case JOB_CREATED -> new Frame.JobCreated(blob(b));
             case ASK -> new Frame.Ask(b.getLong(), what(b.get()), text(b));
+            case SUBMIT -> new Frame.Submit(b.getLong(), blob(b));
             case TOLD -> new Frame.Told(b.getLong(), b.getShort(), b.getShort(), blob(b));
             case VIEW -> new Frame.View(b.getLong(), view(b));
             case FORGET -> new Frame.Forget(b.getLong(), text(b));
--- a/src/main/java/io/embernotch/settings/OperatorSettings.java
+++ b/src/main/java/io/embernotch/settings/OperatorSettings.java
@@ -17,11 +17,12 @@
     double serviceSpare,
     double gangSpare,
     double arraySpare,
-    double leaseReports) {
+    double leaseReports,
+    double leaseShare) {
 
   /** What holds without an operator file; the same values as operator.proto gives. */
   public static final OperatorSettings DEFAULTS =
-      new OperatorSettings(true, 1.5, 0.5, 5.0, 2.0, 0.2, 2.0, 1.0, 0.5, 1.0);
+      new OperatorSettings(true, 1.5, 0.5, 5.0, 2.0, 0.2, 2.0, 1.0, 0.5, 0, 0.1);
 
   public static OperatorSettings read(Path file) {
     try {
@@ -51,7 +52,10 @@
         within("fleet.service_spare", f.getServiceSpare(), 0, 100),
         within("fleet.gang_spare", f.getGangSpare(), 0, 100),
         within("fleet.array_spare", f.getArraySpare(), 0, 100),
-        within("leadership.lease_reports", b.getLeadership().getLeaseReports(), 0.2, 20));
+        b.getLeadership().hasLeaseReports()
+            ? within("leadership.lease_reports", b.getLeadership().getLeaseReports(), 0.2, 20)
+            : 0,
+        within("leadership.lease_share", b.getLeadership().getLeaseShare(), 0.02, 1));
   }
 
   private static double within(String name, double v, double low, double high) {
--- a/src/main/java/io/embernotch/settings/Settings.java
+++ b/src/main/java/io/embernotch/settings/Settings.java
@@ -44,7 +44,9 @@
 
   /** Life of the steward's state lease in seconds. */
   public double stewardLeaseS(OperatorSettings operator) {
-    return workers.reportS() * operator.leaseReports();
+    return operator.leaseReports() > 0
+        ? workers.reportS() * operator.leaseReports()
+        : workers.leaseS() * operator.leaseShare();
   }
 
   /**
--- a/src/main/java/io/embernotch/steward/Committer.java
+++ b/src/main/java/io/embernotch/steward/Committer.java
@@ -169,10 +169,9 @@
     } else if (d.due < armedFor) {
       armedFor = d.due;
       timers.after(d.due - now, () -> {
-        if (armedFor <= clock.now() + 0.001) {
-          armedFor = Double.MAX_VALUE;
-          next();
-        }
+        // Timers may fire a little early: what is due is looked at anew, and armed again if need be.
+        armedFor = Double.MAX_VALUE;
+        next();
       });
     }
   }
--- a/src/main/java/io/embernotch/steward/Controller.java
+++ b/src/main/java/io/embernotch/steward/Controller.java
@@ -10,16 +10,13 @@
 import io.embernotch.http.Answer;
 import io.embernotch.http.Door;
 import io.embernotch.model.Job;
-import io.embernotch.model.JobSpec;
 import io.embernotch.model.MachineType;
 import io.embernotch.model.Phase;
 import io.embernotch.model.WorkerReport;
 import io.embernotch.peer.Frame;
 import io.embernotch.peer.PeerLink;
 import io.embernotch.settings.Settings;
-import io.embernotch.store.Commit;
 import io.embernotch.store.Entry;
-import io.embernotch.store.StoreFailure;
 import io.embernotch.store.Txn;
 import io.embernotch.straggler.MachineView;
 import io.embernotch.straggler.PartKeeper;
@@ -35,11 +32,12 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.LongFunction;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /** One controller: takes in what users and workers send, and is steward whenever it holds the key. */
-public final class Controller implements Door, Election.Listener, Steward.Host {
+public final class Controller implements Door, Election.Listener, Steward.Host, Submissions.Host {
   private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
   private static final String TYPES = "types";
   private static final int MISDIRECTED = 421;
@@ -52,6 +50,7 @@
   private final PartKeeper part;
   private final Round round;
   private final int pieceSize;
+  private final Submissions submissions;
   private final Map<String, MachineType> types = new LinkedHashMap<>();
   private final EndedCache ended = new EndedCache();
   private final Map<Long, Promise<Answer>> asked = new HashMap<>();
@@ -71,6 +70,7 @@
     this.part = new PartKeeper(env.clock(), 6 * env.operator().roundS());
     this.round = new Round(env.operator().flagRatio(), env.operator().beta(), env.operator().roundS());
     this.pieceSize = RunCodec.piece(settings.stateLimits().valueKb());
+    this.submissions = new Submissions(env, types, pieceSize, this);
   }
 
   public void start() {
@@ -123,54 +123,18 @@
       return Answer.later("machine types are not known yet");
     }
     // In an outage all nodes are alike, and leaving the balancer would only delay the return.
-    boolean onlyUs = env.store().failingForS() > settings.workers().reportS() / 2 && alive.anyWithState();
+    boolean onlyUs = env.store().failingForS() > settings.workers().reportS() / 2 && alive.firstWithState() != null;
     boolean alone = !settings.members().isEmpty() && alive.live().isEmpty() && env.store().failingForS() > 0;
     return onlyUs || alone ? Answer.later("cannot reach the state service") : Answer.of(200, "{}".getBytes(StandardCharsets.UTF_8));
   }
 
   @Override
   public Future<Answer> submit(byte[] body) {
-    JobSpec spec;
-    try {
-      spec = JobCodec.read(Json.parseObject(body));
-    } catch (BadInput e) {
-      return answer(Answer.error(400, e.getMessage()));
-    }
-    if (types.isEmpty()) {
-      return answer(Answer.later("machine types are not known yet"));
-    }
-    String never = Admission.neverRuns(spec, settings.teams(), types.values());
-    if (never != null) {
-      return answer(Answer.error(422, never));
-    }
-    Job job = new Job(spec, env.clock().wallMs());
-    ObjectNode value = RunCodec.writeJob(job, pieceSize);
-    String key = RunCodec.JOB + spec.ref();
-    if (Json.bytes(value).length > settings.stateLimits().valueKb() * 1024) {
-      return answer(Answer.error(400, "description too long"));
-    }
-    Promise<Answer> reply = Promise.promise();
-    env.store()
-        .commit(new Txn().when(key, 0).write(key, value))
-        .onSuccess((Commit c) -> {
-          if (c.applied()) {
-            accepted(job, value);
-            reply.complete(Answer.of(201, JobCodec.brief(spec.ref(), Phase.QUEUED)));
-          } else {
-            again(spec.ref()).onComplete(reply);
-          }
-        })
-        .onFailure(e -> {
-          if (StoreFailure.kindOf(e) == StoreFailure.Kind.UNKNOWN) {
-            again(spec.ref()).onComplete(reply);
-          } else {
-            reply.complete(Answer.later("the state service does not take it"));
-          }
-        });
-    return reply.future();
+    return submissions.submit(body);
   }
 
-  private void accepted(Job job, ObjectNode value) {
+  @Override
+  public void accepted(Job job, ObjectNode value) {
     if (steward != null) {
       steward.tell(new StewardMessage.JobCreated(job, pieceSize));
     } else if (stewardNode != null) {
@@ -179,15 +143,15 @@
   }
 
   /** A job that is perhaps known: 200 with its present state, or try again. */
-  private Future<Answer> again(String ref) {
-    return poll(ref)
-        .map(
-            a -> {
-              if (a.status() == 404) {
-                return Answer.later("not accepted yet");
-              }
-              return a;
-            });
+  @Override
+  public Future<Answer> known(String ref) {
+    return poll(ref).map(a -> a.status() == 404 ? Answer.later("not accepted yet") : a);
+  }
+
+  @Override
+  public Future<Answer> elsewhere(byte[] body, double withinS) {
+    String node = alive.firstWithState();
+    return node == null ? null : askPeer(node, id -> new Frame.Submit(id, body), withinS);
   }
 
   @Override
@@ -208,6 +172,10 @@
    * answer than one already given can come of it.
    */
   private Future<Answer> readStatus(String ref) {
+    if (env.store().failingForS() > settings.workers().reportS() / 6) {
+      // Users wait two seconds at most; a request that hangs behind a cut would take longer.
+      return answer(Answer.later("the state service does not answer"));
+    }
     return env.store()
         .get(RunCodec.JOB + ref)
         .compose(
@@ -274,13 +242,18 @@
     if (stewardNode == null || !alive.isLive(stewardNode)) {
       return answer(Answer.later("no steward is known"));
     }
+    return askPeer(stewardNode, id -> new Frame.Ask(id, what, ref), withinS);
+  }
+
+  private Future<Answer> askPeer(String node, LongFunction<Frame> question, double withinS) {
+    Promise<Answer> reply = Promise.promise();
     long id = nextAsk++;
     asked.put(id, reply);
-    peers.send(stewardNode, new Frame.Ask(id, what, ref));
+    peers.send(node, question.apply(id));
     env.timers().after(withinS, () -> {
       Promise<Answer> late = asked.remove(id);
       if (late != null) {
-        late.tryComplete(Answer.later("the steward does not answer"));
+        late.tryComplete(Answer.later(node + " does not answer"));
       }
     });
     return reply.future();
@@ -402,6 +375,10 @@
       } else {
         reply.complete(Answer.later("not the steward"));
       }
+    } else if (frame instanceof Frame.Submit f) {
+      submissions
+          .passedOn(f.body())
+          .onSuccess(a -> back.send(new Frame.Told(f.id(), a.status(), a.retryAfterS(), a.body())));
     } else if (frame instanceof Frame.Told f) {
       Promise<Answer> p = asked.remove(f.id());
       if (p != null) {
--- a/src/main/java/io/embernotch/steward/Demand.java
+++ b/src/main/java/io/embernotch/steward/Demand.java
@@ -1,5 +1,6 @@
 package io.embernotch.steward;
 
+import io.embernotch.model.Job;
 import io.embernotch.model.JobSpec;
 import io.embernotch.model.MachineType;
 import io.embernotch.model.Shape;
@@ -9,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,7 +18,12 @@
 /**
  * What has been asked for lately, from which the room to keep free follows. While a machine boots,
  * jobs of a class come at its usual rate and as many end; what deviates from that must find room at
- * once. The deviation of a count is its square root, so the room kept is so many deviations.
+ * once. Jobs come independently and are of uneven size, so the variance of the tasks that come is
+ * the sum of the squares of the jobs' sizes; the room kept is so many deviations.
+ *
+ * <p>How many follows from what they cost: the smaller a deviation is against all that runs, the
+ * cheaper is another one, while a task that finds no room waits for a boot at any size. For a
+ * normal deviation the best number grows with the root of the logarithm of that ratio.
  */
 final class Demand {
   /** Boot times over which the rate of a class is measured. */
@@ -38,7 +45,10 @@
     k.arrivals.addLast(new Arrival(at, spec.tasks()));
   }
 
-  List<Headroom> headroom(OperatorSettings operator, Collection<MachineType> types, double now) {
+  List<Headroom> headroom(
+      OperatorSettings operator, Collection<MachineType> types, Collection<Job> jobs, double now) {
+    Map<String, Integer> placed = new HashMap<>();
+    jobs.forEach(j -> placed.merge(j.spec.jobClass(), j.open.size(), Integer::sum));
     List<Headroom> out = new ArrayList<>();
     for (Kind k : kinds.values()) {
       double boot = bootS(k.latest, types);
@@ -49,15 +59,19 @@
       if (k.arrivals.isEmpty() || boot <= 0) {
         continue;
       }
-      int jobs = k.arrivals.size();
-      double tasks = k.arrivals.stream().mapToInt(Arrival::tasks).sum() / (double) jobs;
-      double deviation = Math.sqrt(jobs / WINDOW_BOOTS);
-      double spare = deviation * spares(operator, k.latest.shape());
-      out.add(new Headroom(k.latest.withTasks(1), (int) Math.round(spare * tasks)));
+      double squares = k.arrivals.stream().mapToDouble(a -> (double) a.tasks * a.tasks).sum();
+      double deviation = Math.sqrt(squares / WINDOW_BOOTS);
+      double ratio = placed.getOrDefault(k.latest.jobClass(), 0) / Math.max(1, deviation);
+      double spare = deviation * spares(operator, k.latest.shape()) * worth(ratio);
+      out.add(new Headroom(k.latest.withTasks(1), (int) Math.round(spare)));
     }
     return out;
   }
 
+  private static double worth(double ratio) {
+    return ratio <= 1 ? 1 : Math.max(1, Math.sqrt(2 * Math.log(ratio)));
+  }
+
   private static double spares(OperatorSettings operator, Shape shape) {
     return switch (shape) {
       case ARRAY -> operator.arraySpare();
--- a/src/main/java/io/embernotch/steward/Peers.java
+++ b/src/main/java/io/embernotch/steward/Peers.java
@@ -47,9 +47,14 @@
     return out;
   }
 
-  /** True if some other controller is served by the state service. */
-  boolean anyWithState() {
-    return heard.entrySet().stream().anyMatch(e -> isLive(e.getKey()) && e.getValue().stateOk);
+  /** Some other controller that is served by the state service; null if none is known to be. */
+  String firstWithState() {
+    for (String node : live()) {
+      if (heard.get(node).stateOk) {
+        return node;
+      }
+    }
+    return null;
   }
 
   /** Nodes whose connection is worth renewing now: it may hang behind a cut that is over. */
--- a/src/main/java/io/embernotch/steward/Steward.java
+++ b/src/main/java/io/embernotch/steward/Steward.java
@@ -86,6 +86,7 @@
   private boolean planArmed;
   private double plannedAt = -1e9;
   private double planTookS;
+  private long planned;
   private final Latencies plans = new Latencies();
   private double summedAt = -1e9;
 
@@ -689,10 +690,11 @@
       return;
     }
     plannedAt = now;
+    planned++;
     Plan plan =
         planner.plan(
             now, ledger.jobs.values(), ledger.machines.values(), ledger.types,
-            fleet::exhausted, fleet.expected(), demand.headroom(env.operator(), ledger.types.values(), now));
+            fleet::exhausted, fleet.expected(), demand.headroom(env.operator(), ledger.types.values(), ledger.jobs.values(), now));
     planTookS = env.clock().now() - now;
     plans.record("plan", planTookS);
     for (Plan.Stop s : plan.stops) {
@@ -749,7 +751,7 @@
 
   private ObjectNode overview() {
     ObjectNode o = Json.object();
-    o.put("epoch", epoch);
+    o.put("epoch", epoch).put("plans", planned).put("views", feed.sent());
     Map<String, int[]> classes = new TreeMap<>();
     for (Job j : ledger.jobs.values()) {
       int[] c = classes.computeIfAbsent(j.spec.jobClass(), k -> new int[4]);
--- a/src/main/java/io/embernotch/steward/StragglerFeed.java
+++ b/src/main/java/io/embernotch/steward/StragglerFeed.java
@@ -81,11 +81,9 @@
         });
   }
 
-  /** Views sent since the last call, for the log. */
-  long messages() {
-    long n = messages;
-    messages = 0;
-    return n;
+  /** Views sent so far. */
+  long sent() {
+    return messages;
   }
 
   private Sent sent(Machine m, Set<String> controllers, boolean moved) {
--- /dev/null
+++ b/src/main/java/io/embernotch/steward/Submissions.java
@@ -0,0 +1,184 @@
+package io.embernotch.steward;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.embernotch.codec.BadInput;
+import io.embernotch.codec.JobCodec;
+import io.embernotch.codec.Json;
+import io.embernotch.codec.RunCodec;
+import io.embernotch.http.Answer;
+import io.embernotch.model.Job;
+import io.embernotch.model.JobSpec;
+import io.embernotch.model.MachineType;
+import io.embernotch.model.Phase;
+import io.embernotch.store.Pacer.Rank;
+import io.embernotch.store.Txn;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Takes submissions: any controller writes {@code job/REF} if it is absent. One that the state
+ * service does not answer passes the submission on to another; both may write, and the key is
+ * created once. Nobody is kept waiting for a state service that is away.
+ *
+ * <p>More submissions than the state service takes changes are refused at once, with the time to
+ * come back. When they were queued instead, their users gave up and came again, and the copies in
+ * the queue left no change for starts.
+ */
+final class Submissions {
+  /** What a submission needs of its controller. */
+  interface Host {
+    /** The job is in the store, by our own hand. */
+    void accepted(Job job, ObjectNode value);
+
+    /** The present state of a job that is perhaps known. */
+    Future<Answer> known(String ref);
+
+    /** The answer of another controller that the state service serves; null if there is none. */
+    Future<Answer> elsewhere(byte[] body, double withinS);
+  }
+
+  private final Env env;
+  private final Map<String, MachineType> types;
+  private final int pieceSize;
+  private final Host host;
+  /** After this time without an answer of the store, another controller is asked. */
+  private final double hedgeS;
+  /** After this time the user is told to come back. */
+  private final double patienceS;
+
+  Submissions(Env env, Map<String, MachineType> types, int pieceSize, Host host) {
+    this.env = env;
+    this.types = types;
+    this.pieceSize = pieceSize;
+    this.host = host;
+    this.hedgeS = env.settings().workers().reportS() / 20;
+    this.patienceS = env.settings().workers().reportS() / 3;
+  }
+
+  /** A user's own submission. */
+  Future<Answer> submit(byte[] body) {
+    return take(body, true);
+  }
+
+  /** One that another controller was given; it is not passed on any further. */
+  Future<Answer> passedOn(byte[] body) {
+    return take(body, false);
+  }
+
+  private final Map<String, Taking> underWay = new HashMap<>();
+
+  private Future<Answer> take(byte[] body, boolean mayPassOn) {
+    JobSpec spec;
+    try {
+      spec = JobCodec.read(Json.parseObject(body));
+    } catch (BadInput e) {
+      return Future.succeededFuture(Answer.error(400, e.getMessage()));
+    }
+    if (types.isEmpty()) {
+      return Future.succeededFuture(Answer.later("machine types are not known yet"));
+    }
+    String never = Admission.neverRuns(spec, env.settings().teams(), types.values());
+    if (never != null) {
+      return Future.succeededFuture(Answer.error(422, never));
+    }
+    Taking before = underWay.get(spec.ref());
+    if (before != null) {
+      return before.reply.future();
+    }
+    double waitS = env.store().waitS();
+    if (waitS > patienceS / 2) {
+      return Future.succeededFuture(Answer.later("more is submitted than the state service takes", (int) Math.ceil(waitS)));
+    }
+    Job job = new Job(spec, env.clock().wallMs());
+    ObjectNode value = RunCodec.writeJob(job, pieceSize);
+    if (Json.bytes(value).length > env.settings().stateLimits().valueKb() * 1024) {
+      return Future.succeededFuture(Answer.error(400, "description too long"));
+    }
+    Taking taking = new Taking(job, value, body, mayPassOn);
+    underWay.put(spec.ref(), taking);
+    taking.reply.future().onComplete(r -> underWay.remove(spec.ref(), taking));
+    return taking.go();
+  }
+
+  /** One submission under way; the first good answer, from the store or another node, is the user's. */
+  private final class Taking {
+    private final Job job;
+    private final ObjectNode value;
+    private final byte[] body;
+    private final boolean mayPassOn;
+    private final Promise<Answer> reply = Promise.promise();
+    private boolean ownFailed;
+    private boolean passedOn;
+    private boolean passFailed;
+
+    Taking(Job job, ObjectNode value, byte[] body, boolean mayPassOn) {
+      this.job = job;
+      this.value = value;
+      this.body = body;
+      this.mayPassOn = mayPassOn;
+    }
+
+    Future<Answer> go() {
+      env.timers().after(patienceS, () -> reply.tryComplete(Answer.later("the state service does not answer")));
+      if (env.store().failingForS() > 0) {
+        passOn();
+      }
+      env.store().turn(1, Rank.USUAL, this::write);
+      return reply.future();
+    }
+
+    private void write() {
+      if (reply.future().isComplete()) {
+        env.store().turnOver(1, 0);
+        return;
+      }
+      env.timers().after(hedgeS, this::passOn);
+      String key = RunCodec.JOB + job.spec.ref();
+      env.store()
+          .commitInTurn(new Txn().when(key, 0).write(key, value))
+          .onSuccess(
+              c -> {
+                if (c.applied()) {
+                  host.accepted(job, value);
+                  reply.tryComplete(Answer.of(201, JobCodec.brief(job.spec.ref(), Phase.QUEUED)));
+                } else {
+                  host.known(job.spec.ref()).onSuccess(reply::tryComplete);
+                }
+              })
+          .onFailure(
+              e -> {
+                ownFailed = true;
+                passOn();
+                settle();
+              });
+    }
+
+    private void passOn() {
+      if (!mayPassOn || passedOn || reply.future().isComplete()) {
+        return;
+      }
+      Future<Answer> other = host.elsewhere(body, patienceS);
+      if (other == null) {
+        return;
+      }
+      passedOn = true;
+      other.onSuccess(
+          a -> {
+            if (a.status() < 300) {
+              reply.tryComplete(a);
+            } else {
+              passFailed = true;
+              settle();
+            }
+          });
+    }
+
+    private void settle() {
+      if (ownFailed && (passFailed || !passedOn)) {
+        reply.tryComplete(Answer.later("the state service does not take it"));
+      }
+    }
+  }
+}
--- a/src/main/java/io/embernotch/store/Pacer.java
+++ b/src/main/java/io/embernotch/store/Pacer.java
@@ -55,6 +55,16 @@
     arm();
   }
 
+  /** Seconds until something of usual rank that came now would pass. */
+  public double waitS() {
+    fill();
+    double before = 1;
+    for (Waiting w : queue) {
+      before += w.rank == Rank.SPARE ? 0 : w.cost;
+    }
+    return Math.max(0, (before - tokens) / rate);
+  }
+
   /** What could be spent now. */
   public double credit() {
     fill();
--- a/src/main/java/io/embernotch/store/StoreClient.java
+++ b/src/main/java/io/embernotch/store/StoreClient.java
@@ -135,6 +135,11 @@
     return writes.credit();
   }
 
+  /** Seconds that a change of usual rank would wait for its turn. */
+  public double waitS() {
+    return writes.waitS();
+  }
+
   public boolean spare() {
     return writes.credit() >= settings.stateLimits().writeRps() * WRITES_SHARE / 4;
   }
--- /dev/null
+++ b/src/test/java/io/embernotch/steward/SubmissionsTest.java
@@ -0,0 +1,65 @@
+package io.embernotch.steward;
+
+import static io.embernotch.testkit.World.job;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.embernotch.http.Answer;
+import io.embernotch.testkit.World;
+import io.embernotch.testkit.World.Node;
+import io.vertx.core.Future;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What becomes of submissions when the state service is away, or takes less than is submitted. */
+class SubmissionsTest {
+  private final World world = new World(3);
+
+  private Future<Answer> submitSoon(Node n, String ref) {
+    return n.controller.submit(job(ref, "array", 1).getBytes(StandardCharsets.UTF_8));
+  }
+
+  @Test
+  void aControllerWithoutStateServiceHasAnotherTakeTheSubmission() {
+    world.pass(4);
+    Node cut = world.nodes.get(1);
+    cut.noState = true;
+    world.pass(1);
+    Answer a = world.await(submitSoon(cut, "j-1"));
+    assertThat(a.status()).isIn(200, 201);
+    assertThat(world.state.value("job/j-1")).isNotNull();
+  }
+
+  @Test
+  void inAnOutageTheUserIsToldToComeBack() {
+    world.pass(4);
+    world.state.outage = true;
+    world.pass(3);
+    Answer a = world.await(submitSoon(world.nodes.get(0), "j-2"));
+    assertThat(a.status()).isEqualTo(503);
+    assertThat(a.retryAfterS()).isPositive();
+    world.state.recover();
+    world.pass(5);
+    assertThat(world.await(submitSoon(world.nodes.get(0), "j-2")).status()).isIn(200, 201);
+  }
+
+  @Test
+  void moreThanTheStateServiceTakesIsRefusedAtOnceAndStartsGoOn() {
+    world.pass(4);
+    Node n = world.steward();
+    List<Future<Answer>> answers = new ArrayList<>();
+    for (int i = 0; i < 1000; i++) {
+      answers.add(submitSoon(n, "j-" + i));
+    }
+    long refused = answers.stream().filter(f -> f.isComplete() && f.result().status() == 503).count();
+    // Half of the patience at 85% of 100 changes a second, and the burst: the rest knows at once.
+    assertThat(refused).isGreaterThan(800);
+    assertThat(answers.stream().filter(Future::isComplete)).allMatch(f -> f.result().retryAfterS() >= 1);
+    world.pass(3);
+    assertThat(answers).allMatch(Future::isComplete);
+    world.pass(20);
+    // Those that were taken run: their starts did not wait behind the flood.
+    assertThat(world.workers.values().stream().mapToInt(w -> w.alive().size()).sum()).isEqualTo(24);
+  }
+}
--- a/src/test/java/io/embernotch/testkit/World.java
+++ b/src/test/java/io/embernotch/testkit/World.java
@@ -73,9 +73,9 @@
     private int life;
     private BiConsumer<Frame, PeerLink.Back> frames;
 
-    Node(int index, String operator) {
+    Node(int index, int scale) {
       this.index = index;
-      this.settings = SettingsReader.parse(toml(index));
+      this.settings = SettingsReader.parse(toml(index, scale));
     }
 
     public void start() {
@@ -153,6 +153,7 @@
   }
 
   private void deliver(Node from, Node to, Frame frame) {
+    frames++;
     time.after(HOP_S, () -> {
       if (!from.down && !to.down && !from.noPeers && !to.noPeers) {
         to.frames.accept(frame, reply -> deliver(to, from, reply));
@@ -161,13 +162,22 @@
   }
 
   public World(int controllers) {
+    this(controllers, 1);
+  }
+
+  /** A world in which teams may use {@code scale} times as much. */
+  public World(int controllers, int scale) {
     for (int i = 0; i < controllers; i++) {
-      nodes.add(new Node(i, null));
+      nodes.add(new Node(i, scale));
     }
     nodes.forEach(Node::start);
   }
 
   public static String toml(int index) {
+    return toml(index, 1);
+  }
+
+  private static String toml(int index, int scale) {
     StringBuilder s = new StringBuilder();
     s.append("node='c").append(index).append("'\nlocation='z1'\nclient_listen='10.0.0.").append(index + 1)
         .append(":8080'\nback='10.0.0.").append(index + 1).append(":8081'\n");
@@ -211,7 +221,7 @@
         memory_mb = 256.0
         max_connections = 1000
         """);
-    return s.toString();
+    return s.toString().replace("gpus_max = 24.0", "gpus_max = " + 24.0 * scale);
   }
 
   // ---- time
@@ -324,6 +334,7 @@
     if (w == null || w.cut || from.noWorkers || directFate == Fate.LOST) {
       return null;
     }
+    directs += path.equals("/do") ? 1 : 0;
     if (directFate == Fate.HELD && path.equals("/do")) {
       held.add(() -> w.direct(body));
       return null;
@@ -338,6 +349,10 @@
     all.forEach(Runnable::run);
   }
 
+  /** Commands sent straight to workers, and frames between controllers, so far. */
+  public int directs;
+  public int frames;
+
   public int heldCount() {
     return held.size();
   }
