--- a/src/main/java/io/embernotch/http/CallFailed.java
+++ b/src/main/java/io/embernotch/http/CallFailed.java
@@ -4,9 +4,22 @@
 public final class CallFailed extends RuntimeException {
   private static final long serialVersionUID = 1L;
   public final boolean sent;
+  /** False if this side had no room to try: then it says nothing of the other side. */
+  public final boolean tried;
 
   public CallFailed(boolean sent, String message) {
     super(message, null, false, false);
     this.sent = sent;
+    this.tried = true;
+  }
+
+  private CallFailed(String message) {
+    super(message, null, false, false);
+    this.sent = false;
+    this.tried = false;
+  }
+
+  public static CallFailed untried(String message) {
+    return new CallFailed(message);
   }
 }
--- a/src/main/java/io/embernotch/http/VertxCaller.java
+++ b/src/main/java/io/embernotch/http/VertxCaller.java
@@ -50,7 +50,7 @@
     String host = to.host() + ":" + to.port();
     if (!hosts.containsKey(host)) {
       if (hosts.size() >= most) {
-        return Future.failedFuture(new CallFailed(false, "too many connections"));
+        return Future.failedFuture(CallFailed.untried("too many connections"));
       }
       hosts.put(host, 0);
     }
--- a/src/main/java/io/embernotch/model/JobSpec.java
+++ b/src/main/java/io/embernotch/model/JobSpec.java
@@ -38,6 +38,13 @@
         oneZone, spread, spot, expectS, checkpointS, saveS, dueS);
   }
 
+  /** The same job with tasks that take only a part of what they take. */
+  public JobSpec withShare(double share) {
+    return new JobSpec(
+        ref, jobClass, team, shape, priority, tasks, cpus * share, gpus * share, memGb * share, image, imageGb,
+        types, zone, oneZone, spread, spot, expectS, checkpointS, saveS, dueS);
+  }
+
   /** Most tasks that may be in one zone when the job must be spread. */
   public int zoneCap() {
     return spread ? (tasks + 1) / 2 : tasks;
--- a/src/main/java/io/embernotch/model/Machine.java
+++ b/src/main/java/io/embernotch/model/Machine.java
@@ -35,6 +35,8 @@
   public boolean doInFlight;
   public double doFailedAt = -1e9;
   public boolean probing;
+  /** When it last did not answer a probe. */
+  public double probeFailedAt = -1e9;
   /** The cloud takes it at this time; below 0 without notice. */
   public double recallAt = -1;
   /** Nothing new is put here; it is returned once empty. */
--- a/src/main/java/io/embernotch/peer/Frame.java
+++ b/src/main/java/io/embernotch/peer/Frame.java
@@ -29,6 +29,9 @@
   /** The steward's view of a machine in the receiver's part. */
   record View(long epoch, MachineView view) implements Frame {}
 
+  /** The images that a machine has, least recently used first, for whoever is steward next. */
+  record Images(long epoch, String machine, List<String> images) implements Frame {}
+
   /** The machine is gone, or has moved to another part. */
   record Forget(long epoch, String machine) implements Frame {}
 
--- a/src/main/java/io/embernotch/peer/FrameCodec.java
+++ b/src/main/java/io/embernotch/peer/FrameCodec.java
@@ -28,6 +28,7 @@
   private static final byte FORGET = 6;
   private static final byte PROPOSE = 7;
   private static final byte SUBMIT = 8;
+  private static final byte IMAGES = 9;
 
   private FrameCodec() {}
 
@@ -68,6 +69,10 @@
     } else if (frame instanceof Frame.View f) {
       b.put(VIEW).putLong(f.epoch());
       view(b, f.view());
+    } else if (frame instanceof Frame.Images f) {
+      b.put(IMAGES).putLong(f.epoch());
+      text(b, f.machine());
+      texts(b, f.images());
     } else if (frame instanceof Frame.Forget f) {
       b.put(FORGET).putLong(f.epoch());
       text(b, f.machine());
@@ -105,6 +110,7 @@
             case SUBMIT -> new Frame.Submit(b.getLong(), blob(b));
             case TOLD -> new Frame.Told(b.getLong(), b.getShort(), b.getShort(), blob(b));
             case VIEW -> new Frame.View(b.getLong(), view(b));
+            case IMAGES -> new Frame.Images(b.getLong(), text(b), texts(b));
             case FORGET -> new Frame.Forget(b.getLong(), text(b));
             case PROPOSE -> new Frame.Propose(text(b), b.getLong(), restarts(b));
             default -> throw new BadInput("frame kind " + kind);
@@ -153,8 +159,7 @@
       text(b, t.zone());
       flag(b, t.types() != null);
       if (t.types() != null) {
-        b.putShort((short) t.types().size());
-        t.types().forEach(s -> text(b, s));
+        texts(b, t.types());
       }
     }
   }
@@ -187,9 +192,15 @@
   }
 
   private static List<String> types(ByteBuffer b) {
-    if (!flag(b)) {
-      return null;
-    }
+    return flag(b) ? texts(b) : null;
+  }
+
+  private static void texts(ByteBuffer b, List<String> all) {
+    b.putShort((short) all.size());
+    all.forEach(s -> text(b, s));
+  }
+
+  private static List<String> texts(ByteBuffer b) {
     List<String> out = new ArrayList<>();
     for (int n = b.getShort() & MAX_COUNT; n > 0; n--) {
       out.add(text(b));
--- a/src/main/java/io/embernotch/plan/Planner.java
+++ b/src/main/java/io/embernotch/plan/Planner.java
@@ -15,6 +15,8 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
 
 /**
  * Decides where tasks go, what makes room for them, and which machines are rented and returned. A
@@ -37,7 +39,10 @@
   private Slots slots;
   private Market market;
   private Preemption preemption;
+  private Queueing queueing;
   private Plan plan;
+  /** Slots that may be filled at present. */
+  private Predicate<Slot> only = s -> true;
 
   public Planner(Settings settings, OperatorSettings operator) {
     this.settings = settings;
@@ -62,6 +67,7 @@
     expected.forEach(e -> slots.add(e, types.get(e.type())));
     market = new Market(types, pools, slots, mostNew);
     preemption = new Preemption(slots, plan, now);
+    queueing = new Queueing(jobs, types);
     List<Job> order = inOrder(jobs);
     int live = 0;
     while (live < order.size() && order.get(live).spec.priority() == Priority.PRODUCTION) {
@@ -123,20 +129,39 @@
     List<Plan.Placement> placements = new ArrayList<>();
     grantWishes(job, tasks, zones, placements);
     int[] next = new int[1];
-    int placed =
-        fill(spec, Room.NOW, tasks.size(), zones, (slot, n) -> {
+    Taken start =
+        (slot, n) -> {
           slot.fetches(spec.image());
           for (int i = 0; i < n; i++) {
             placements.add(new Plan.Placement(tasks.get(next[0]++), slot.machine));
           }
-        });
-    int claimed = claimLater(spec, tasks.size() - placed, zones, true);
+        };
+    int claimed = 0;
+    if (spec.priority() == Priority.PRODUCTION && spec.shape() == Shape.SERVICE && job.restarted.get(tasks.get(0))) {
+      claimed = bringBack(spec, tasks.size(), zones, start);
+    }
+    fill(spec, Room.NOW, tasks.size() - next[0] - claimed, zones, start);
+    int placed = next[0];
+    claimed += claimLater(spec, tasks.size() - placed - claimed, zones, true);
     usage.take(spec, placed + claimed);
     if (!placements.isEmpty()) {
       plan.starts.add(new Plan.Start(job, placements));
     }
   }
 
+  /**
+   * Replicas that were lost go where their image is, if need be in place of lesser work: fetching
+   * it anew would keep them down for longer than anything else does. Tells how many claim room so.
+   */
+  private int bringBack(JobSpec spec, int wanted, Zones zones, Taken start) {
+    only = s -> s.fetchS(spec) == 0;
+    int placed = fill(spec, Room.NOW, wanted, zones, start);
+    int claimed = fill(spec, Room.FREEING, wanted - placed, zones, (s, n) -> {});
+    claimed += preemption.makeRoom(spec, wanted - placed - claimed, zones, only);
+    only = s -> true;
+    return claimed;
+  }
+
   /** Tasks that the straggler rounds have sent to a machine go there if they still can. */
   private void grantWishes(Job job, List<Integer> tasks, Zones zones, List<Plan.Placement> placements) {
     if (job.wishes.isEmpty()) {
@@ -165,12 +190,17 @@
 
   /** Gives up to {@code wanted} tasks such room, best slots first; tells how many got it. */
   private int fill(JobSpec spec, Room room, int wanted, Zones zones, Taken taken) {
+    return fill(spec, room, wanted, zones, s -> score(spec, s, zones), taken);
+  }
+
+  private int fill(
+      JobSpec spec, Room room, int wanted, Zones zones, ToDoubleFunction<Slot> score, Taken taken) {
     if (wanted <= 0) {
       return 0;
     }
     boolean keepOff = keepsOffOrdinary(spec);
     int done = 0;
-    for (Slot s : slots.candidates(room, spec, s -> zones.room(s.zone) > 0 && !(keepOff && dear(s)), s -> score(spec, s, zones))) {
+    for (Slot s : slots.candidates(room, spec, s -> only.test(s) && zones.room(s.zone) > 0 && !(keepOff && dear(s)), score)) {
       int n = Math.min(Math.min(s.count(spec, room == Room.FREEING), wanted - done), zones.room(s.zone));
       if (n > 0) {
         take(s, spec, n, zones);
@@ -195,9 +225,9 @@
     Taken nothing = (s, n) -> {};
     int done = fill(spec, Room.FREEING, wanted, zones, nothing);
     if (mayStop && done < wanted && spec.priority() == Priority.PRODUCTION) {
-      done += preemption.makeRoom(spec, wanted - done, zones);
+      done += preemption.makeRoom(spec, wanted - done, zones, s -> true);
     }
-    return done + claimNew(spec, wanted - done, zones);
+    return done + claimNew(queueing.waiting(spec), wanted - done, zones);
   }
 
   private int claimNew(JobSpec spec, int wanted, Zones zones) {
@@ -333,9 +363,11 @@
   /** Holds room for what may come, renting if there is too little. */
   private void keepFree(Fleet.Headroom h) {
     Zones anywhere = Zones.anywhere();
-    int now = fill(h.like(), Room.NOW, h.count(), anywhere, (s, n) -> {});
+    // Nobody knows the next job's image, so machines that have many are kept, and young ones returned.
+    ToDoubleFunction<Slot> score = s -> -PACK_S * s.used() - (s.machine == null ? 0 : s.machine.images.size());
+    int now = fill(h.like(), Room.NOW, h.count(), anywhere, score, (s, n) -> {});
     if (h.like().shape() == Shape.GANG) {
-      now += fill(h.like(), Room.FREEING, h.count() - now, anywhere, (s, n) -> {});
+      now += fill(h.like(), Room.FREEING, h.count() - now, anywhere, score, (s, n) -> {});
     }
     claimNew(h.like(), h.count() - now, anywhere);
   }
--- a/src/main/java/io/embernotch/plan/Preemption.java
+++ b/src/main/java/io/embernotch/plan/Preemption.java
@@ -9,6 +9,7 @@
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * For live services only. Gangs of high priority once had arrays stopped as well, but guaranteed
@@ -27,13 +28,17 @@
   }
 
   /** Stops work of lower priority where that destroys least, for up to {@code wanted} tasks. */
-  int makeRoom(JobSpec spec, int wanted, Zones zones) {
+  int makeRoom(JobSpec spec, int wanted, Zones zones, Predicate<Slot> allowed) {
+    if (wanted <= 0) {
+      return 0;
+    }
     List<Slot> hosts = new ArrayList<>();
     for (Slot s : slots.all()) {
       if (s.kind != Slot.Kind.READY
           || s.least == null
           || s.least.compareTo(spec.priority()) >= 0
           || !s.allows(spec)
+          || !allowed.test(s)
           || zones.room(s.zone) == 0) {
         continue;
       }
--- a/src/main/java/io/embernotch/steward/Committer.java
+++ b/src/main/java/io/embernotch/steward/Committer.java
@@ -258,7 +258,7 @@
     transactions++;
     changes += batch.size();
     store
-        .commitInTurn(txn)
+        .commitInTurn(txn, rank)
         .onSuccess(c -> answered(c, batch))
         .onFailure(e -> unanswered(e, batch));
     return batch.size();
--- a/src/main/java/io/embernotch/steward/Controller.java
+++ b/src/main/java/io/embernotch/steward/Controller.java
@@ -52,6 +52,7 @@
   private final int pieceSize;
   private final Submissions submissions;
   private final Map<String, MachineType> types = new LinkedHashMap<>();
+  private final ImageNews images = new ImageNews();
   private final EndedCache ended = new EndedCache();
   private final Map<Long, Promise<Answer>> asked = new HashMap<>();
   private long nextAsk = 1;
@@ -292,6 +293,7 @@
 
   @Override
   public void acquired(long epoch) {
+    env.store().leading(true);
     steward = new Steward(env, this, epoch, types.values());
     steward.start();
     sendBeats();
@@ -299,6 +301,7 @@
 
   @Override
   public void lost(String why) {
+    env.store().leading(false);
     if (steward != null) {
       steward.stop();
       steward = null;
@@ -339,6 +342,19 @@
     ended.put(ref, phase, done);
   }
 
+  @Override
+  public void tellAll(Frame frame) {
+    if (frame instanceof Frame.Images f) {
+      images.heard(f);
+    }
+    settings.members().forEach(m -> peers.send(m.node(), frame));
+  }
+
+  @Override
+  public List<String> images(String machine) {
+    return images.of(machine);
+  }
+
   // ---- the other controllers
 
   private void beat() {
@@ -386,6 +402,8 @@
       }
     } else if (frame instanceof Frame.View f) {
       part.put(f.epoch(), f.view());
+    } else if (frame instanceof Frame.Images f) {
+      images.heard(f);
     } else if (frame instanceof Frame.Forget f) {
       part.forget(f.epoch(), f.machine());
     } else if (frame instanceof Frame.Propose f) {
--- a/src/main/java/io/embernotch/steward/FleetKeeper.java
+++ b/src/main/java/io/embernotch/steward/FleetKeeper.java
@@ -29,6 +29,12 @@
   /** Boot times for which a machine is counted on; then another is rented in its place. */
   private static final double COUNTED_BOOTS = 1.6;
 
+  /** Reports come a quarter late at most: after so many periods a machine is asked itself. */
+  private static final double PROBE_REPORTS = 1.5;
+
+  /** Report periods of silence after which a machine that did not answer a probe is given up. */
+  private static final double SILENT_REPORTS = 2.2;
+
   /** Share of a worker's lease for which a silent machine with live services is waited for. */
   private static final double PATIENCE = 0.9;
 
@@ -249,7 +255,7 @@
    */
   private void find(Machine m) {
     if (!m.up() && !m.deleting) {
-      workers.probe(m, () -> {});
+      workers.probe(m);
     }
   }
 
@@ -277,10 +283,13 @@
     return m.up() ? m.heardAt : startedAt + env.settings().workers().reportS();
   }
 
-  /** Silent machines are probed, then deleted: the answer to the deletion proves their tasks gone. */
+  /**
+   * Silent machines are probed, then deleted: the answer to the deletion proves their tasks gone.
+   * Two reports that did not come and a probe without an answer are enough; one alone may be ours.
+   */
   private void watchSilence(double now) {
     double report = env.settings().workers().reportS();
-    double quiet = 2 * report;
+    double quiet = PROBE_REPORTS * report;
     List<Machine> silent = new ArrayList<>();
     int up = 0;
     for (Machine m : ledger.machines.values()) {
@@ -299,8 +308,9 @@
       return;
     }
     for (Machine m : silent) {
-      workers.probe(m, () -> {});
-      if (now - lastSign(m) > quiet + report && !worthWaitingFor(m, now)) {
+      workers.probe(m);
+      double limit = m.probeFailedAt > lastSign(m) ? SILENT_REPORTS : SILENT_REPORTS + 1;
+      if (now - lastSign(m) > limit * report && !worthWaitingFor(m, now)) {
         LOG.info("machine {} has been silent for {} s with {} tasks", m.name, Math.round(now - lastSign(m)), m.open.size());
         giveBack(m);
       }
--- a/src/main/java/io/embernotch/steward/Ledger.java
+++ b/src/main/java/io/embernotch/steward/Ledger.java
@@ -7,8 +7,10 @@
 import io.embernotch.model.Phase;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Function;
 
 /** Everything the steward knows: jobs, machines and the open attempts that tie them. */
 public final class Ledger {
@@ -21,12 +23,20 @@
   public final Map<String, Machine> machines = new TreeMap<>();
   public final Map<String, MachineType> types = new LinkedHashMap<>();
 
+  private Function<String, List<String>> images = n -> List.of();
+
+  /** Where to learn which images a machine has that was rented before. */
+  void imagesOf(Function<String, List<String>> known) {
+    images = known;
+  }
+
   public Machine machine(String name, long token) {
     return machines.computeIfAbsent(
         name,
         n -> {
           Machine m = new Machine(n);
           m.token = token;
+          m.images.addAll(images.apply(n));
           return m;
         });
   }
--- a/src/main/java/io/embernotch/steward/Steward.java
+++ b/src/main/java/io/embernotch/steward/Steward.java
@@ -17,6 +17,7 @@
 import io.embernotch.model.Priority;
 import io.embernotch.model.Shape;
 import io.embernotch.model.TaskState;
+import io.embernotch.peer.Frame;
 import io.embernotch.plan.Fleet;
 import io.embernotch.plan.Plan;
 import io.embernotch.plan.Planner;
@@ -64,6 +65,12 @@
     void resign(String why);
 
     void ended(String ref, Phase phase, int tasks, int done);
+
+    /** Says something to all other controllers. */
+    void tellAll(Frame frame);
+
+    /** What an earlier steward said of a machine's images. */
+    List<String> images(String machine);
   }
 
   private final Env env;
@@ -76,6 +83,7 @@
   private final StragglerFeed feed;
   private final Planner planner;
   private final RestartDesk restarts;
+  private final ImageNews.Teller images;
   private final Demand demand = new Demand();
   /** Jobs whose end is decided, until nothing of them is open or unwritten. */
   private final Set<Job> ending = new LinkedHashSet<>();
@@ -108,6 +116,8 @@
             env, ledger, (node, v) -> host.view(node, epoch, v), (node, m) -> host.forget(node, epoch, m));
     this.planner = new Planner(env.settings(), env.operator());
     this.restarts = new RestartDesk(env, ledger);
+    this.images = new ImageNews.Teller(env.operator().roundS());
+    ledger.imagesOf(host::images);
   }
 
   void start() {
@@ -578,6 +588,7 @@
       gone(a, m, "its machine was returned");
     }
     ledger.machines.remove(m.name);
+    images.gone(m.name, epoch, host::tellAll);
     workers.deleted(m.name);
     planSoon();
   }
@@ -607,6 +618,7 @@
       restart(r);
     }
     feed.flush(host.controllers());
+    images.tell(ledger.machines.values(), epoch, now, host::tellAll);
     if (now - summedAt > env.settings().workers().leaseS() / 2) {
       summedAt = now;
       LOG.info("{}", Summary.of(ledger));
--- a/src/main/java/io/embernotch/steward/Submissions.java
+++ b/src/main/java/io/embernotch/steward/Submissions.java
@@ -137,7 +137,7 @@
       env.timers().after(hedgeS, this::passOn);
       String key = RunCodec.JOB + job.spec.ref();
       env.store()
-          .commitInTurn(new Txn().when(key, 0).write(key, value))
+          .commitInTurn(new Txn().when(key, 0).write(key, value), Rank.USUAL)
           .onSuccess(
               c -> {
                 if (c.applied()) {
--- a/src/main/java/io/embernotch/steward/Workers.java
+++ b/src/main/java/io/embernotch/steward/Workers.java
@@ -373,7 +373,7 @@
   }
 
   /** Asks a silent machine for its state; the answer counts as news, but renews nothing. */
-  void probe(Machine m, Runnable silent) {
+  void probe(Machine m) {
     if (m.probing || m.address == null) {
       return;
     }
@@ -392,7 +392,9 @@
         .onFailure(
             e -> {
               m.probing = false;
-              silent.run();
+              if (!(e instanceof CallFailed f) || f.tried) {
+                m.probeFailedAt = env.clock().now();
+              }
             });
   }
 }
--- a/src/main/java/io/embernotch/store/Pacer.java
+++ b/src/main/java/io/embernotch/store/Pacer.java
@@ -25,8 +25,9 @@
 
   private final Clock clock;
   private final Timers timers;
-  private final double rate;
-  private final double burst;
+  private final double burstS;
+  private double rate;
+  private double burst;
   private final PriorityQueue<Waiting> queue =
       new PriorityQueue<>(Comparator.comparing(Waiting::rank).thenComparingLong(Waiting::order));
   private double tokens;
@@ -37,10 +38,18 @@
   public Pacer(Clock clock, Timers timers, double rate, double burstS) {
     this.clock = clock;
     this.timers = timers;
-    this.rate = rate;
-    this.burst = Math.max(1, rate * burstS);
-    this.tokens = burst;
+    this.burstS = burstS;
     this.filledAt = clock.now();
+    rate(rate);
+    this.tokens = burst;
+  }
+
+  /** Goes on at another rate. */
+  public final void rate(double perS) {
+    fill();
+    rate = perS;
+    burst = Math.max(1, rate * burstS);
+    tokens = Math.min(tokens, burst);
   }
 
   /** Runs {@code go} as soon as {@code cost} may be spent, and spends it. */
--- a/src/main/java/io/embernotch/store/StoreClient.java
+++ b/src/main/java/io/embernotch/store/StoreClient.java
@@ -25,8 +25,14 @@
   /** Shares of the service's limits that one controller takes; the others need some too. */
   private static final double REQUESTS_SHARE = 0.7;
 
-  /** The others only write the submissions that they take. */
-  private static final double WRITES_SHARE = 0.85;
+  /**
+   * The steward writes most; the others only the submissions that they take. The shares of three
+   * controllers add up to the limit: beyond it the service refuses everything, leases included, and
+   * trying again is what keeps it there.
+   */
+  private static final double LEADING_SHARE = 0.7;
+
+  private static final double FOLLOWING_SHARE = 0.15;
 
   private static final int PAGE = 1000;
   private static final int THROTTLED = 429;
@@ -47,10 +53,15 @@
     this.timers = timers;
     this.settings = settings;
     this.requests = new Pacer(clock, timers, settings.stateLimits().rps() * REQUESTS_SHARE, 0.5);
-    this.writes = new Pacer(clock, timers, settings.stateLimits().writeRps() * WRITES_SHARE, 0.5);
+    this.writes = new Pacer(clock, timers, settings.stateLimits().writeRps() * FOLLOWING_SHARE, 0.5);
     this.timeoutS = settings.workers().reportS() / 2;
   }
 
+  /** This controller is steward from now on, or no longer. */
+  public void leading(boolean leads) {
+    writes.rate(settings.stateLimits().writeRps() * (leads ? LEADING_SHARE : FOLLOWING_SHARE));
+  }
+
   /** When the service last answered anything but a refusal. */
   public double answeredAt() {
     return answeredAt;
@@ -141,7 +152,7 @@
   }
 
   public boolean spare() {
-    return writes.credit() >= settings.stateLimits().writeRps() * WRITES_SHARE / 4;
+    return writes.credit() >= settings.stateLimits().writeRps() * LEADING_SHARE / 4;
   }
 
   /** Ends a turn of {@code least} changes that wrote {@code made}. */
@@ -150,8 +161,13 @@
   }
 
   /** Commits within a turn. */
-  public Future<Commit> commitInTurn(Txn txn) {
-    return answered(send("POST", "/commit", txn.bytes(), 0, Rank.URGENT, timeoutS));
+  public Future<Commit> commitInTurn(Txn txn, Rank rank) {
+    Promise<Reply> promise = Promise.promise();
+    double until = clock.now() + timeoutS;
+    // Its changes are paid for; if it is refused for being too many, it queues like any other.
+    requests.pass(
+        1, Rank.FIRST, () -> callOnce("POST", "/commit", txn.bytes(), txn.changes(), rank, until, promise));
+    return answered(promise.future());
   }
 
   public Future<Long> grant(double lifeS) {
--- a/src/test/java/io/embernotch/peer/FrameTest.java
+++ b/src/test/java/io/embernotch/peer/FrameTest.java
@@ -25,6 +25,7 @@
         new Frame.Ask(9, Frame.Ask.What.ABORT, "j-3"),
         new Frame.View(44, VIEW),
         new Frame.Forget(44, "n-1"),
+        new Frame.Images(44, "n-1", List.of("img-1", "img-2")),
         new Frame.Propose("c2", 44, List.of(new Restart("j-1", 2, 3, "n-7", 0.25))));
   }
 
--- a/src/test/java/io/embernotch/plan/PlannerTest.java
+++ b/src/test/java/io/embernotch/plan/PlannerTest.java
@@ -146,4 +146,38 @@
     assertThat(p.buys.get(0).zone()).isEqualTo("z1");
     assertThat(p.buys.get(0).number()).isEqualTo(2);
   }
+
+  @Test
+  void aLostReplicaComesBackWhereItsImageIsInPlaceOfLesserWork() {
+    Machine empty = machine("n-1", false);
+    Machine cached = machine("n-2", false);
+    cached.images.add("img");
+    Job array = add(job("j-1", "array", 8).replace("\"bundle\":\"img\"", "\"bundle\":\"other\""));
+    for (int t = 0; t < 8; t++) {
+      run(array, t, cached);
+    }
+    Job service = add(job("j-2", "standing", 1).replace("standard", "production").replace("\"loaner\":true", "\"loaner\":false"));
+    // A new service takes the empty machine; nobody is stopped for an image.
+    assertThat(plan().starts.get(0).placements().get(0).machine()).isSameAs(empty);
+    service.restarted.set(0);
+    Plan p = plan();
+    assertThat(p.starts).isEmpty();
+    assertThat(p.stops).hasSize(1);
+    p.stops.get(0).attempt().stopping = true;
+    cached.touched();
+    // Until the room is there the replica keeps its claim, and no second one is stopped.
+    Plan later = plan();
+    assertThat(later.starts).isEmpty();
+    assertThat(later.stops).isEmpty();
+  }
+
+  @Test
+  void shortTasksQueueForMachinesThatBootLongerThanTheyRun() {
+    // Machines boot in 60 s and the tasks run 30: two in a row wait no longer than for another boot.
+    add(job("j-1", "array", 24));
+    assertThat(plan().buys.stream().mapToInt(Plan.Buy::number).sum()).isEqualTo(1);
+    jobs.clear();
+    add(job("j-2", "array", 24).replace("\"expect_s\":30.0", "\"expect_s\":300.0"));
+    assertThat(plan().buys.stream().mapToInt(Plan.Buy::number).sum()).isEqualTo(3);
+  }
 }
--- /dev/null
+++ b/src/test/java/io/embernotch/steward/ImageNewsTest.java
@@ -0,0 +1,34 @@
+package io.embernotch.steward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.embernotch.model.Machine;
+import io.embernotch.peer.Frame;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class ImageNewsTest {
+  @Test
+  void aFollowerKnowsWhatTheStewardLastSaidAndForgetsWhatIsGone() {
+    ImageNews follower = new ImageNews();
+    ImageNews.Teller teller = new ImageNews.Teller(5);
+    List<Frame> sent = new ArrayList<>();
+    Machine m = new Machine("n-1");
+    m.images.add("a");
+    teller.tell(List.of(m), 7, 100, sent::add);
+    teller.tell(List.of(m), 7, 110, sent::add);
+    assertThat(sent).hasSize(1);
+    m.images.add("b");
+    teller.tell(List.of(m), 7, 112, sent::add);
+    assertThat(sent).hasSize(1);
+    teller.tell(List.of(m), 7, 116, sent::add);
+    sent.forEach(f -> follower.heard((Frame.Images) f));
+    assertThat(follower.of("n-1")).containsExactly("a", "b");
+    // What a deposed steward still says changes nothing.
+    follower.heard(new Frame.Images(6, "n-1", List.of("old")));
+    assertThat(follower.of("n-1")).containsExactly("a", "b");
+    teller.gone("n-1", 7, f -> follower.heard((Frame.Images) f));
+    assertThat(follower.of("n-1")).isEmpty();
+  }
+}
--- /dev/null
+++ b/src/test/java/io/embernotch/store/StoreClientTest.java
@@ -0,0 +1,58 @@
+package io.embernotch.store;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.embernotch.codec.Json;
+import io.embernotch.http.Reply;
+import io.embernotch.settings.Settings;
+import io.embernotch.settings.SettingsReader;
+import io.embernotch.store.Pacer.Rank;
+import io.embernotch.testkit.FakeTime;
+import io.embernotch.testkit.World;
+import io.vertx.core.Future;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class StoreClientTest {
+  private final FakeTime time = new FakeTime();
+  private final Settings settings = SettingsReader.parse(World.toml(0));
+
+  @Test
+  void whatTheServiceRefusesForBeingTooMuchIsTriedAgainNoFasterThanItMay() {
+    // Trying again at will once made 1,400 requests a second, and leases were refused with the rest.
+    int[] calls = new int[1];
+    StoreClient store =
+        new StoreClient(
+            (method, to, path, body, timeout) -> {
+              calls[0]++;
+              return Future.succeededFuture(new Reply(429, "{}".getBytes(StandardCharsets.UTF_8)));
+            },
+            time, time, settings);
+    store.leading(true);
+    for (int i = 0; i < 500; i++) {
+      String key = "job/" + i;
+      store.turn(1, Rank.USUAL, () -> store.commitInTurn(new Txn().when(key, 0).write(key, Json.object()), Rank.USUAL));
+    }
+    time.pass(5);
+    assertThat(calls[0]).isLessThanOrEqualTo((int) (settings.stateLimits().writeRps() * 0.7 * 5.5) + 1);
+    assertThat(calls[0]).isGreaterThan(100);
+  }
+
+  @Test
+  void theUrgentPassesTheUsualAndTheSpareWaitsForHalfOfTheBurst() {
+    Pacer pacer = new Pacer(time, time, 10, 1);
+    List<String> order = new ArrayList<>();
+    pacer.pass(10, Rank.USUAL, () -> order.add("burst"));
+    pacer.pass(1, Rank.SPARE, () -> order.add("spare"));
+    pacer.pass(1, Rank.USUAL, () -> order.add("usual"));
+    pacer.pass(1, Rank.FIRST, () -> order.add("first"));
+    time.pass(0.25);
+    assertThat(order).containsExactly("burst", "first", "usual");
+    time.pass(0.3);
+    assertThat(order).hasSize(3);
+    time.pass(0.3);
+    assertThat(order).containsExactly("burst", "first", "usual", "spare");
+  }
+}
