--- a/src/main/java/io/embernotch/steward/Steward.java
+++ b/src/main/java/io/embernotch/steward/Steward.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.embernotch.actor.Actor;
 import io.embernotch.actor.Latencies;
-import io.embernotch.codec.BadInput;
 import io.embernotch.codec.JobCodec;
 import io.embernotch.codec.Json;
 import io.embernotch.codec.RunCodec;
@@ -16,29 +15,20 @@
 import io.embernotch.model.Phase;
 import io.embernotch.model.Priority;
 import io.embernotch.model.Shape;
-import io.embernotch.model.TaskState;
 import io.embernotch.peer.Frame;
-import io.embernotch.plan.Fleet;
 import io.embernotch.plan.Plan;
 import io.embernotch.plan.Planner;
 import io.embernotch.store.Changes;
-import io.embernotch.store.Entry;
 import io.embernotch.store.Pacer.Rank;
-import io.embernotch.store.StoreFailure;
 import io.embernotch.straggler.MachineView;
 import io.embernotch.straggler.Restart;
 import io.vertx.core.Promise;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -83,6 +73,7 @@
   private final StragglerFeed feed;
   private final Planner planner;
   private final RestartDesk restarts;
+  private final Blame blame;
   private final ImageNews.Teller images;
   private final Demand demand = new Demand();
   /** Jobs whose end is decided, until nothing of them is open or unwritten. */
@@ -116,6 +107,7 @@
             env, ledger, (node, v) -> host.view(node, epoch, v), (node, m) -> host.forget(node, epoch, m));
     this.planner = new Planner(env.settings(), env.operator());
     this.restarts = new RestartDesk(env, ledger);
+    this.blame = new Blame(env, ledger);
     this.images = new ImageNews.Teller(env.operator().roundS());
     ledger.imagesOf(host::images);
   }
@@ -155,7 +147,7 @@
     }
     env.store()
         .list(RunCodec.JOB)
-        .compose(jobs -> env.store().list(RunCodec.RUN).map(runs -> read(jobs, runs)))
+        .compose(jobs -> env.store().list(RunCodec.RUN).map(runs -> take(jobs, runs)))
         .onSuccess(
             jobsEpoch -> {
               if (!stopped) {
@@ -169,51 +161,13 @@
             });
   }
 
-  private long read(Changes jobs, Changes runs) {
-    ledger.jobs.clear();
-    ledger.ended.clear();
-    ledger.machines.clear();
+  private long take(Changes jobs, Changes runs) {
+    new Takeover(env, ledger, committer, demand, workers.base(), acquiredAt).read(jobs, runs);
     ending.clear();
-    Map<String, Job> all = new LinkedHashMap<>();
-    Map<String, Integer> sizes = new HashMap<>();
-    for (Entry e : jobs.events()) {
-      Job job = RunCodec.readJob(e.value());
-      all.put(job.spec.ref(), job);
-      sizes.put(job.spec.ref(), RunCodec.readPiece(e.value()));
-    }
-    for (Entry e : runs.events()) {
-      String[] parts = e.key().substring(RunCodec.RUN.length()).split("/");
-      Job job = all.get(parts[0]);
-      if (job != null) {
-        int piece = parts.length > 1 ? Integer.parseInt(parts[1]) : 0;
-        RunCodec.readRun(e.value(), job, sizes.get(parts[0]), piece);
-        if (job.end == null || !job.open.isEmpty()) {
-          committer.know(e.key(), e.stamp());
-        }
-      }
-    }
-    all.values().stream()
-        .sorted(Comparator.comparingLong(j -> j.submittedMs))
-        .forEach(j -> demand.seen(j.spec, acquiredAt - Math.max(0, env.clock().wallMs() - j.submittedMs) / 1000.0));
-    for (Job job : all.values()) {
-      if (job.end != null && job.open.isEmpty()) {
-        ledger.ended.put(job.spec.ref(), new Ledger.Ended(job.end, job.spec.tasks(), job.done.cardinality()));
-        continue;
-      }
-      committer.knowPieceSize(job.spec.ref(), sizes.get(job.spec.ref()));
-      // Numbers of attempts are never used twice, whatever an earlier steward left unwritten.
-      job.nextAttempt = Math.max(job.nextAttempt, Workers.baseToken(epoch));
-      ledger.jobs.put(job.spec.ref(), job);
+    for (Job job : ledger.jobs.values()) {
       if (job.end != null) {
         ending.add(job);
       }
-      for (Attempt a : job.open.values()) {
-        Machine m = ledger.machine(a.machine, workers.base());
-        m.zone = a.zone;
-        m.open.put(Machine.taskKey(job.spec.ref(), a.task), a);
-        a.startToken = workers.base() - 1;
-        job.restarted.set(a.task);
-      }
       if (job.end == Phase.CANCELLED) {
         job.open.values().forEach(a -> ask(a, 0));
       } else if (job.spec.shape() == Shape.GANG && job.open.size() < job.spec.tasks() && !job.open.isEmpty()) {
@@ -229,53 +183,23 @@
         "took over {} jobs, {} ended, {} machines with tasks after {} ms",
         ledger.jobs.size(), ledger.ended.size(), ledger.machines.size(),
         Math.round((env.clock().now() - acquiredAt) * 1000));
-    watchJobs(jobsEpoch);
+    new JobWatch(env, new JobWatch.Sink() {
+      @Override
+      public void seen(StewardMessage.JobCreated job) {
+        tell(job);
+      }
+
+      @Override
+      public boolean over() {
+        return stopped;
+      }
+    }).from(jobsEpoch);
     List<StewardMessage> held = new ArrayList<>(waiting);
     waiting.clear();
     held.forEach(this::receive);
     planSoon();
   }
 
-  /** The backstop for messages about new jobs that never came. */
-  private void watchJobs(long from) {
-    if (stopped) {
-      return;
-    }
-    double hold = 3 * env.settings().workers().reportS();
-    env.store()
-        .watch(RunCodec.JOB, from, hold)
-        .onSuccess(
-            changes -> {
-              for (Entry e : changes.events()) {
-                if (e.present()) {
-                  tell(new StewardMessage.JobCreated(RunCodec.readJob(e.value()), RunCodec.readPiece(e.value())));
-                }
-              }
-              watchJobs(Math.max(from, changes.epoch()));
-            })
-        .onFailure(
-            e -> {
-              if (StoreFailure.kindOf(e) == StoreFailure.Kind.TOO_OLD) {
-                rereadJobs();
-              } else {
-                env.timers().after(env.settings().workers().reportS() / 6, () -> watchJobs(from));
-              }
-            });
-  }
-
-  private void rereadJobs() {
-    env.store()
-        .list(RunCodec.JOB)
-        .onSuccess(
-            jobs -> {
-              for (Entry e : jobs.events()) {
-                tell(new StewardMessage.JobCreated(RunCodec.readJob(e.value()), RunCodec.readPiece(e.value())));
-              }
-              watchJobs(jobs.epoch());
-            })
-        .onFailure(e -> env.timers().after(env.settings().workers().reportS(), this::rereadJobs));
-  }
-
   // ---- messages
 
   @Override
@@ -434,10 +358,7 @@
 
   private void finished(Attempt a, Machine m, double now) {
     Job job = a.job;
-    m.errorStreak = 0;
-    m.failedJobs.clear();
-    job.errorMachines.clear();
-    job.backoffUntil = 0;
+    blame.cleared(job, m);
     if (a.runningAt >= 0 && !job.restarted.get(a.task) && !job.done.get(a.task)) {
       double ran = Math.max(0.1, now - a.runningAt);
       job.finishedSumS += ran;
@@ -468,7 +389,7 @@
     Job job = a.job;
     double report = env.settings().workers().reportS();
     switch (cause) {
-      case ERROR -> blame(a, m, now);
+      case ERROR -> blame.failed(a, m, now);
       case NO_ROOM, BUSY -> m.avoidUntil = now + report;
       case UNKNOWN -> job.backoffUntil = now + report / 3;
       default -> { }
@@ -478,36 +399,6 @@
     }
   }
 
-  /** A task that fails is the machine's fault, unless its job fails wherever it goes. */
-  private void blame(Attempt a, Machine m, double now) {
-    Job job = a.job;
-    double report = env.settings().workers().reportS();
-    job.errors++;
-    if (job.done.isEmpty()) {
-      job.errorMachines.add(m.name);
-    }
-    if (job.errorMachines.size() >= 3) {
-      job.backoffUntil = now + Math.min(env.settings().workers().leaseS(), report * (1 << Math.min(5, job.errors - 3)));
-      for (String name : job.errorMachines) {
-        Machine other = ledger.machines.get(name);
-        if (other != null && other.failedJobs.equals(Set.of(job.spec.ref()))) {
-          other.errorStreak = 0;
-          other.avoidUntil = 0;
-          other.cordoned = false;
-          other.failedJobs.clear();
-        }
-      }
-      return;
-    }
-    m.errorStreak++;
-    m.failedJobs.add(job.spec.ref());
-    m.avoidUntil = now + report * (1 << Math.min(4, m.errorStreak));
-    if ((m.failedJobs.size() >= 2 || m.errorStreak >= 3) && !m.cordoned) {
-      LOG.info("machine {} fails what it starts", m.name);
-      m.cordoned = true;
-    }
-  }
-
   @Override
   public void gone(Attempt a, Machine m, String why) {
     LOG.info("{} is gone: {}", a, why);
@@ -759,32 +650,8 @@
     toFlush.add(m);
   }
 
-  // ---- for operators
-
   private ObjectNode overview() {
-    ObjectNode o = Json.object();
-    o.put("epoch", epoch).put("plans", planned).put("views", feed.sent());
-    Map<String, int[]> classes = new TreeMap<>();
-    for (Job j : ledger.jobs.values()) {
-      int[] c = classes.computeIfAbsent(j.spec.jobClass(), k -> new int[4]);
-      c[0]++;
-      c[1] += j.pendingCount();
-      c[2] += j.running();
-      c[3] += j.open.size();
-    }
-    ObjectNode queue = o.putObject("queue");
-    classes.forEach(
-        (name, c) ->
-            queue.putObject(name).put("jobs", c[0]).put("pending", c[1]).put("running", c[2]).put("placed", c[3]));
-    ObjectNode machines = o.putObject("machines");
-    for (Machine m : ledger.machines.values()) {
-      ObjectNode n = machines.putObject(m.name);
-      n.put("type", m.type == null ? null : m.type.name()).put("zone", m.zone).put("spot", m.spot);
-      n.put("state", m.deleting ? "returning" : m.failed ? "failed" : !m.up() ? "booting" : m.cordoned ? "cordoned" : "up");
-      n.put("tasks", m.open.size());
-    }
-    o.put("ended", ledger.ended.size());
-    return o;
+    return Overview.of(ledger).put("epoch", epoch).put("plans", planned).put("views", feed.sent());
   }
 
   /** Malformed proposals of peers are dropped by the desk; this is for tests. */
