--- a/src/main/java/io/embernotch/plan/Market.java
+++ b/src/main/java/io/embernotch/plan/Market.java
@@ -24,7 +24,7 @@
   }
 
   /** Rents the machine with the lowest price for a task of this size; zones are filled evenly. */
-  Slot buy(JobSpec spec, Zones zones) {
+  Slot buy(JobSpec spec, Zones zones, boolean ordinaryToo) {
     if (left <= 0) {
       return null;
     }
@@ -37,6 +37,7 @@
         for (boolean spot : KINDS) {
           if (!spec.allows(t.name(), zone, spot)
               || spot && spec.shape() != Shape.ARRAY
+              || !spot && !ordinaryToo
               || zones.room(zone) == 0
               || pools.exhausted(t.name(), zone, spot)) {
             continue;
--- a/src/main/java/io/embernotch/plan/Planner.java
+++ b/src/main/java/io/embernotch/plan/Planner.java
@@ -234,8 +234,9 @@
     Taken nothing = (s, n) -> {};
     int done = fill(spec, Room.COMING, wanted, zones, nothing);
     done += fill(spec, Room.NEW, wanted - done, zones, nothing);
+    boolean ordinaryToo = queueing.worthOrdinary(spec);
     while (done < wanted) {
-      Slot s = market.buy(spec, zones);
+      Slot s = market.buy(spec, zones, ordinaryToo);
       if (s == null) {
         break;
       }
--- a/src/main/java/io/embernotch/plan/Queueing.java
+++ b/src/main/java/io/embernotch/plan/Queueing.java
@@ -18,15 +18,29 @@
   /** Owners' estimates are often wrong by half, so the mean of a class counts, and with care. */
   private static final int MOST = 3;
 
-  private final Map<String, double[]> expected = new HashMap<>();
+  /** Sums over the jobs of a class. */
+  private static final class Kind {
+    double expectS;
+    int jobs;
+    int placed;
+    int pending;
+
+    double meanS() {
+      return expectS / jobs;
+    }
+  }
+
+  private final Map<String, Kind> kinds = new HashMap<>();
   private final Map<String, MachineType> types;
 
   Queueing(Collection<Job> jobs, Map<String, MachineType> types) {
     this.types = types;
     for (Job j : jobs) {
-      double[] sum = expected.computeIfAbsent(j.spec.jobClass(), c -> new double[2]);
-      sum[0] += j.spec.expectS();
-      sum[1]++;
+      Kind k = kinds.computeIfAbsent(j.spec.jobClass(), c -> new Kind());
+      k.expectS += j.spec.expectS();
+      k.jobs++;
+      k.placed += j.open.size();
+      k.pending += j.pendingCount();
     }
   }
 
@@ -36,12 +50,28 @@
     return depth > 1 ? spec.withShare(1.0 / depth) : spec;
   }
 
+  /**
+   * Whether spot work that finds no spot machine is to have an ordinary one rented. Not while as
+   * many of its class as wait will have ended before that machine is up: it costs several times as
+   * much, and would find nothing left to do.
+   */
+  boolean worthOrdinary(JobSpec spec) {
+    Kind k = kinds.get(spec.jobClass());
+    if (!spec.spot() || spec.shape() != Shape.ARRAY || k == null || k.expectS <= 0) {
+      return true;
+    }
+    return k.pending > k.placed * Math.min(1, bootS(spec) / k.meanS());
+  }
+
   private int depth(JobSpec spec) {
-    double[] sum = expected.get(spec.jobClass());
-    if (spec.shape() != Shape.ARRAY || sum == null || sum[0] <= 0) {
+    Kind k = kinds.get(spec.jobClass());
+    if (spec.shape() != Shape.ARRAY || k == null || k.expectS <= 0) {
       return 1;
     }
-    double boot = types.values().stream().filter(t -> t.fits(spec)).mapToDouble(MachineType::bootS).min().orElse(0);
-    return (int) Math.max(1, Math.min(MOST, 1 + boot * sum[1] / sum[0]));
+    return (int) Math.max(1, Math.min(MOST, 1 + bootS(spec) / k.meanS()));
+  }
+
+  private double bootS(JobSpec spec) {
+    return types.values().stream().filter(t -> t.fits(spec)).mapToDouble(MachineType::bootS).min().orElse(0);
   }
 }
--- a/src/test/java/io/embernotch/plan/PlannerTest.java
+++ b/src/test/java/io/embernotch/plan/PlannerTest.java
@@ -26,9 +26,10 @@
   private final List<Job> jobs = new ArrayList<>();
   private final List<Machine> machines = new ArrayList<>();
   private boolean full;
+  private boolean spotFull;
 
   private Plan plan() {
-    return planner.plan(1000, jobs, machines, Map.of("g8", G8), (t, z, s) -> full, List.of(), List.of());
+    return planner.plan(1000, jobs, machines, Map.of("g8", G8), (t, z, s) -> full || s && spotFull, List.of(), List.of());
   }
 
   private Job add(String json) {
@@ -180,4 +181,19 @@
     add(job("j-2", "array", 24).replace("\"expect_s\":30.0", "\"expect_s\":300.0"));
     assertThat(plan().buys.stream().mapToInt(Plan.Buy::number).sum()).isEqualTo(3);
   }
+
+  @Test
+  void spotWorkThatSoonFindsRoomHasNoOrdinaryMachineRented() {
+    spotFull = true;
+    Machine m = machine("n-1", true);
+    Job running = add(job("j-1", "array", 8));
+    for (int t = 0; t < 8; t++) {
+      run(running, t, m);
+    }
+    add(job("j-2", "array", 6));
+    assertThat(plan().buys).isEmpty();
+    // More than will have ended by then are worth one.
+    add(job("j-3", "array", 6));
+    assertThat(plan().buys).hasSize(1);
+  }
 }
