--- a/src/test/java/io/embernotch/steward/RulesTest.java
+++ b/src/test/java/io/embernotch/steward/RulesTest.java
@@ -401,4 +401,33 @@
     world.pass(10);
     assertThat(world.running(ref)).hasSize(12);
   }
+
+  @Test
+  void aServiceBehindACutShorterThanItsLeaseRunsOn() {
+    // Such machines were returned after a few reports, and their services started anew elsewhere.
+    settle();
+    String live = job("j-70", "standing", 1).replace("standard", "production").replace("\"loaner\":true", "\"loaner\":false");
+    FakeWorker cut = run(live, "j-70", 1).get("j-70/0");
+    world.boot("g8", "z1", false);
+    world.pass(6);
+    cut.cut = true;
+    world.pass(20);
+    assertThat(world.deleted).doesNotContain(cut.name);
+    cut.cut = false;
+    world.pass(5);
+    assertThat(world.running("j-70").get("j-70/0")).isSameAs(cut);
+    assertThat(cut.started).hasSize(1);
+  }
+
+  @Test
+  void aSilentMachineWithArraysIsGivenUpOnceAProbeFailed() {
+    settle();
+    FakeWorker cut = run(job("j-71", "array", 1), "j-71", 1).get("j-71/0");
+    world.boot("g8", "z1", true);
+    world.pass(6);
+    cut.cut = true;
+    world.pass(10);
+    assertThat(world.deleted).contains(cut.name);
+    assertThat(world.running("j-71").get("j-71/0")).isNotNull().isNotSameAs(cut);
+  }
 }
