--- a/src/main/java/io/embernotch/steward/Controller.java
+++ b/src/main/java/io/embernotch/steward/Controller.java
@@ -17,6 +17,8 @@
 import io.embernotch.peer.PeerLink;
 import io.embernotch.settings.Settings;
 import io.embernotch.store.Entry;
+import io.embernotch.store.Pacer;
+import io.embernotch.store.Pacer.Rank;
 import io.embernotch.store.Txn;
 import io.embernotch.straggler.MachineView;
 import io.embernotch.straggler.PartKeeper;
@@ -51,6 +53,8 @@
   private final Round round;
   private final int pieceSize;
   private final Submissions submissions;
+  /** A flood of polls costs other nodes and the state service nothing, and workers little. */
+  private final Pacer polls;
   private final Map<String, MachineType> types = new LinkedHashMap<>();
   private final ImageNews images = new ImageNews();
   private final EndedCache ended = new EndedCache();
@@ -71,6 +75,9 @@
     this.part = new PartKeeper(env.clock(), 6 * env.operator().roundS());
     this.round = new Round(env.operator().flagRatio(), env.operator().beta(), env.operator().roundS());
     this.pieceSize = RunCodec.piece(settings.stateLimits().valueKb());
+    this.polls =
+        new Pacer(
+            env.clock(), env.timers(), Math.max(1, settings.quota().maxConnections() / settings.workers().reportS()), 1);
     this.submissions = new Submissions(env, types, pieceSize, this);
   }
 
@@ -146,7 +153,8 @@
   /** A job that is perhaps known: 200 with its present state, or try again. */
   @Override
   public Future<Answer> known(String ref) {
-    return poll(ref).map(a -> a.status() == 404 ? Answer.later("not accepted yet") : a);
+    Answer end = ended.status(ref);
+    return (end != null ? answer(end) : status(ref)).map(a -> a.status() == 404 ? Answer.later("not accepted yet") : a);
   }
 
   @Override
@@ -164,6 +172,14 @@
     if (known != null) {
       return answer(known);
     }
+    if (polls.credit() < 1) {
+      return answer(Answer.later("too many polls"));
+    }
+    polls.pass(1, Rank.URGENT, () -> {});
+    return status(ref);
+  }
+
+  private Future<Answer> status(String ref) {
     return forward(Frame.Ask.What.POLL, ref, settings.workers().reportS() / 6)
         .compose(a -> a.status() == 503 ? readStatus(ref) : answer(a));
   }
--- a/src/test/java/io/embernotch/steward/SubmissionsTest.java
+++ b/src/test/java/io/embernotch/steward/SubmissionsTest.java
@@ -62,4 +62,26 @@
     // Those that were taken run: their starts did not wait behind the flood.
     assertThat(world.workers.values().stream().mapToInt(w -> w.alive().size()).sum()).isEqualTo(24);
   }
+
+  @Test
+  void aFloodOfPollsIsToldToComeBackAndReachesNobodyElse() {
+    world.pass(4);
+    Node follower = world.nodes.get((world.steward().index + 1) % 3);
+    assertThat(world.await(submitSoon(follower, "j-7")).status()).isEqualTo(201);
+    world.pass(15);
+    int frames = world.frames;
+    List<Future<Answer>> answers = new ArrayList<>();
+    for (int i = 0; i < 10_000; i++) {
+      answers.add(follower.controller.poll("j-7"));
+    }
+    // As many as its connections could ask in a report period are passed on, the rest knows at once.
+    double most = follower.settings.quota().maxConnections() / follower.settings.workers().reportS();
+    long refused = answers.stream().filter(f -> f.isComplete() && f.result().status() == 503).count();
+    assertThat(refused).isGreaterThanOrEqualTo(10_000 - (long) most - 1);
+    world.pass(0.2);
+    assertThat(world.frames - frames).isLessThanOrEqualTo(2 * (int) most + 20);
+    assertThat(answers).allMatch(Future::isComplete);
+    world.pass(3);
+    assertThat(world.phase(follower.index, "j-7")).isEqualTo("running");
+  }
 }
