--- a/src/main/java/io/embernotch/codec/JobCodec.java
+++ b/src/main/java/io/embernotch/codec/JobCodec.java
@@ -9,7 +9,9 @@
 import io.embernotch.model.Shape;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.regex.Pattern;
 
 /** Jobs as users write them, and the answers users get. */
@@ -53,7 +55,8 @@
         Json.amount(o, "expect_s"),
         Json.amount(o, "snapshot_s"),
         Json.amount(o, "flush_s"),
-        due == null ? null : Json.amount(o, "due_s"));
+        due == null ? null : Json.amount(o, "due_s"),
+        awaits(Json.opt(o, "awaits")));
   }
 
   public static ObjectNode write(JobSpec j) {
@@ -94,6 +97,10 @@
     if (j.dueS() != null) {
       o.put("due_s", j.dueS());
     }
+    if (!j.awaits().isEmpty()) {
+      ArrayNode awaits = o.putArray("awaits");
+      j.awaits().forEach(awaits::add);
+    }
     return o;
   }
 
@@ -112,6 +119,12 @@
         .getBytes(StandardCharsets.UTF_8);
   }
 
+  /** What a poll is answered for a job that waits for so many others. */
+  public static byte[] waiting(String ref, int others) {
+    return ("{\"ref\":\"" + ref + "\",\"phase\":\"queued\",\"done\":0,\"running\":0,\"awaited\":" + others + "}")
+        .getBytes(StandardCharsets.UTF_8);
+  }
+
   /** What a submission or an abort is answered. */
   public static byte[] brief(String ref, Phase phase) {
     return ("{\"ref\":\"" + ref + "\",\"phase\":\"" + phase(phase) + "\"}").getBytes(StandardCharsets.UTF_8);
@@ -142,6 +155,24 @@
     return List.copyOf(out);
   }
 
+  /** Names of other jobs, each once; absent, null and empty mean none. */
+  private static List<String> awaits(JsonNode n) {
+    if (n == null) {
+      return List.of();
+    }
+    if (!n.isArray()) {
+      throw new BadInput("awaits: must be null or an array of job ids");
+    }
+    Set<String> out = new LinkedHashSet<>();
+    for (JsonNode ref : n) {
+      if (!ref.isTextual() || !isRef(ref.textValue())) {
+        throw new BadInput("awaits: must be null or an array of job ids");
+      }
+      out.add(ref.textValue());
+    }
+    return List.copyOf(out);
+  }
+
   private static Shape shape(String s) {
     return switch (s) {
       case "array" -> Shape.ARRAY;
--- a/src/main/java/io/embernotch/codec/RunCodec.java
+++ b/src/main/java/io/embernotch/codec/RunCodec.java
@@ -8,25 +8,40 @@
 import io.embernotch.model.Phase;
 import java.util.Base64;
 import java.util.BitSet;
+import java.util.List;
 
 /**
  * Progress of jobs as the state service keeps it. {@code job/REF} is the submission and never
  * changes. {@code run/REF} holds the end of the job, if any, and the first tasks' progress; {@code
  * run/REF/K} holds that of the K-th further piece of tasks. Pieces keep every value within the
  * store's limit, however many tasks a job has.
+ *
+ * <p>The size of these pieces is fixed when the job is accepted. Should a piece not fit any more,
+ * since the store has lowered its limits, {@code part/REF/SIZE/K} holds the K-th piece of SIZE tasks
+ * instead. A part tells everything of its tasks, so it overrides what any larger piece says of them,
+ * and larger pieces are never written again.
  */
 public final class RunCodec {
   public static final String JOB = "job/";
   public static final String RUN = "run/";
 
-  /** A done mark and an open attempt take at most this many bytes a task. */
-  private static final int BYTES_PER_TASK = 96;
+  public static final String PART = "part/";
+
+  /** An open attempt takes so many bytes besides its zone's name, and its done mark less than two more. */
+  private static final int BYTES_PER_TASK = 46;
+
+  /** What a piece takes besides its tasks. */
+  private static final int BYTES_PER_PIECE = 128;
 
   private RunCodec() {}
 
-  /** Tasks in a piece when values may have {@code valueKb} KiB. */
-  public static int piece(double valueKb) {
-    return Math.max(1, (int) (valueKb * 1024 / BYTES_PER_TASK));
+  /**
+   * Tasks in a piece when values may have {@code valueKb} KiB. With longer names of machines than
+   * usual, or with restarts under way, a piece may still not fit: then parts take its place.
+   */
+  public static int piece(double valueKb, List<String> zones) {
+    int zone = zones.stream().mapToInt(String::length).max().orElse(0);
+    return Math.max(1, (int) ((valueKb * 1024 - BYTES_PER_PIECE) / (BYTES_PER_TASK + zone)));
   }
 
   public static ObjectNode writeJob(Job job, int piece) {
@@ -49,12 +64,19 @@
     return piece == 0 ? RUN + ref : RUN + ref + "/" + piece;
   }
 
+  /** The key of the K-th part of {@code size} tasks. */
+  public static String partKey(String ref, int size, int part) {
+    return PART + ref + "/" + size + "/" + part;
+  }
+
   public static ObjectNode writeRun(Job job, int pieceSize, int piece) {
     ObjectNode o = Json.object();
     if (piece == 0) {
       o.put("next", job.nextAttempt);
       if (job.end != null) {
         o.put("end", JobCodec.phase(job.end));
+        // The version before job chains ignores this, and may write the value back without it.
+        o.put("at", job.endedMs);
       }
     }
     int from = piece * pieceSize;
@@ -94,12 +116,23 @@
     };
   }
 
+  /** Has a part take the place of what larger pieces said of its tasks. */
+  public static void readPart(JsonNode o, Job job, int size, int part) {
+    int from = part * size;
+    int to = Math.min(job.spec.tasks(), from + size);
+    job.done.clear(from, Math.max(from, to));
+    job.open.keySet().removeIf(task -> task >= from && task < to);
+    job.wishes.keySet().removeIf(task -> task >= from && task < to);
+    readRun(o, job, size, part);
+  }
+
   /** Adds what a piece says to {@code job}. */
   public static void readRun(JsonNode o, Job job, int pieceSize, int piece) {
     if (piece == 0) {
       job.nextAttempt = Json.whole(o, "next");
       job.end = readEnd(o);
       job.endKept = job.end != null;
+      job.endedMs = Json.opt(o, "at") == null ? job.submittedMs : Json.whole(o, "at");
     }
     JsonNode done = Json.opt(o, "done");
     if (done != null) {
--- a/src/main/java/io/embernotch/model/Job.java
+++ b/src/main/java/io/embernotch/model/Job.java
@@ -14,8 +14,23 @@
   public final long submittedMs;
   /** DONE or CANCELLED once that is decided, else null. */
   public Phase end;
-  /** The store is known to hold the end: only then may anybody be told, and from then on always. */
+  /**
+   * The store is known to hold the end, or one that implies it (a job before this one is cancelled):
+   * only then may anybody be told, and from then on always.
+   */
   public boolean endKept;
+  /** When the end was decided, by the time of day. */
+  public long endedMs;
+  /** Jobs that must be done before any task of this one starts, and are not yet known to be. */
+  public final Set<String> waitingFor = new HashSet<>();
+  /** When it could first have started: its submission, or the end of the last job that it awaits. */
+  public long sinceMs;
+  /** Its own priority, or a higher one of a job that needs it. */
+  public Priority rank;
+  /** Latest start by which it, and what needs it, can meet their deadlines; no deadline: {@link Long#MAX_VALUE}. */
+  public long startByMs = Long.MAX_VALUE;
+  /** Set by the planner: the earlier, the sooner its turn among its like. */
+  public long urgentMs;
   public final BitSet done = new BitSet();
   public final Map<Integer, Attempt> open = new TreeMap<>();
   public long nextAttempt = 1;
@@ -38,6 +53,13 @@
   public Job(JobSpec spec, long submittedMs) {
     this.spec = spec;
     this.submittedMs = submittedMs;
+    this.sinceMs = submittedMs;
+    this.rank = spec.priority();
+  }
+
+  /** It waits for other jobs: nothing of it may start, and it takes part in nothing. */
+  public boolean held() {
+    return !waitingFor.isEmpty();
   }
 
   public int remaining() {
@@ -61,7 +83,7 @@
   }
 
   public int pendingCount() {
-    return end != null ? 0 : remaining() - open.size();
+    return end != null || held() ? 0 : remaining() - open.size();
   }
 
   public int running() {
--- a/src/main/java/io/embernotch/model/JobSpec.java
+++ b/src/main/java/io/embernotch/model/JobSpec.java
@@ -2,7 +2,10 @@
 
 import java.util.List;
 
-/** A job as its user submitted it. {@code types}, {@code zone} and {@code dueS} may be null. */
+/**
+ * A job as its user submitted it. {@code types}, {@code zone} and {@code dueS} may be null. {@code
+ * awaits} names the jobs that must be done before any task of this one starts.
+ */
 public record JobSpec(
     String ref,
     String jobClass,
@@ -23,7 +26,8 @@
     double expectS,
     double checkpointS,
     double saveS,
-    Double dueS) {
+    Double dueS,
+    List<String> awaits) {
 
   public boolean allows(String type, String inZone, boolean onSpot) {
     return (types == null || types.contains(type))
@@ -35,14 +39,14 @@
   public JobSpec withTasks(int number) {
     return new JobSpec(
         ref, jobClass, team, shape, priority, number, cpus, gpus, memGb, image, imageGb, types, zone,
-        oneZone, spread, spot, expectS, checkpointS, saveS, dueS);
+        oneZone, spread, spot, expectS, checkpointS, saveS, dueS, awaits);
   }
 
   /** The same job with tasks that take only a part of what they take. */
   public JobSpec withShare(double share) {
     return new JobSpec(
         ref, jobClass, team, shape, priority, tasks, cpus * share, gpus * share, memGb * share, image, imageGb,
-        types, zone, oneZone, spread, spot, expectS, checkpointS, saveS, dueS);
+        types, zone, oneZone, spread, spot, expectS, checkpointS, saveS, dueS, awaits);
   }
 
   /** Most tasks that may be in one zone when the job must be spread. */
--- a/src/main/java/io/embernotch/plan/Planner.java
+++ b/src/main/java/io/embernotch/plan/Planner.java
@@ -97,18 +97,23 @@
     }
   }
 
-  /** Live services first, then what is guaranteed, then by priority, then by age. */
+  /**
+   * Live services first, then what is guaranteed, then by priority, then by the time at which it is to
+   * start: that which its deadline leaves, or, without one, a worker's lease after it could start.
+   */
   private static final Comparator<Job> ORDER =
       Comparator.comparing((Job j) -> j.spec.priority() != Priority.PRODUCTION)
           .thenComparing(j -> !j.guaranteed)
-          .thenComparing(j -> j.spec.priority(), Comparator.reverseOrder())
-          .thenComparingLong(j -> j.submittedMs)
+          .thenComparing(j -> j.rank, Comparator.reverseOrder())
+          .thenComparingLong(j -> j.urgentMs)
           .thenComparing(j -> j.spec.ref());
 
-  private static List<Job> inOrder(Collection<Job> jobs) {
+  private List<Job> inOrder(Collection<Job> jobs) {
+    long patienceMs = Math.round(settings.workers().leaseS() * 1000);
     List<Job> order = new ArrayList<>();
     for (Job j : jobs) {
       if (j.end == null && j.pendingCount() > 0) {
+        j.urgentMs = Math.min(j.startByMs, j.sinceMs + patienceMs);
         order.add(j);
       }
     }
--- a/src/main/java/io/embernotch/plan/Queueing.java
+++ b/src/main/java/io/embernotch/plan/Queueing.java
@@ -36,6 +36,9 @@
   Queueing(Collection<Job> jobs, Map<String, MachineType> types) {
     this.types = types;
     for (Job j : jobs) {
+      if (j.held()) {
+        continue;
+      }
       Kind k = kinds.computeIfAbsent(j.spec.jobClass(), c -> new Kind());
       k.expectS += j.spec.expectS();
       k.jobs++;
--- a/src/main/java/io/embernotch/plan/Usage.java
+++ b/src/main/java/io/embernotch/plan/Usage.java
@@ -47,14 +47,14 @@
     return Math.max(0, Math.floor((max - used) / each + EPS));
   }
 
-  /** Marks the jobs that fit their team's guarantee together with the team's earlier ones. */
+  /** Marks the jobs that may run and fit their team's guarantee together with the team's earlier ones. */
   void markGuaranteed(Collection<Job> jobs) {
     Map<String, List<Job>> byTeam =
-        jobs.stream().filter(j -> j.end == null).collect(Collectors.groupingBy(j -> j.spec.team()));
+        jobs.stream().filter(j -> j.end == null && !j.held()).collect(Collectors.groupingBy(j -> j.spec.team()));
     byTeam.forEach(
         (name, list) -> {
           Settings.Team team = teams.get(name);
-          list.sort(Comparator.comparingLong((Job j) -> j.submittedMs).thenComparing(j -> j.spec.ref()));
+          list.sort(Comparator.comparingLong((Job j) -> j.sinceMs).thenComparing(j -> j.spec.ref()));
           double cpus = 0;
           double gpus = 0;
           for (Job j : list) {
--- a/src/main/java/io/embernotch/settings/Settings.java
+++ b/src/main/java/io/embernotch/settings/Settings.java
@@ -18,6 +18,7 @@
     List<Objective> objectives,
     Workers workers,
     State stateLimits,
+    State stateNext,
     Cloud cloudLimits,
     Quota quota) {
 
@@ -33,12 +34,25 @@
   public record Workers(
       double reportS, double leaseS, double gangWaitS, double gangPeerS, double cancelS) {}
 
+  /** Limits of the state service; {@code stateNext} are those that it will have, or the same. */
   public record State(double rps, double writeRps, double valueKb, int txnOps) {}
 
   public record Cloud(double rps, double listLagS) {}
 
   public record Quota(double cpuShare, double memoryMb, int maxConnections) {}
 
+  /**
+   * What fits the state service now and once its limits have been lowered, which it does without
+   * notice: everything that is written, and how fast, goes by the smaller of both.
+   */
+  public State stateFloor() {
+    return new State(
+        Math.min(stateLimits.rps(), stateNext.rps()),
+        Math.min(stateLimits.writeRps(), stateNext.writeRps()),
+        Math.min(stateLimits.valueKb(), stateNext.valueKb()),
+        Math.min(stateLimits.txnOps(), stateNext.txnOps()));
+  }
+
   /** Steady clocks of two machines drift apart by at most this share, with some to spare. */
   public static final double DRIFT = 0.001;
 
--- a/src/main/java/io/embernotch/settings/SettingsReader.java
+++ b/src/main/java/io/embernotch/settings/SettingsReader.java
@@ -61,6 +61,7 @@
                 state.positive("write_rps"),
                 state.positive("value_kb"),
                 state.count("txn_ops")),
+            next(state),
             new Settings.Cloud(cloud.positive("rps"), cloud.number("list_lag_s", 0)),
             new Settings.Quota(
                 quota.positive("cpu_share"),
@@ -74,6 +75,9 @@
     if (s.stateLimits().txnOps() < 2) {
       throw new SettingsException("cluster.state.txn_ops: must be at least 2");
     }
+    if (s.stateNext().txnOps() < 2) {
+      throw new SettingsException("cluster.state.next.txn_ops: must be at least 2");
+    }
     if (s.workers().leaseS() <= 2 * s.workers().reportS()) {
       throw new SettingsException("cluster.workers.lease_s: must exceed two report periods");
     }
@@ -87,6 +91,16 @@
     }
   }
 
+  /** The limits to come; what is not named stays as it is. */
+  private static Settings.State next(Table state) {
+    Table next = state.has("next") ? state.table("next") : state;
+    return new Settings.State(
+        (next.has("rps") ? next : state).positive("rps"),
+        (next.has("write_rps") ? next : state).positive("write_rps"),
+        (next.has("value_kb") ? next : state).positive("value_kb"),
+        (next.has("txn_ops") ? next : state).count("txn_ops"));
+  }
+
   private static List<Settings.Member> members(Table top) {
     List<Settings.Member> out = new ArrayList<>();
     for (Table t : top.tables("members")) {
@@ -139,6 +153,10 @@
       return n;
     }
 
+    boolean has(String name) {
+      return node.get(name) != null;
+    }
+
     Table table(String name) {
       JsonNode n = need(name);
       if (!n.isObject()) {
--- /dev/null
+++ b/src/main/java/io/embernotch/steward/Chains.java
@@ -0,0 +1,230 @@
+package io.embernotch.steward;
+
+import io.embernotch.codec.RunCodec;
+import io.embernotch.model.Job;
+import io.embernotch.model.Phase;
+import io.embernotch.model.Priority;
+import io.embernotch.store.Entry;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The graph of jobs that wait for others. A job is let go once every job that it awaits is done in
+ * the store, and cancelled once one of them is cancelled there. Both follow from committed ends and
+ * from submissions, which never change, so every steward comes to the same.
+ *
+ * <p>A job names only jobs accepted before it, so the graph has no circles.
+ */
+final class Chains {
+  private static final Logger LOG = LoggerFactory.getLogger(Chains.class);
+
+  /** What becomes of jobs that waited. */
+  interface Sink {
+    /** Every job before it is done. */
+    void released(Job job);
+
+    /** A job before it is cancelled, and so is it; nothing of it has ever started. */
+    void cancelled(Job job);
+
+    /** A job that another one names, and that nobody has told the steward of. */
+    void found(Entry entry);
+  }
+
+  private final Env env;
+  private final Ledger ledger;
+  private final Sink sink;
+  /** The jobs that name a job, by the id of the named one, while that has not ended. */
+  private final Map<String, Set<Job>> needing = new HashMap<>();
+  /** Named jobs that the ledger does not know, and that are to be looked up in the store. */
+  private final Set<String> unknown = new LinkedHashSet<>();
+  private final Set<String> lookingUp = new LinkedHashSet<>();
+  private boolean changed;
+
+  Chains(Env env, Ledger ledger, Sink sink) {
+    this.env = env;
+    this.ledger = ledger;
+    this.sink = sink;
+  }
+
+  /** All of the ledger's jobs anew. */
+  void rebuild() {
+    needing.clear();
+    unknown.clear();
+    List.copyOf(ledger.jobs.values()).forEach(this::add);
+  }
+
+  /** A job has become known; it waits from now on if it has to. */
+  void add(Job job) {
+    changed = true;
+    unknown.remove(job.spec.ref());
+    boolean doomed = false;
+    for (String ref : job.end == null ? job.spec.awaits() : List.<String>of()) {
+      Ledger.Ended ended = ended(ref);
+      if (ended == null) {
+        job.waitingFor.add(ref);
+        needing.computeIfAbsent(ref, r -> new LinkedHashSet<>()).add(job);
+        if (!ledger.jobs.containsKey(ref)) {
+          unknown.add(ref);
+        }
+      } else if (ended.phase() == Phase.CANCELLED) {
+        doomed = true;
+      } else {
+        job.sinceMs = Math.max(job.sinceMs, ended.atMs());
+      }
+    }
+    if (doomed) {
+      cancel(job);
+    }
+    lookUp();
+  }
+
+  /** The end of a job as the store holds it; null while it has none there. */
+  private Ledger.Ended ended(String ref) {
+    Ledger.Ended ended = ledger.ended.get(ref);
+    if (ended != null) {
+      return ended;
+    }
+    Job job = ledger.jobs.get(ref);
+    return job != null && job.endKept ? Ledger.Ended.of(job) : null;
+  }
+
+  /** The store holds the end of a job. */
+  void ended(Job job) {
+    Set<Job> after = needing.remove(job.spec.ref());
+    if (job.end == Phase.CANCELLED) {
+      changed = true;
+    }
+    if (after == null) {
+      return;
+    }
+    changed = true;
+    for (Job next : after) {
+      if (next.end != null) {
+        continue;
+      }
+      if (job.end == Phase.CANCELLED) {
+        cancel(next);
+        continue;
+      }
+      next.waitingFor.remove(job.spec.ref());
+      next.sinceMs = Math.max(next.sinceMs, job.endedMs);
+      if (!next.held()) {
+        sink.released(next);
+      }
+    }
+  }
+
+  /** Cancels a job and all that need it; their ends hold at once, since the first one is kept. */
+  private void cancel(Job first) {
+    Deque<Job> left = new ArrayDeque<>(List.of(first));
+    while (!left.isEmpty()) {
+      Job job = left.poll();
+      if (job.endKept) {
+        continue;
+      }
+      job.end = Phase.CANCELLED;
+      job.endKept = true;
+      job.endedMs = env.clock().wallMs();
+      sink.cancelled(job);
+      Set<Job> after = needing.remove(job.spec.ref());
+      if (after != null) {
+        left.addAll(after);
+      }
+    }
+  }
+
+  /** Asks the store for named jobs that the steward has not heard of, a few at a time. */
+  void lookUp() {
+    int most = (int) Math.max(1, env.settings().stateFloor().rps() / 20);
+    for (String ref : List.copyOf(unknown)) {
+      if (lookingUp.size() >= most) {
+        return;
+      }
+      if (lookingUp.add(ref)) {
+        env.store()
+            .get(RunCodec.JOB + ref)
+            .onComplete(
+                r -> {
+                  lookingUp.remove(ref);
+                  if (r.failed() || !unknown.remove(ref)) {
+                    return;
+                  }
+                  if (r.result().present()) {
+                    lookUp();
+                    sink.found(r.result());
+                  } else {
+                    // Its node read it before accepting the job that names it, so this cannot be.
+                    LOG.error("job {} is awaited, and is not in the store", ref);
+                  }
+                });
+      }
+    }
+  }
+
+  /**
+   * Has jobs inherit the priority and the latest start of all that need them. To be called before a
+   * plan; does nothing unless the graph has changed.
+   */
+  void inherit() {
+    if (!changed) {
+      return;
+    }
+    changed = false;
+    for (Job job : ledger.jobs.values()) {
+      job.rank = job.spec.priority();
+      job.startByMs = ownStartBy(job);
+    }
+    for (Job job : ledger.jobs.values()) {
+      if (job.end == null && !job.spec.awaits().isEmpty()) {
+        pass(job);
+      }
+    }
+  }
+
+  private void pass(Job from) {
+    Deque<Job> left = new ArrayDeque<>(List.of(from));
+    while (!left.isEmpty()) {
+      Job job = left.poll();
+      // Nothing takes the place of a live service by being needed.
+      Priority rank = job.rank == Priority.PRODUCTION ? Priority.HIGH : job.rank;
+      for (String ref : job.waitingFor) {
+        Job before = ledger.jobs.get(ref);
+        if (before == null || before.end != null) {
+          continue;
+        }
+        long startBy = job.startByMs == Long.MAX_VALUE ? Long.MAX_VALUE : job.startByMs - runMs(before);
+        if (before.rank.compareTo(rank) < 0 || startBy < before.startByMs) {
+          before.rank = before.rank.compareTo(rank) < 0 ? rank : before.rank;
+          before.startByMs = Math.min(before.startByMs, startBy);
+          left.add(before);
+        }
+      }
+    }
+  }
+
+  private static long ownStartBy(Job job) {
+    return job.spec.dueS() == null
+        ? Long.MAX_VALUE
+        : job.submittedMs + Math.round(job.spec.dueS() * 1000) - runMs(job);
+  }
+
+  private static long runMs(Job job) {
+    return Math.round(job.spec.expectS() * 1000);
+  }
+
+  int waiting() {
+    int n = 0;
+    for (Job job : ledger.jobs.values()) {
+      n += job.end == null && job.held() ? 1 : 0;
+    }
+    return n;
+  }
+
+}
--- a/src/main/java/io/embernotch/steward/Committer.java
+++ b/src/main/java/io/embernotch/steward/Committer.java
@@ -5,7 +5,6 @@
 import io.embernotch.actor.Latencies;
 import io.embernotch.actor.Timers;
 import io.embernotch.codec.Json;
-import io.embernotch.codec.RunCodec;
 import io.embernotch.model.Job;
 import io.embernotch.settings.Settings;
 import io.embernotch.store.Commit;
@@ -15,11 +14,14 @@
 import io.embernotch.store.StoreFailure;
 import io.embernotch.store.Txn;
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -33,18 +35,22 @@
   private static final Logger LOG = LoggerFactory.getLogger(Committer.class);
   private static final int MAX_BYTES = 60 * 1024;
 
+  private record Waiter(int task, Runnable durable) {}
+
   /** A piece of a job that differs from what the store is known to hold. */
   private static final class Dirty {
-    final Job job;
-    final int piece;
+    final Layout.Piece piece;
+    /** Its tasks that differ; what concerns the job as a whole goes with task 0. */
+    final BitSet tasks = new BitSet();
     Rank rank;
     double due;
     /** When somebody first began to wait for it, below 0 if nobody does. */
     double awaitedSince = -1;
-    List<Runnable> waiters = new ArrayList<>();
+    List<Waiter> waiters = new ArrayList<>();
+    /** The store refused a transaction with it: it goes alone until that is explained. */
+    boolean suspect;
 
-    Dirty(Job job, int piece, Rank rank, double due) {
-      this.job = job;
+    Dirty(Layout.Piece piece, Rank rank, double due) {
       this.piece = piece;
       this.rank = rank;
       this.due = due;
@@ -64,10 +70,14 @@
   private final double lazyS;
   private final double overdueS;
   private final double retryS;
-  private final int pieceSize;
+  /** A value of so many bytes fits the store even once its limits are lowered. */
+  private final int safeBytes;
+  /** The store has refused what would have fitted its former limits. */
+  private boolean lowered;
+  private boolean saidSo;
+  private final Layout layout;
   private final Runnable deposed;
   private final Map<String, Long> stamps = new HashMap<>();
-  private final Map<String, Integer> pieceSizes = new HashMap<>();
   private final Map<String, Dirty> dirty = new LinkedHashMap<>();
   private Map<String, Dirty> inFlight = Map.of();
   private boolean busy;
@@ -80,16 +90,18 @@
   private long transactions;
   private long changes;
 
-  Committer(Settings settings, StoreClient store, Clock clock, Timers timers, long epoch, Runnable deposed) {
+  Committer(
+      Settings settings, Layout layout, StoreClient store, Clock clock, Timers timers, long epoch, Runnable deposed) {
+    this.layout = layout;
     this.store = store;
     this.clock = clock;
     this.timers = timers;
     this.epoch = epoch;
-    this.maxChanges = settings.stateLimits().txnOps();
+    this.maxChanges = settings.stateFloor().txnOps();
     this.lazyS = settings.workers().reportS();
     this.overdueS = settings.workers().leaseS() / 2;
     this.retryS = settings.workers().reportS() / 15;
-    this.pieceSize = RunCodec.piece(settings.stateLimits().valueKb());
+    this.safeBytes = (int) (settings.stateFloor().valueKb() * 1024);
     this.deposed = deposed;
   }
 
@@ -98,27 +110,23 @@
     turns++;
   }
 
+  /** The store holds parts, which were only made since its limits are lowered. */
+  void limitsAreLowered() {
+    lowered = true;
+  }
+
   /** Takes over what the store holds of a job's piece. */
   void know(String key, long stamp) {
     stamps.put(key, stamp);
   }
 
-  /** The size of pieces is fixed when a job is accepted, so that new settings do not move tasks. */
-  void knowPieceSize(String ref, int size) {
-    pieceSizes.put(ref, size);
-  }
-
-  int pieceSize(Job job) {
-    return pieceSizes.getOrDefault(job.spec.ref(), pieceSize);
-  }
-
   boolean isDirty(Job job, int task) {
-    String key = RunCodec.key(job.spec.ref(), task / pieceSize(job));
+    String key = layout.of(job, task).key();
     return dirty.containsKey(key) || inFlight.containsKey(key);
   }
 
   boolean isDirty(Job job) {
-    for (int task = 0; task < job.spec.tasks(); task += pieceSize(job)) {
+    for (int task = 0; task < job.spec.tasks(); task += layout.size(job.spec.ref())) {
       if (isDirty(job, task)) {
         return true;
       }
@@ -136,6 +144,11 @@
     mark(job, task, rank, clock.now(), durable);
   }
 
+  /** Like {@link #now}, before everything else of usual rank. */
+  void soon(Job job, int task) {
+    mark(job, task, Rank.USUAL, clock.now() - overdueS, null);
+  }
+
   /** From decision to commit, what was written since the last line, and what waits; null if nothing was. */
   String line() {
     String delays = latencies.line();
@@ -149,11 +162,12 @@
   }
 
   private void mark(Job job, int task, Rank rank, double due, Runnable durable) {
-    int piece = task / pieceSize(job);
-    Dirty d = dirty.computeIfAbsent(RunCodec.key(job.spec.ref(), piece), k -> new Dirty(job, piece, rank, due));
+    Layout.Piece piece = layout.of(job, task);
+    Dirty d = dirty.computeIfAbsent(piece.key(), k -> new Dirty(piece, rank, due));
     d.hurry(rank, due);
+    d.tasks.set(task);
     if (durable != null) {
-      d.waiters.add(durable);
+      d.waiters.add(new Waiter(task, durable));
       d.awaitedSince = d.awaitedSince < 0 ? clock.now() : d.awaitedSince;
     }
     arm(d);
@@ -234,20 +248,33 @@
             .thenComparingDouble(e -> e.getValue().due));
     Txn txn = new Txn().when(Election.KEY, epoch);
     Map<String, Dirty> batch = new LinkedHashMap<>();
+    List<Job> tooLarge = new ArrayList<>();
     int bytes = 0;
     for (Map.Entry<String, Dirty> e : order) {
       if (batch.size() >= most) {
         break;
       }
       Dirty d = e.getValue();
-      ObjectNode value = RunCodec.writeRun(d.job, pieceSize(d.job), d.piece);
-      bytes += Json.bytes(value).length + 2 * e.getKey().length() + 100;
+      if (d.suspect && !batch.isEmpty()) {
+        continue;
+      }
+      ObjectNode value = d.piece.value();
+      int size = Json.bytes(value).length;
+      if (lowered && size > safeBytes && layout.of(d.piece.job(), 0).size() > 1) {
+        tooLarge.add(d.piece.job());
+        continue;
+      }
+      bytes += size + 2 * e.getKey().length() + 100;
       if (bytes > MAX_BYTES && !batch.isEmpty()) {
         break;
       }
       txn.when(e.getKey(), stamps.getOrDefault(e.getKey(), 0L)).write(e.getKey(), value);
       batch.put(e.getKey(), d);
+      if (d.suspect) {
+        break;
+      }
     }
+    tooLarge.forEach(this::refine);
     if (batch.isEmpty()) {
       next();
       return 0;
@@ -276,7 +303,7 @@
         if (d.awaitedSince >= 0) {
           latencies.record(d.rank == Rank.FIRST ? "urgent commit" : "commit", clock.now() - d.awaitedSince);
         }
-        d.waiters.forEach(Runnable::run);
+        d.waiters.forEach(w -> w.durable.run());
       }
       next();
       return;
@@ -295,8 +322,15 @@
       return;
     }
     LOG.debug("commit of {} pieces: {}", batch.size(), e.getMessage());
-    if (StoreFailure.kindOf(e) == StoreFailure.Kind.REFUSED) {
+    StoreFailure.Kind kind = StoreFailure.kindOf(e);
+    if (kind == StoreFailure.Kind.MALFORMED) {
       putBack(batch);
+      explain(batch, e.getMessage());
+    }
+    if (kind == StoreFailure.Kind.REFUSED || kind == StoreFailure.Kind.MALFORMED) {
+      if (kind == StoreFailure.Kind.REFUSED) {
+        putBack(batch);
+      }
       timers.after(retryS, () -> {
         busy = false;
         next();
@@ -306,6 +340,66 @@
     }
   }
 
+  /**
+   * The store takes the transaction for malformed, and has not executed it. Values that fitted its
+   * former limits are the likely cause: their jobs go over to smaller parts. Else what was refused
+   * together is tried one by one, and what is refused alone waits, so that it holds up nothing else.
+   */
+  private void explain(Map<String, Dirty> batch, String answer) {
+    Set<Job> large = new LinkedHashSet<>();
+    for (Dirty d : batch.values()) {
+      if (Json.bytes(d.piece.value()).length > safeBytes) {
+        large.add(d.piece.job());
+      }
+    }
+    if (!large.isEmpty() && !lowered) {
+      lowered = true;
+      LOG.info("the state service has lowered its limits: values go by {} bytes", safeBytes);
+    }
+    boolean smaller = false;
+    for (Job job : large) {
+      smaller |= refine(job);
+    }
+    if (smaller) {
+      return;
+    }
+    for (Map.Entry<String, Dirty> e : batch.entrySet()) {
+      Dirty d = dirty.get(e.getKey());
+      if (batch.size() > 1) {
+        d.suspect = true;
+      } else if (!refine(d.piece.job())) {
+        d.due = clock.now() + lazyS;
+        if (!saidSo) {
+          saidSo = true;
+          LOG.error("the state service does not take {}, which is tried again and again: {}", e.getKey(), answer);
+        }
+      }
+    }
+  }
+
+  /** Has a job go over to smaller parts, with all of it that is still to be written. */
+  private boolean refine(Job job) {
+    String ref = job.spec.ref();
+    List<Dirty> old = new ArrayList<>();
+    dirty.values().stream().filter(d -> d.piece.job() == job).forEach(old::add);
+    if (!layout.refine(ref)) {
+      return false;
+    }
+    LOG.info("job {} goes on in parts of {} tasks", ref, layout.size(ref));
+    for (Dirty d : old) {
+      dirty.remove(d.piece.key());
+      for (int task = d.tasks.nextSetBit(0); task >= 0; task = d.tasks.nextSetBit(task + 1)) {
+        Layout.Piece piece = layout.of(job, task);
+        Dirty part = dirty.computeIfAbsent(piece.key(), k -> new Dirty(piece, d.rank, d.due));
+        part.hurry(d.rank, d.due);
+        part.tasks.set(task);
+        part.awaitedSince = d.awaitedSince;
+      }
+      d.waiters.forEach(w -> dirty.get(layout.of(job, w.task).key()).waiters.add(w));
+    }
+    return true;
+  }
+
   private void putBack(Map<String, Dirty> batch) {
     inFlight = Map.of();
     batch.forEach(
@@ -316,7 +410,9 @@
           } else {
             newer.hurry(d.rank, d.due);
             newer.awaitedSince = d.awaitedSince >= 0 ? d.awaitedSince : newer.awaitedSince;
-            List<Runnable> all = new ArrayList<>(d.waiters);
+            newer.tasks.or(d.tasks);
+            newer.suspect |= d.suspect;
+            List<Waiter> all = new ArrayList<>(d.waiters);
             all.addAll(newer.waiters);
             newer.waiters = all;
           }
--- a/src/main/java/io/embernotch/steward/Controller.java
+++ b/src/main/java/io/embernotch/steward/Controller.java
@@ -53,6 +53,7 @@
   private final Round round;
   private final int pieceSize;
   private final Submissions submissions;
+  private final StoredStatus stored;
   /** A flood of polls costs other nodes and the state service nothing, and workers little. */
   private final Pacer polls;
   private final Map<String, MachineType> types = new LinkedHashMap<>();
@@ -74,10 +75,11 @@
             settings, settings.stewardLeaseS(env.operator()), env.store(), env.clock(), env.timers(), this);
     this.part = new PartKeeper(env.clock(), 6 * env.operator().roundS());
     this.round = new Round(env.operator().flagRatio(), env.operator().beta(), env.operator().roundS());
-    this.pieceSize = RunCodec.piece(settings.stateLimits().valueKb());
+    this.pieceSize = RunCodec.piece(settings.stateFloor().valueKb(), settings.zones());
     this.polls =
         new Pacer(
             env.clock(), env.timers(), Math.max(1, settings.quota().maxConnections() / settings.workers().reportS()), 1);
+    this.stored = new StoredStatus(env, ended);
     this.submissions = new Submissions(env, types, pieceSize, this);
   }
 
@@ -110,7 +112,10 @@
         .onSuccess(
             list -> {
               takeTypes(list);
-              env.store().commit(new Txn().when(TYPES, 0).write(TYPES, CloudCodec.writeTypes(list)));
+              ObjectNode value = CloudCodec.writeTypes(list);
+              if (Json.bytes(value).length <= settings.stateFloor().valueKb() * 1024) {
+                env.store().commit(new Txn().when(TYPES, 0).write(TYPES, value));
+              }
             })
         .onFailure(e -> env.timers().after(settings.workers().reportS() / 3, this::learnTypes));
   }
@@ -150,13 +155,6 @@
     }
   }
 
-  /** A job that is perhaps known: 200 with its present state, or try again. */
-  @Override
-  public Future<Answer> known(String ref) {
-    Answer end = ended.status(ref);
-    return (end != null ? answer(end) : status(ref)).map(a -> a.status() == 404 ? Answer.later("not accepted yet") : a);
-  }
-
   @Override
   public Future<Answer> elsewhere(byte[] body, double withinS) {
     String node = alive.firstWithState();
@@ -179,45 +177,21 @@
     return status(ref);
   }
 
-  private Future<Answer> status(String ref) {
+  @Override
+  public Future<Answer> status(String ref) {
+    Answer known = ended.status(ref);
+    if (known != null) {
+      return answer(known);
+    }
     return forward(Frame.Ask.What.POLL, ref, settings.workers().reportS() / 6)
         .compose(a -> a.status() == 503 ? readStatus(ref) : answer(a));
   }
 
-  /**
-   * The state service answers with the newest it was told, so any node may pass that on: no older
-   * answer than one already given can come of it.
-   */
+  /** What the state service tells, if it does so in time: users wait two seconds at most. */
   private Future<Answer> readStatus(String ref) {
-    if (env.store().failingForS() > settings.workers().reportS() / 6) {
-      // Users wait two seconds at most; a request that hangs behind a cut would take longer.
-      return answer(Answer.later("the state service does not answer"));
-    }
-    return env.store()
-        .get(RunCodec.JOB + ref)
-        .compose(
-            (Entry job) -> {
-              if (!job.present()) {
-                return answer(Answer.error(404, "no such job"));
-              }
-              return env.store().get(RunCodec.RUN + ref).map(run -> statusOf(job, run));
-            })
-        .otherwise(e -> Answer.later("the state service does not answer"));
-  }
-
-  private Answer statusOf(Entry jobEntry, Entry run) {
-    Job job = RunCodec.readJob(jobEntry.value());
-    String ref = job.spec.ref();
-    if (!run.present()) {
-      return Answer.of(200, JobCodec.status(ref, Phase.QUEUED, 0, 0));
-    }
-    RunCodec.readRun(run.value(), job, RunCodec.readPiece(jobEntry.value()), 0);
-    if (job.end != null) {
-      ended(ref, job.end, job.spec.tasks(), job.done.cardinality());
-      return ended.status(ref);
-    }
-    Phase phase = job.open.isEmpty() ? Phase.QUEUED : Phase.RUNNING;
-    return Answer.of(200, JobCodec.status(ref, phase, job.done.cardinality(), job.open.size()));
+    return env.store().failingForS() > settings.workers().reportS() / 6
+        ? answer(Answer.later("the state service does not answer"))
+        : stored.of(ref);
   }
 
   @Override
--- a/src/main/java/io/embernotch/steward/EndedCache.java
+++ b/src/main/java/io/embernotch/steward/EndedCache.java
@@ -26,6 +26,12 @@
     ends.put(ref, new End(phase, done));
   }
 
+  /** The end of a job; null if none is known. */
+  Phase phase(String ref) {
+    End e = ends.get(ref);
+    return e == null ? null : e.phase;
+  }
+
   Answer status(String ref) {
     End e = ends.get(ref);
     return e == null ? null : Answer.of(200, JobCodec.status(ref, e.phase, e.done, 0));
--- /dev/null
+++ b/src/main/java/io/embernotch/steward/Endings.java
@@ -0,0 +1,66 @@
+package io.embernotch.steward;
+
+import io.embernotch.model.Job;
+import io.embernotch.model.Phase;
+import io.embernotch.store.Pacer.Rank;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.BiConsumer;
+
+/** How jobs end: decided once, told once the store holds it, and let go when nothing of them is left. */
+final class Endings {
+  private final Env env;
+  private final Ledger ledger;
+  private final Committer committer;
+  private final Chains chains;
+  /** Is told of ends with nothing open or unwritten behind them. */
+  private final BiConsumer<String, Ledger.Ended> letGo;
+  /** Jobs whose end is decided, until nothing of them is open or unwritten. */
+  private final Set<Job> ending = new LinkedHashSet<>();
+
+  Endings(Env env, Ledger ledger, Committer committer, Chains chains, BiConsumer<String, Ledger.Ended> letGo) {
+    this.env = env;
+    this.ledger = ledger;
+    this.committer = committer;
+    this.chains = chains;
+    this.letGo = letGo;
+  }
+
+  /** Ends that an earlier steward has decided. */
+  void takeOver() {
+    ending.clear();
+    ledger.jobs.values().stream().filter(j -> j.end != null).forEach(ending::add);
+  }
+
+  /** Decides an end. Jobs that need this one learn of it when it is committed, not before. */
+  void decide(Job job, Phase end) {
+    job.end = end;
+    job.endedMs = env.clock().wallMs();
+    ending.add(job);
+    committer.now(job, 0, Rank.FIRST, () -> {
+      job.endKept = true;
+      chains.ended(job);
+    });
+  }
+
+  /** The end of a job follows from one that is kept; it is written for those who read the store. */
+  void follows(Job job) {
+    ending.add(job);
+    committer.soon(job, 0);
+  }
+
+  /** Lets go of jobs that have ended, once nothing of them is open or unwritten. */
+  void retire() {
+    for (Job job : List.copyOf(ending)) {
+      if (job.open.isEmpty() && !committer.isDirty(job)) {
+        String ref = job.spec.ref();
+        Ledger.Ended end = Ledger.Ended.of(job);
+        ending.remove(job);
+        ledger.jobs.remove(ref);
+        ledger.ended.put(ref, end);
+        letGo.accept(ref, end);
+      }
+    }
+  }
+}
--- a/src/main/java/io/embernotch/steward/Ledger.java
+++ b/src/main/java/io/embernotch/steward/Ledger.java
@@ -15,7 +15,11 @@
 /** Everything the steward knows: jobs, machines and the open attempts that tie them. */
 public final class Ledger {
   /** A job that has ended, and whose every attempt is proven gone. */
-  public record Ended(Phase phase, int tasks, int done) {}
+  public record Ended(Phase phase, int tasks, int done, long atMs) {
+    static Ended of(Job job) {
+      return new Ended(job.end, job.spec.tasks(), job.done.cardinality(), job.endedMs);
+    }
+  }
 
   /** Jobs that have not ended, or still have open attempts. */
   public final Map<String, Job> jobs = new LinkedHashMap<>();
--- a/src/main/java/io/embernotch/steward/Overview.java
+++ b/src/main/java/io/embernotch/steward/Overview.java
@@ -11,7 +11,7 @@
 final class Overview {
   private Overview() {}
 
-  static ObjectNode of(Ledger ledger) {
+  static ObjectNode of(Ledger ledger, int waiting) {
     ObjectNode o = Json.object();
     Map<String, int[]> classes = new TreeMap<>();
     for (Job j : ledger.jobs.values()) {
@@ -32,6 +32,7 @@
       n.put("state", m.deleting ? "returning" : m.failed ? "failed" : !m.up() ? "booting" : m.cordoned ? "cordoned" : "up");
       n.put("tasks", m.open.size());
     }
+    o.put("waiting_for_others", waiting);
     o.put("ended", ledger.ended.size());
     return o;
   }
--- a/src/main/java/io/embernotch/steward/RestartDesk.java
+++ b/src/main/java/io/embernotch/steward/RestartDesk.java
@@ -28,7 +28,7 @@
 
   /** A round's proposals, cut into batches that one commit can hold. A newer round replaces an older one. */
   void propose(String from, List<Restart> restarts) {
-    int batch = Math.max(1, env.settings().stateLimits().txnOps() - 1);
+    int batch = Math.max(1, env.settings().stateFloor().txnOps() - 1);
     Deque<List<Restart>> queue = new ArrayDeque<>();
     for (int i = 0; i < restarts.size(); i += batch) {
       queue.add(restarts.subList(i, Math.min(restarts.size(), i + batch)));
--- a/src/main/java/io/embernotch/steward/Steward.java
+++ b/src/main/java/io/embernotch/steward/Steward.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.embernotch.actor.Actor;
 import io.embernotch.actor.Latencies;
-import io.embernotch.codec.JobCodec;
 import io.embernotch.codec.Json;
 import io.embernotch.codec.RunCodec;
 import io.embernotch.http.Answer;
@@ -19,14 +18,13 @@
 import io.embernotch.plan.Plan;
 import io.embernotch.plan.Planner;
 import io.embernotch.store.Changes;
+import io.embernotch.store.Entry;
 import io.embernotch.store.Pacer.Rank;
 import io.embernotch.straggler.MachineView;
 import io.embernotch.straggler.Restart;
-import io.vertx.core.Promise;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import org.slf4j.Logger;
@@ -76,8 +74,10 @@
   private final Blame blame;
   private final ImageNews.Teller images;
   private final Demand demand = new Demand();
-  /** Jobs whose end is decided, until nothing of them is open or unwritten. */
-  private final Set<Job> ending = new LinkedHashSet<>();
+  private final Layout layout;
+  private final Chains chains;
+  private final Endings endings;
+  private final UserDesk users;
   private final double acquiredAt;
   private final List<StewardMessage> waiting = new ArrayList<>();
   private boolean loaded;
@@ -96,10 +96,15 @@
     this.epoch = epoch;
     this.acquiredAt = env.clock().now();
     types.forEach(t -> ledger.types.put(t.name(), t));
+    this.layout = new Layout(RunCodec.piece(env.settings().stateFloor().valueKb(), env.settings().zones()));
     this.committer =
         new Committer(
-            env.settings(), env.store(), env.clock(), env.timers(), epoch,
+            env.settings(), layout, env.store(), env.clock(), env.timers(), epoch,
             () -> host.outranked("a commit failed on the steward's key"));
+    Hooks hooks = new Hooks();
+    this.chains = new Chains(env, ledger, hooks);
+    this.endings = new Endings(env, ledger, committer, chains, (ref, e) -> host.ended(ref, e.phase(), e.tasks(), e.done()));
+    this.users = new UserDesk(env, ledger, committer, host::live, hooks);
     this.workers = new Workers(env, ledger, epoch, this);
     this.fleet = new FleetKeeper(env, ledger, workers, epoch, this);
     this.feed =
@@ -147,7 +152,11 @@
     }
     env.store()
         .list(RunCodec.JOB)
-        .compose(jobs -> env.store().list(RunCodec.RUN).map(runs -> take(jobs, runs)))
+        .compose(
+            jobs ->
+                env.store()
+                    .list(RunCodec.RUN)
+                    .compose(runs -> env.store().list(RunCodec.PART).map(parts -> take(jobs, runs, parts))))
         .onSuccess(
             jobsEpoch -> {
               if (!stopped) {
@@ -161,13 +170,10 @@
             });
   }
 
-  private long take(Changes jobs, Changes runs) {
-    new Takeover(env, ledger, committer, demand, workers.base(), acquiredAt).read(jobs, runs);
-    ending.clear();
+  private long take(Changes jobs, Changes runs, Changes parts) {
+    new Takeover(env, ledger, committer, layout, chains, demand, workers.base(), acquiredAt).read(jobs, runs, parts);
+    endings.takeOver();
     for (Job job : ledger.jobs.values()) {
-      if (job.end != null) {
-        ending.add(job);
-      }
       if (job.end == Phase.CANCELLED) {
         job.open.values().forEach(a -> ask(a, 0));
       } else if (job.spec.shape() == Shape.GANG && job.open.size() < job.spec.tasks() && !job.open.isEmpty()) {
@@ -248,86 +254,55 @@
       return;
     }
     ledger.jobs.put(ref, job);
-    committer.knowPieceSize(ref, piece);
-    demand.seen(job.spec, env.clock().now());
+    layout.know(ref, piece);
+    chains.add(job);
+    if (!job.held()) {
+      demand.seen(job.spec, env.clock().now());
+    }
     LOG.debug("job {}: {} x {} of {}", ref, job.spec.tasks(), job.spec.shape(), job.spec.team());
     planSoon();
   }
 
   private void ask(StewardMessage.Ask m) {
     switch (m.what()) {
-      case POLL -> poll(m.ref(), m.reply());
-      case ABORT -> abort(m.ref(), m.reply());
+      case POLL -> users.poll(m.ref(), m.reply());
+      case ABORT -> users.abort(m.ref(), m.reply());
       case OVERVIEW -> m.reply().complete(Answer.of(200, Json.bytes(overview())));
     }
   }
 
-  private void poll(String ref, Promise<Answer> reply) {
-    Ledger.Ended ended = ledger.ended.get(ref);
-    if (ended != null) {
-      reply.complete(Answer.of(200, JobCodec.status(ref, ended.phase(), ended.done(), 0)));
-      return;
-    }
-    if (!host.live()) {
-      reply.complete(Answer.later("leadership is not proven"));
-      return;
-    }
-    Job job = ledger.jobs.get(ref);
-    if (job != null) {
-      // An end is told only once it is in the store; until then the job is as it was.
-      Phase phase = job.endKept ? job.end : job.running() > 0 || job.end != null ? Phase.RUNNING : Phase.QUEUED;
-      reply.complete(Answer.of(200, JobCodec.status(ref, phase, job.done.cardinality(), job.running())));
-      return;
+  /** The jobs that waited, and what users ask for. */
+  private final class Hooks implements Chains.Sink, UserDesk.Host {
+    @Override
+    public void released(Job job) {
+      demand.seen(job.spec, env.clock().now());
+      planSoon();
     }
-    lookUp(ref, reply, () -> poll(ref, reply));
-  }
-
-  /** Only the store can tell that a job was never accepted. */
-  private void lookUp(String ref, Promise<Answer> reply, Runnable found) {
-    env.store()
-        .get(RunCodec.JOB + ref)
-        .onSuccess(
-            entry -> {
-              if (!entry.present()) {
-                reply.complete(Answer.error(404, "no such job"));
-              } else if (stopped) {
-                reply.complete(Answer.later("no steward"));
-              } else {
-                jobCreated(RunCodec.readJob(entry.value()), RunCodec.readPiece(entry.value()));
-                found.run();
-              }
-            })
-        .onFailure(e -> reply.complete(Answer.later("the state service does not answer")));
-  }
 
-  private void abort(String ref, Promise<Answer> reply) {
-    Ledger.Ended ended = ledger.ended.get(ref);
-    if (ended != null) {
-      reply.complete(Answer.of(200, JobCodec.brief(ref, ended.phase())));
-      return;
-    }
-    Job job = ledger.jobs.get(ref);
-    if (job == null) {
-      lookUp(ref, reply, () -> abort(ref, reply));
-      return;
+    @Override
+    public void cancelled(Job job) {
+      endings.follows(job);
+      List.copyOf(job.open.values()).forEach(a -> ask(a, 0));
     }
-    if (job.end == null) {
-      LOG.debug("job {} is cancelled", ref);
-      job.end = Phase.CANCELLED;
-      ending.add(job);
-      for (Attempt a : List.copyOf(job.open.values())) {
-        ask(a, 0);
+
+    @Override
+    public void found(Entry entry) {
+      if (!stopped) {
+        jobCreated(RunCodec.readJob(entry.value()), RunCodec.readPiece(entry.value()));
       }
-      committer.now(job, 0, Rank.FIRST, () -> job.endKept = true);
+    }
+
+    @Override
+    public void cancel(Job job) {
+      LOG.debug("job {} is cancelled", job.spec.ref());
+      endings.decide(job, Phase.CANCELLED);
+      List.copyOf(job.open.values()).forEach(a -> ask(a, 0));
       planSoon();
     }
-    Phase end = job.end;
-    Answer answer = Answer.of(200, JobCodec.brief(ref, end));
-    if (!job.endKept) {
-      committer.now(job, 0, Rank.FIRST, () -> reply.tryComplete(answer));
-      env.timers().after(env.settings().workers().reportS(), () -> reply.tryComplete(Answer.later("not in the store yet")));
-    } else {
-      reply.complete(answer);
+
+    @Override
+    public boolean over() {
+      return stopped;
     }
   }
 
@@ -375,9 +350,7 @@
       job.done.set(a.task);
     }
     if (job.remaining() == 0) {
-      job.end = Phase.DONE;
-      ending.add(job);
-      committer.now(job, 0, Rank.FIRST, () -> job.endKept = true);
+      endings.decide(job, Phase.DONE);
       for (Attempt other : job.open.values()) {
         other.stopping = false;
         touched(other);
@@ -504,7 +477,8 @@
       workers.flush(m);
     }
     fleet.tick();
-    retire();
+    endings.retire();
+    chains.lookUp();
     for (Restart r : restarts.due()) {
       restart(r);
     }
@@ -549,19 +523,6 @@
     }
   }
 
-  /** Lets go of jobs that have ended, once nothing of them is open or unwritten. */
-  private void retire() {
-    for (Job job : List.copyOf(ending)) {
-      if (job.open.isEmpty() && !committer.isDirty(job)) {
-        String ref = job.spec.ref();
-        ending.remove(job);
-        ledger.jobs.remove(ref);
-        ledger.ended.put(ref, new Ledger.Ended(job.end, job.spec.tasks(), job.done.cardinality()));
-        host.ended(ref, job.end, job.spec.tasks(), job.done.cardinality());
-      }
-    }
-  }
-
   private void restart(Restart r) {
     Job job = ledger.jobs.get(r.ref());
     Attempt a = job.open.get(r.task());
@@ -594,6 +555,7 @@
     }
     plannedAt = now;
     planned++;
+    chains.inherit();
     Plan plan =
         planner.plan(
             now, ledger.jobs.values(), ledger.machines.values(), ledger.types,
@@ -651,7 +613,7 @@
   }
 
   private ObjectNode overview() {
-    return Overview.of(ledger).put("epoch", epoch).put("plans", planned).put("views", feed.sent());
+    return Overview.of(ledger, chains.waiting()).put("epoch", epoch).put("plans", planned).put("views", feed.sent());
   }
 
   /** Malformed proposals of peers are dropped by the desk; this is for tests. */
--- /dev/null
+++ b/src/main/java/io/embernotch/steward/StoredStatus.java
@@ -0,0 +1,89 @@
+package io.embernotch.steward;
+
+import io.embernotch.codec.JobCodec;
+import io.embernotch.http.Answer;
+import io.embernotch.model.Job;
+import io.embernotch.model.Phase;
+import io.vertx.core.Future;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * The state of a job as the store alone tells it, while no steward answers. The store answers with
+ * the newest it was told, so any node may pass that on: no older answer than one already given can
+ * come of it.
+ *
+ * <p>A job is cancelled as soon as one before it is, though its own end may not be written yet. So
+ * what it awaits is read too, up to a number of jobs; beyond that the user is told to come back.
+ */
+final class StoredStatus {
+  /** So many jobs before one are read for one answer. */
+  private static final int MOST_BEFORE = 8;
+
+  private final Env env;
+  private final EndedCache ended;
+
+  StoredStatus(Env env, EndedCache ended) {
+    this.env = env;
+    this.ended = ended;
+  }
+
+  /** The answer to a poll: 200, 404 or 503. */
+  Future<Answer> of(String ref) {
+    return StoredJob.read(env.store(), ref)
+        .compose(
+            job -> {
+              if (job == null) {
+                return answer(Answer.error(404, "no such job"));
+              }
+              if (job.end != null) {
+                return answer(told(job, job.end));
+              }
+              return before(job, new ArrayDeque<>(job.spec.awaits()), new HashSet<>(job.spec.awaits()), 0);
+            })
+        .otherwise(e -> Answer.later("the state service does not answer"));
+  }
+
+  /** Reads what is before a job, the nearest first. */
+  private Future<Answer> before(Job job, Deque<String> left, Set<String> seen, int read) {
+    if (left.isEmpty()) {
+      return answer(told(job, job.open.isEmpty() ? Phase.QUEUED : Phase.RUNNING));
+    }
+    if (read == MOST_BEFORE) {
+      return answer(Answer.later("too many jobs before this one, and no steward"));
+    }
+    String next = left.poll();
+    if (ended.phase(next) == Phase.DONE) {
+      return before(job, left, seen, read);
+    }
+    return StoredJob.read(env.store(), next)
+        .compose(
+            other -> {
+              if (other != null && other.end == Phase.CANCELLED) {
+                return answer(told(job, Phase.CANCELLED));
+              }
+              if (other != null && other.end == Phase.DONE) {
+                ended.put(next, Phase.DONE, other.done.cardinality());
+              }
+              // All that was before a job that is done is done too.
+              List<String> more = other == null || other.end == Phase.DONE ? List.of() : other.spec.awaits();
+              more.stream().filter(seen::add).forEach(left::add);
+              return before(job, left, seen, read + 1);
+            });
+  }
+
+  private Answer told(Job job, Phase phase) {
+    if (phase.isFinal()) {
+      ended.put(job.spec.ref(), phase, job.done.cardinality());
+    }
+    int running = phase == Phase.RUNNING ? job.open.size() : 0;
+    return Answer.of(200, JobCodec.status(job.spec.ref(), phase, job.done.cardinality(), running));
+  }
+
+  private static Future<Answer> answer(Answer a) {
+    return Future.succeededFuture(a);
+  }
+}
--- a/src/main/java/io/embernotch/steward/Submissions.java
+++ b/src/main/java/io/embernotch/steward/Submissions.java
@@ -32,8 +32,8 @@
     /** The job is in the store, by our own hand. */
     void accepted(Job job, ObjectNode value);
 
-    /** The present state of a job that is perhaps known. */
-    Future<Answer> known(String ref);
+    /** The present state of a job: 200, 404 if it was never accepted, or 503. */
+    Future<Answer> status(String ref);
 
     /** The answer of another controller that the state service serves; null if there is none. */
     Future<Answer> elsewhere(byte[] body, double withinS);
@@ -43,6 +43,7 @@
   private final Map<String, MachineType> types;
   private final int pieceSize;
   private final Host host;
+  private final Awaited awaited;
   /** After this time without an answer of the store, another controller is asked. */
   private final double hedgeS;
   /** After this time the user is told to come back. */
@@ -53,6 +54,7 @@
     this.types = types;
     this.pieceSize = pieceSize;
     this.host = host;
+    this.awaited = new Awaited(env);
     this.hedgeS = env.settings().workers().reportS() / 20;
     this.patienceS = env.settings().workers().reportS() / 3;
   }
@@ -70,18 +72,24 @@
   private final Map<String, Taking> underWay = new HashMap<>();
 
   private Future<Answer> take(byte[] body, boolean mayPassOn) {
-    JobSpec spec;
+    ObjectNode o;
     try {
-      spec = JobCodec.read(Json.parseObject(body));
+      o = Json.parseObject(body);
     } catch (BadInput e) {
       return Future.succeededFuture(Answer.error(400, e.getMessage()));
     }
+    JobSpec spec;
+    try {
+      spec = JobCodec.read(o);
+    } catch (BadInput e) {
+      return refuse(o.path("ref").asText(), Answer.error(400, e.getMessage()));
+    }
     if (types.isEmpty()) {
       return Future.succeededFuture(Answer.later("machine types are not known yet"));
     }
     String never = Admission.neverRuns(spec, env.settings().teams(), types.values());
     if (never != null) {
-      return Future.succeededFuture(Answer.error(422, never));
+      return refuse(spec.ref(), Answer.error(422, never));
     }
     Taking before = underWay.get(spec.ref());
     if (before != null) {
@@ -93,8 +101,8 @@
     }
     Job job = new Job(spec, env.clock().wallMs());
     ObjectNode value = RunCodec.writeJob(job, pieceSize);
-    if (Json.bytes(value).length > env.settings().stateLimits().valueKb() * 1024) {
-      return Future.succeededFuture(Answer.error(400, "description too long"));
+    if (Json.bytes(value).length > env.settings().stateFloor().valueKb() * 1024) {
+      return refuse(spec.ref(), Answer.error(400, "description too long"));
     }
     Taking taking = new Taking(job, value, body, mayPassOn);
     underWay.put(spec.ref(), taking);
@@ -102,6 +110,17 @@
     return taking.go();
   }
 
+  /**
+   * Turns a submission down for good, unless the job was accepted before: it may have been under
+   * other limits, and its user is to get its state, whatever would be said of it now.
+   */
+  private Future<Answer> refuse(String ref, Answer refusal) {
+    if (!JobCodec.isRef(ref)) {
+      return Future.succeededFuture(refusal);
+    }
+    return host.status(ref).map(known -> known.status() == 404 ? refusal : known);
+  }
+
   /** One submission under way; the first good answer, from the store or another node, is the user's. */
   private final class Taking {
     private final Job job;
@@ -125,10 +144,31 @@
       if (env.store().failingForS() > 0) {
         passOn();
       }
-      env.store().turn(1, Rank.USUAL, this::write);
+      if (job.spec.awaits().isEmpty()) {
+        env.store().turn(1, Rank.USUAL, this::write);
+        return reply.future();
+      }
+      env.timers().after(hedgeS, this::passOn);
+      awaited
+          .neverRuns(job.spec)
+          .onSuccess(
+              why -> {
+                if (why == null) {
+                  env.store().turn(1, Rank.USUAL, this::write);
+                } else {
+                  refuse(job.spec.ref(), Answer.error(422, why)).onSuccess(reply::tryComplete);
+                }
+              })
+          .onFailure(e -> failed());
       return reply.future();
     }
 
+    private void failed() {
+      ownFailed = true;
+      passOn();
+      settle();
+    }
+
     private void write() {
       if (reply.future().isComplete()) {
         env.store().turnOver(1, 0);
@@ -141,18 +181,16 @@
           .onSuccess(
               c -> {
                 if (c.applied()) {
+                  awaited.accepted(job.spec);
                   host.accepted(job, value);
                   reply.tryComplete(Answer.of(201, JobCodec.brief(job.spec.ref(), Phase.QUEUED)));
                 } else {
-                  host.known(job.spec.ref()).onSuccess(reply::tryComplete);
+                  host.status(job.spec.ref())
+                      .map(a -> a.status() == 404 ? Answer.later("not accepted yet") : a)
+                      .onSuccess(reply::tryComplete);
                 }
               })
-          .onFailure(
-              e -> {
-                ownFailed = true;
-                passOn();
-                settle();
-              });
+          .onFailure(e -> failed());
     }
 
     private void passOn() {
@@ -166,7 +204,8 @@
       passedOn = true;
       other.onSuccess(
           a -> {
-            if (a.status() < 300) {
+            // What is refused for good was looked up in the store there.
+            if (a.status() < 300 || a.status() == 422) {
               reply.tryComplete(a);
             } else {
               passFailed = true;
--- a/src/main/java/io/embernotch/steward/Takeover.java
+++ b/src/main/java/io/embernotch/steward/Takeover.java
@@ -6,10 +6,13 @@
 import io.embernotch.model.Machine;
 import io.embernotch.store.Changes;
 import io.embernotch.store.Entry;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 
 /**
  * Fills a new steward's ledger from the store. What runs is let be: its attempts are open, and
@@ -19,20 +22,24 @@
   private final Env env;
   private final Ledger ledger;
   private final Committer committer;
+  private final Layout layout;
+  private final Chains chains;
   private final Demand demand;
   private final long baseToken;
   private final double acquiredAt;
 
-  Takeover(Env env, Ledger ledger, Committer committer, Demand demand, long baseToken, double acquiredAt) {
+  Takeover(Env env, Ledger ledger, Committer committer, Layout layout, Chains chains, Demand demand, long baseToken, double acquiredAt) {
     this.env = env;
     this.ledger = ledger;
     this.committer = committer;
+    this.layout = layout;
+    this.chains = chains;
     this.demand = demand;
     this.baseToken = baseToken;
     this.acquiredAt = acquiredAt;
   }
 
-  void read(Changes jobs, Changes runs) {
+  void read(Changes jobs, Changes runs, Changes parts) {
     ledger.jobs.clear();
     ledger.ended.clear();
     ledger.machines.clear();
@@ -44,29 +51,51 @@
       sizes.put(job.spec.ref(), RunCodec.readPiece(e.value()));
     }
     for (Entry e : runs.events()) {
-      String[] parts = e.key().substring(RunCodec.RUN.length()).split("/");
-      Job job = all.get(parts[0]);
+      String[] names = e.key().substring(RunCodec.RUN.length()).split("/");
+      Job job = all.get(names[0]);
       if (job != null) {
-        int piece = parts.length > 1 ? Integer.parseInt(parts[1]) : 0;
-        RunCodec.readRun(e.value(), job, sizes.get(parts[0]), piece);
-        if (job.end == null || !job.open.isEmpty()) {
-          committer.know(e.key(), e.stamp());
-        }
+        int piece = names.length > 1 ? Integer.parseInt(names[1]) : 0;
+        RunCodec.readRun(e.value(), job, sizes.get(names[0]), piece);
       }
     }
+    Map<String, List<StoredJob.Part>> partsOf = new HashMap<>();
+    for (Entry e : parts.events()) {
+      StoredJob.Part part = StoredJob.Part.of(e);
+      partsOf.computeIfAbsent(part.ref(), r -> new ArrayList<>()).add(part);
+    }
+    partsOf.forEach((ref, list) -> {
+      Job job = all.get(ref);
+      if (job != null) {
+        committer.limitsAreLowered();
+        StoredJob.addParts(job, list);
+        list.forEach(p -> layout.knowPart(ref, p.size()));
+      }
+    });
+    Stream.concat(runs.events().stream(), parts.events().stream())
+        .filter(e -> isLeft(all.get(e.key().split("/")[1])))
+        .forEach(e -> committer.know(e.key(), e.stamp()));
     all.values().stream()
         .sorted(Comparator.comparingLong(j -> j.submittedMs))
-        .forEach(j -> demand.seen(j.spec, acquiredAt - Math.max(0, env.clock().wallMs() - j.submittedMs) / 1000.0));
-    all.values().forEach(j -> take(j, sizes.get(j.spec.ref())));
+        .forEach(j -> take(j, sizes.get(j.spec.ref())));
+    chains.rebuild();
+    all.values().stream()
+        .filter(j -> !j.held())
+        .sorted(Comparator.comparingLong(j -> j.sinceMs))
+        .forEach(j -> demand.seen(j.spec, acquiredAt - Math.max(0, env.clock().wallMs() - j.sinceMs) / 1000.0));
+  }
+
+  /** Something of the job may yet be written. */
+  private static boolean isLeft(Job job) {
+    return job != null && (job.end == null || !job.open.isEmpty());
   }
 
   private void take(Job job, int pieceSize) {
     String ref = job.spec.ref();
     if (job.end != null && job.open.isEmpty()) {
-      ledger.ended.put(ref, new Ledger.Ended(job.end, job.spec.tasks(), job.done.cardinality()));
+      ledger.ended.put(ref, Ledger.Ended.of(job));
       return;
     }
-    committer.knowPieceSize(ref, pieceSize);
+    layout.know(ref, pieceSize);
     // Numbers of attempts are never used twice, whatever an earlier steward left unwritten.
     job.nextAttempt = Math.max(job.nextAttempt, baseToken);
     ledger.jobs.put(ref, job);
--- /dev/null
+++ b/src/main/java/io/embernotch/steward/UserDesk.java
@@ -0,0 +1,102 @@
+package io.embernotch.steward;
+
+import io.embernotch.codec.JobCodec;
+import io.embernotch.codec.RunCodec;
+import io.embernotch.http.Answer;
+import io.embernotch.model.Job;
+import io.embernotch.model.Phase;
+import io.embernotch.store.Entry;
+import io.embernotch.store.Pacer.Rank;
+import io.vertx.core.Promise;
+import java.util.function.BooleanSupplier;
+
+/** Answers what users ask the steward about their jobs. */
+final class UserDesk {
+  /** What the answers need of the steward. */
+  interface Host {
+    /** A job that the store holds and nobody has told the steward of. */
+    void found(Entry job);
+
+    /** Decides that a job is cancelled and has its tasks stopped. */
+    void cancel(Job job);
+
+    boolean over();
+  }
+
+  private final Env env;
+  private final Ledger ledger;
+  private final Committer committer;
+  private final BooleanSupplier live;
+  private final Host host;
+
+  UserDesk(Env env, Ledger ledger, Committer committer, BooleanSupplier live, Host host) {
+    this.env = env;
+    this.ledger = ledger;
+    this.committer = committer;
+    this.live = live;
+    this.host = host;
+  }
+
+  void poll(String ref, Promise<Answer> reply) {
+    Ledger.Ended ended = ledger.ended.get(ref);
+    if (ended != null) {
+      reply.complete(Answer.of(200, JobCodec.status(ref, ended.phase(), ended.done(), 0)));
+      return;
+    }
+    if (!live.getAsBoolean()) {
+      reply.complete(Answer.later("leadership is not proven"));
+      return;
+    }
+    Job job = ledger.jobs.get(ref);
+    if (job == null) {
+      lookUp(ref, reply, () -> poll(ref, reply));
+    } else if (job.end == null && job.held()) {
+      reply.complete(Answer.of(200, JobCodec.waiting(ref, job.waitingFor.size())));
+    } else {
+      // An end is told only once it is in the store; until then the job is as it was.
+      Phase phase = job.endKept ? job.end : job.running() > 0 || job.end != null ? Phase.RUNNING : Phase.QUEUED;
+      reply.complete(Answer.of(200, JobCodec.status(ref, phase, job.done.cardinality(), job.running())));
+    }
+  }
+
+  /** Only the store can tell that a job was never accepted. */
+  private void lookUp(String ref, Promise<Answer> reply, Runnable found) {
+    env.store()
+        .get(RunCodec.JOB + ref)
+        .onSuccess(
+            entry -> {
+              if (!entry.present()) {
+                reply.complete(Answer.error(404, "no such job"));
+              } else if (host.over()) {
+                reply.complete(Answer.later("no steward"));
+              } else {
+                host.found(entry);
+                found.run();
+              }
+            })
+        .onFailure(e -> reply.complete(Answer.later("the state service does not answer")));
+  }
+
+  void abort(String ref, Promise<Answer> reply) {
+    Ledger.Ended ended = ledger.ended.get(ref);
+    if (ended != null) {
+      reply.complete(Answer.of(200, JobCodec.brief(ref, ended.phase())));
+      return;
+    }
+    Job job = ledger.jobs.get(ref);
+    if (job == null) {
+      lookUp(ref, reply, () -> abort(ref, reply));
+      return;
+    }
+    if (job.end == null) {
+      host.cancel(job);
+    }
+    Answer answer = Answer.of(200, JobCodec.brief(ref, job.end));
+    if (job.endKept) {
+      reply.complete(answer);
+    } else {
+      committer.now(job, 0, Rank.FIRST, () -> reply.tryComplete(answer));
+      env.timers().after(env.settings().workers().reportS(), () -> reply.tryComplete(Answer.later("not in the store yet")));
+    }
+  }
+}
--- a/src/main/java/io/embernotch/store/StoreClient.java
+++ b/src/main/java/io/embernotch/store/StoreClient.java
@@ -52,14 +52,14 @@
     this.clock = clock;
     this.timers = timers;
     this.settings = settings;
-    this.requests = new Pacer(clock, timers, settings.stateLimits().rps() * REQUESTS_SHARE, 0.5);
-    this.writes = new Pacer(clock, timers, settings.stateLimits().writeRps() * FOLLOWING_SHARE, 0.5);
+    this.requests = new Pacer(clock, timers, settings.stateFloor().rps() * REQUESTS_SHARE, 0.5);
+    this.writes = new Pacer(clock, timers, settings.stateFloor().writeRps() * FOLLOWING_SHARE, 0.5);
     this.timeoutS = settings.workers().reportS() / 2;
   }
 
   /** This controller is steward from now on, or no longer. */
   public void leading(boolean leads) {
-    writes.rate(settings.stateLimits().writeRps() * (leads ? LEADING_SHARE : FOLLOWING_SHARE));
+    writes.rate(settings.stateFloor().writeRps() * (leads ? LEADING_SHARE : FOLLOWING_SHARE));
   }
 
   /** When the service last answered anything but a refusal. */
@@ -126,9 +126,9 @@
                 switch (reply.status()) {
                   case 200 -> parsed(reply, o -> new Commit(true, Json.whole(o, "epoch"), Set.of()));
                   case 409 -> parsed(reply, o -> new Commit(false, Json.whole(o, "epoch"), failedKeys(o)));
-                  case 400 -> new String(reply.body()).contains("lease")
+                  case 400 -> new String(reply.body()).contains("no such lease")
                       ? Future.failedFuture(new StoreFailure(Kind.NO_LEASE, "no such lease"))
-                      : odd(reply);
+                      : Future.failedFuture(new StoreFailure(Kind.MALFORMED, new String(reply.body())));
                   default -> odd(reply);
                 });
   }
@@ -152,7 +152,7 @@
   }
 
   public boolean spare() {
-    return writes.credit() >= settings.stateLimits().writeRps() * LEADING_SHARE / 4;
+    return writes.credit() >= settings.stateFloor().writeRps() * LEADING_SHARE / 4;
   }
 
   /** Ends a turn of {@code least} changes that wrote {@code made}. */
--- a/src/main/java/io/embernotch/store/StoreFailure.java
+++ b/src/main/java/io/embernotch/store/StoreFailure.java
@@ -9,6 +9,8 @@
     REFUSED,
     /** It may have been executed, or may yet be. */
     UNKNOWN,
+    /** It was not executed, and the same request never will be: too large, say. */
+    MALFORMED,
     /** The lease that the write names has ended. */
     NO_LEASE,
     /** The watch asks for changes that are no longer kept. */
--- a/src/test/java/io/embernotch/codec/CodecTest.java
+++ b/src/test/java/io/embernotch/codec/CodecTest.java
@@ -85,7 +85,7 @@
   void progressOfTheLargestJobFitsInPieces() {
     JobSpec spec = read(job("j-1", "array", 100_000));
     Job job = new Job(spec, 1);
-    int size = RunCodec.piece(8);
+    int size = RunCodec.piece(8, java.util.List.of("a-rather-long-zone"));
     job.done.set(0, 100_000);
     for (int t = 0; t < 2 * size; t++) {
       Attempt a = new Attempt(job, t, 1L << 50, "n-000123456", "a-rather-long-zone", 0);
