--- a/src/test/java/io/embernotch/settings/SettingsTest.java
+++ b/src/test/java/io/embernotch/settings/SettingsTest.java
@@ -18,6 +18,15 @@
     assertThat(s.stateLimits().txnOps()).isEqualTo(12);
   }
 
+  @Test
+  void whatIsWrittenGoesByTheSmallerOfPresentAndComingLimits() {
+    Settings same = SettingsReader.parse(World.toml(1));
+    assertThat(same.stateFloor()).isEqualTo(same.stateLimits());
+    String next = "txn_ops = 12\n[cluster.state.next]\ntxn_ops = 4\nwrite_rps = 200.0\n";
+    Settings s = SettingsReader.parse(World.toml(1).replace("txn_ops = 12\n", next));
+    assertThat(s.stateFloor()).isEqualTo(new Settings.State(250, 100, 8, 4));
+  }
+
   @ParameterizedTest
   @CsvSource(
       delimiter = '|',
@@ -30,12 +39,15 @@
         "client_listen='10.0.0.2:8080' | client_listen='10.0.0.2:99999' | client_listen",
         "name = 'blue' | name = 'red' | red is named twice",
         "node='c0' | node='c1' | names this node itself",
-        "zones = ['z1', 'z2'] | zones = [] | cluster.zones"
+        "zones = ['z1', 'z2'] | zones = [] | cluster.zones",
+        "txn_ops = 12 | txn_ops = 12\\nnext = 3 | cluster.state.next: must be a table",
+        "txn_ops = 12 | txn_ops = 12\\n[cluster.state.next]\\ntxn_ops = 1 | cluster.state.next.txn_ops: must be at least 2",
+        "txn_ops = 12 | txn_ops = 12\\n[cluster.state.next]\\nvalue_kb = 'x' | cluster.state.next.value_kb"
       })
   void aWrongFieldIsNamed(String good, String bad, String message) {
     String toml = World.toml(1);
     assertThat(toml).contains(good);
-    assertThatThrownBy(() -> SettingsReader.parse(toml.replace(good, bad)))
+    assertThatThrownBy(() -> SettingsReader.parse(toml.replace(good, bad.replace("\\n", "\n"))))
         .isInstanceOf(SettingsException.class)
         .hasMessageContaining(message);
   }
--- a/src/test/java/io/embernotch/testkit/FakeState.java
+++ b/src/test/java/io/embernotch/testkit/FakeState.java
@@ -7,6 +7,7 @@
 import io.embernotch.http.Reply;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -36,6 +37,17 @@
   /** Every request is refused, and no lease runs out. */
   public boolean outage;
   public int commits;
+  /** Limits as PROTOCOL has them; a transaction beyond them gets 400, changes beyond the rate 429. */
+  public int valueBytes = 8 * 1024;
+  public int txnOps = 12;
+  public double changesPerS = 100;
+  private double credit;
+  private double creditAt;
+  /** Transactions refused as malformed, and for being too many. */
+  public int malformed;
+  public int throttled;
+  /** How often each key was written. */
+  public final Map<String, Integer> writes = new TreeMap<>();
 
   public FakeState(FakeTime time) {
     this.time = time;
@@ -77,6 +89,26 @@
     leases.values().forEach(l -> l.until = time.now() + l.lifeS);
   }
 
+  /** Lowers the limits, without notice. */
+  public void lower(int bytes, int ops, double perS) {
+    valueBytes = bytes;
+    txnOps = ops;
+    changesPerS = perS;
+  }
+
+  /** Puts a value there as another version would have left it. */
+  public void plant(String key, String json) {
+    epoch++;
+    ObjectNode v = Json.parseObject(json.getBytes(StandardCharsets.UTF_8));
+    data.put(key, new Value(v, epoch, 0));
+    changed(key, v);
+  }
+
+  /** All keys under a prefix. */
+  public List<String> keys(String prefix) {
+    return data.keySet().stream().filter(k -> k.startsWith(prefix)).toList();
+  }
+
   public ObjectNode value(String key) {
     Value v = data.get(key);
     return v == null ? null : v.v;
@@ -148,6 +180,22 @@
 
   private Future<Reply> commit(ObjectNode o) {
     commits++;
+    int size = o.get("apply").size();
+    boolean large = size > txnOps || o.get("when").size() > 4 * txnOps || Json.bytes(o).length > 64 * 1024;
+    for (JsonNode a : o.get("apply")) {
+      large |= a.has("write") && Json.bytes(a.get("v")).length > valueBytes;
+    }
+    if (large) {
+      malformed++;
+      return reply(400, Json.object().put("error", "over the limits"));
+    }
+    credit = Math.min(changesPerS, credit + (time.now() - creditAt) * changesPerS);
+    creditAt = time.now();
+    if (credit < size) {
+      throttled++;
+      return reply(429, Json.object().put("error", "too many changes"));
+    }
+    credit -= size;
     ArrayNode failed = Json.object().putArray("failed");
     for (JsonNode w : o.get("when")) {
       if (stamp(w.get("key").asText()) != w.get("stamp").asLong()) {
@@ -169,6 +217,7 @@
       if (a.has("write")) {
         String key = a.get("write").asText();
         ObjectNode v = a.get("v").deepCopy();
+        writes.merge(key, 1, Integer::sum);
         data.put(key, new Value(v, epoch, a.path("permit").asLong(0)));
         changed(key, v);
       } else {
--- a/src/test/java/io/embernotch/testkit/World.java
+++ b/src/test/java/io/embernotch/testkit/World.java
@@ -73,9 +73,9 @@
     private int life;
     private BiConsumer<Frame, PeerLink.Back> frames;
 
-    Node(int index, int scale) {
+    Node(int index, Settings settings) {
       this.index = index;
-      this.settings = SettingsReader.parse(toml(index, scale));
+      this.settings = settings;
     }
 
     public void start() {
@@ -165,10 +165,17 @@
     this(controllers, 1);
   }
 
+  private World(int controllers, int scale, String next) {
+    for (int i = 0; i < controllers; i++) {
+      nodes.add(new Node(i, SettingsReader.parse(toml(i, scale).replace("# next\n", next))));
+    }
+    nodes.forEach(Node::start);
+  }
+
   /** A world in which teams may use {@code scale} times as much. */
   public World(int controllers, int scale) {
     for (int i = 0; i < controllers; i++) {
-      nodes.add(new Node(i, scale));
+      nodes.add(new Node(i, SettingsReader.parse(toml(i, scale))));
     }
     nodes.forEach(Node::start);
   }
@@ -177,6 +184,11 @@
     return toml(index, 1);
   }
 
+  /** A world in which the state service is going to lower its limits. */
+  public static World lowering() {
+    return new World(3, 2, "[cluster.state.next]\nwrite_rps = 30.0\nvalue_kb = 1.0\ntxn_ops = 4\n");
+  }
+
   private static String toml(int index, int scale) {
     StringBuilder s = new StringBuilder();
     s.append("node='c").append(index).append("'\nlocation='z1'\nclient_listen='10.0.0.").append(index + 1)
@@ -213,6 +225,7 @@
         write_rps = 100.0
         value_kb = 8.0
         txn_ops = 12
+        # next
         [cluster.cloud]
         rps = 10.0
         list_lag_s = 3.0
@@ -231,9 +244,37 @@
     for (double left = seconds; left > 0; left -= 0.25) {
       time.pass(Math.min(0.25, left));
       checkRunTwice();
+      checkChains();
     }
   }
 
+  /** Starts, and answers to users, that come too early or too late for a job that awaits another. */
+  private void checkChains() {
+    for (FakeWorker w : workers.values()) {
+      for (String t : w.alive()) {
+        String ref = t.substring(0, t.indexOf('/'));
+        ObjectNode job = state.value("job/" + ref);
+        for (JsonNode before : job.path("job").path("awaits")) {
+          if (!"done".equals(endInStore(before.asText()))) {
+            broken.add(t + " is on a machine before " + before.asText() + " is done");
+          }
+        }
+      }
+    }
+  }
+
+  /** The end of a job that the store holds, in whatever piece; null if it has none. */
+  public String endInStore(String ref) {
+    String end = null;
+    for (String key : state.keys("run/" + ref)) {
+      end = key.equals("run/" + ref) && state.value(key).has("end") ? state.value(key).get("end").asText() : end;
+    }
+    for (String key : state.keys("part/" + ref + "/")) {
+      end = key.endsWith("/0") && state.value(key).has("end") ? state.value(key).get("end").asText() : end;
+    }
+    return end;
+  }
+
   private void checkRunTwice() {
     Map<String, String> where = new HashMap<>();
     for (FakeWorker w : workers.values()) {
@@ -491,6 +532,11 @@
     return out;
   }
 
+  /** An array that awaits others. */
+  public static String after(String ref, int tasks, String... others) {
+    return job(ref, "array", tasks).replace("}", ",\"awaits\":[\"" + String.join("\",\"", others) + "\"]}");
+  }
+
   public static String job(String ref, String shape, int tasks) {
     return "{\"ref\":\"" + ref + "\",\"jobclass\":\"c\",\"owner\":\"red\",\"shape\":\"" + shape
         + "\",\"rank\":\"standard\",\"shards\":" + tasks + ",\"cores\":4.0,\"cards\":1.0,\"mem_gb\":20.0,"
