--- /dev/null
+++ b/src/test/java/io/embernotch/peer/FormerVersionTest.java
@@ -0,0 +1,66 @@
+package io.embernotch.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.embernotch.codec.Json;
+import io.embernotch.codec.RunCodec;
+import io.embernotch.model.Job;
+import io.embernotch.model.Phase;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.HexFormat;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Frames and values as the version before job chains wrote them, one of each kind. Both versions
+ * serve side by side, and the former one drops a connection on any frame that it does not know.
+ */
+class FormerVersionTest {
+  private static byte[] file(String name) throws IOException {
+    try (InputStream in = FormerVersionTest.class.getResourceAsStream("/former-version/" + name)) {
+      return in.readAllBytes();
+    }
+  }
+
+  private static ObjectNode value(String name) throws IOException {
+    return Json.parseObject(file(name));
+  }
+
+  @Test
+  void framesAreReadAndWrittenToTheByteAsBefore() throws IOException {
+    String[] lines = new String(file("frames.hex"), StandardCharsets.US_ASCII).split("\n");
+    assertThat(lines).hasSize(9);
+    for (String line : lines) {
+      byte[] bytes = HexFormat.of().parseHex(line);
+      Frame frame = FrameCodec.decode(ByteBuffer.wrap(bytes, 4, bytes.length - 4).slice());
+      assertThat(HexFormat.of().formatHex(FrameCodec.encode(frame))).isEqualTo(line);
+    }
+  }
+
+  @Test
+  void valuesAreReadAndWrittenAsBeforeButForFieldsThatItIgnores() throws IOException {
+    ObjectNode stored = value("job.json");
+    Job job = RunCodec.readJob(stored);
+    assertThat(job.spec.awaits()).isEmpty();
+    assertThat(job.sinceMs).isEqualTo(77);
+    int piece = RunCodec.readPiece(stored);
+    assertThat(Json.bytes(RunCodec.writeJob(job, piece))).isEqualTo(Json.bytes(stored));
+    RunCodec.readRun(value("run.json"), job, piece, 0);
+    assertThat(job.open.keySet()).containsExactly(3, 8);
+    assertThat(job.wishes).containsEntry(3, "n-9");
+    assertThat(Json.bytes(RunCodec.writeRun(job, piece, 0))).isEqualTo(Json.bytes(value("run.json")));
+    job.end = Phase.CANCELLED;
+    job.endedMs = 99;
+    ObjectNode ended = RunCodec.writeRun(job, piece, 0);
+    assertThat(ended.remove("at").asLong()).isEqualTo(99);
+    assertThat(Json.bytes(ended)).isEqualTo(Json.bytes(value("ended.json")));
+    // Written back by the former version, an end has lost its time: then the submission's counts.
+    Job back = RunCodec.readJob(stored);
+    RunCodec.readRun(value("ended.json"), back, piece, 0);
+    assertThat(back.end).isEqualTo(Phase.CANCELLED);
+    assertThat(back.endedMs).isEqualTo(77);
+  }
+}
