--- a/src/main/java/io/embernotch/steward/Controller.java
+++ b/src/main/java/io/embernotch/steward/Controller.java
@@ -177,12 +177,7 @@
     return status(ref);
   }
 
-  @Override
-  public Future<Answer> status(String ref) {
-    Answer known = ended.status(ref);
-    if (known != null) {
-      return answer(known);
-    }
+  private Future<Answer> status(String ref) {
     return forward(Frame.Ask.What.POLL, ref, settings.workers().reportS() / 6)
         .compose(a -> a.status() == 503 ? readStatus(ref) : answer(a));
   }
--- a/src/main/java/io/embernotch/steward/Submissions.java
+++ b/src/main/java/io/embernotch/steward/Submissions.java
@@ -33,7 +33,7 @@
     void accepted(Job job, ObjectNode value);
 
     /** The present state of a job: 200, 404 if it was never accepted, or 503. */
-    Future<Answer> status(String ref);
+    Future<Answer> poll(String ref);
 
     /** The answer of another controller that the state service serves; null if there is none. */
     Future<Answer> elsewhere(byte[] body, double withinS);
@@ -118,7 +118,7 @@
     if (!JobCodec.isRef(ref)) {
       return Future.succeededFuture(refusal);
     }
-    return host.status(ref).map(known -> known.status() == 404 ? refusal : known);
+    return host.poll(ref).map(known -> known.status() == 404 ? refusal : known);
   }
 
   /** One submission under way; the first good answer, from the store or another node, is the user's. */
@@ -185,7 +185,7 @@
                   host.accepted(job, value);
                   reply.tryComplete(Answer.of(201, JobCodec.brief(job.spec.ref(), Phase.QUEUED)));
                 } else {
-                  host.status(job.spec.ref())
+                  host.poll(job.spec.ref())
                       .map(a -> a.status() == 404 ? Answer.later("not accepted yet") : a)
                       .onSuccess(reply::tryComplete);
                 }
