--- a/src/main/java/io/embernotch/store/StoreClient.java
+++ b/src/main/java/io/embernotch/store/StoreClient.java
@@ -34,6 +34,12 @@
 
   private static final double FOLLOWING_SHARE = 0.15;
 
+  /**
+   * The service allows bursts of a second's worth. The bursts of all controllers together stay below
+   * that, with something for the leases, which go at once.
+   */
+  private static final double WRITE_BURST_S = 0.9;
+
   private static final int PAGE = 1000;
   private static final int THROTTLED = 429;
 
@@ -53,7 +59,7 @@
     this.timers = timers;
     this.settings = settings;
     this.requests = new Pacer(clock, timers, settings.stateFloor().rps() * REQUESTS_SHARE, 0.5);
-    this.writes = new Pacer(clock, timers, settings.stateFloor().writeRps() * FOLLOWING_SHARE, 0.5);
+    this.writes = new Pacer(clock, timers, settings.stateFloor().writeRps() * FOLLOWING_SHARE, WRITE_BURST_S);
     this.timeoutS = settings.workers().reportS() / 2;
   }
 
@@ -152,7 +158,7 @@
   }
 
   public boolean spare() {
-    return writes.credit() >= settings.stateFloor().writeRps() * LEADING_SHARE / 4;
+    return writes.credit() >= settings.stateFloor().writeRps() * LEADING_SHARE * WRITE_BURST_S / 2;
   }
 
   /** Ends a turn of {@code least} changes that wrote {@code made}. */
