--- a/src/main/java/io/embernotch/plan/Planner.java
+++ b/src/main/java/io/embernotch/plan/Planner.java
@@ -205,7 +205,7 @@
     }
     boolean keepOff = keepsOffOrdinary(spec);
     int done = 0;
-    for (Slot s : slots.candidates(room, spec, s -> only.test(s) && zones.room(s.zone) > 0 && !(keepOff && dear(s)), score)) {
+    for (Slot s : slots.candidates(room, spec, s -> only.test(s) && zones.room(s.zone) > 0 && !(keepOff && dear(spec, s)), score)) {
       int n = Math.min(Math.min(s.count(spec, room == Room.FREEING), wanted - done), zones.room(s.zone));
       if (n > 0) {
         take(s, spec, n, zones);
@@ -260,16 +260,20 @@
     return spec.spot() && spec.shape() == Shape.ARRAY && market.spotToBeHad(spec);
   }
 
-  private static boolean dear(Slot s) {
-    return !s.spot && !s.pinned;
+  private static boolean dear(JobSpec spec, Slot s) {
+    return !s.spot && !s.paidFor(spec);
   }
 
   /** Seconds of delay, with what else speaks against a machine put in seconds as well. */
   private static double score(JobSpec spec, Slot s, Zones zones) {
     double score = s.fetchS(spec) - PACK_S * s.used();
     if (spec.spot() && !s.spot) {
-      // Room beside a service is paid for already; any other ordinary machine is dearer than spot.
-      score += s.pinned ? -PACK_S : PACK_S / 2;
+      // Room beside a service is paid for already, and not lost to a reclaim; any other ordinary machine is dearer than spot.
+      score += s.paidFor(spec) ? -PACK_S : PACK_S / 2;
+    }
+    if (spec.gpus() <= 0 && s.type.gpus() > 0) {
+      // What needs no GPU goes where GPUs are taken, and leaves alone what they need to be of use.
+      score += PACK_S * (s.gpus / s.type.gpus() - (s.gpusTaken() ? 1 : 0));
     }
     if (spec.spread()) {
       score += PACK_S * zones.in(s.zone) / Math.max(1, spec.tasks());
--- a/src/main/java/io/embernotch/plan/Slot.java
+++ b/src/main/java/io/embernotch/plan/Slot.java
@@ -72,9 +72,20 @@
 
   /** Nothing more can go there whatever it is. */
   boolean full() {
-    return cpus + freeingCpus <= EPS
-        || mem + freeingMem <= EPS
-        || (type.gpus() > 0 && gpus + freeingGpus <= EPS);
+    return cpus + freeingCpus <= EPS || mem + freeingMem <= EPS;
+  }
+
+  /** Only what needs no GPU can go there. */
+  boolean gpusTaken() {
+    return type.gpus() > 0 && gpus + freeingGpus <= EPS;
+  }
+
+  /**
+   * What this job would use there is paid for already: beside work that may not run on spot machines,
+   * or beside work that has taken all GPUs.
+   */
+  boolean paidFor(JobSpec j) {
+    return pinned || (j.gpus() <= 0 && gpusTaken());
   }
 
   /** How many such tasks have room now, or once what is being stopped has ended. */
--- a/src/main/java/io/embernotch/plan/Slots.java
+++ b/src/main/java/io/embernotch/plan/Slots.java
@@ -14,7 +14,8 @@
 
 /**
  * All machines of a plan. Those without any room are kept out of the way: on a busy fleet they are
- * nearly all, and looking at them again for each job made a plan cost machines times tasks.
+ * nearly all, and looking at them again for each job made a plan cost machines times tasks. For the
+ * same reason machines whose GPUs are all taken are shown only to jobs that need none.
  */
 final class Slots {
   /** Room that a task can be given. */
@@ -31,6 +32,8 @@
 
   private final List<Slot> all = new ArrayList<>();
   private final List<Slot> ready = new ArrayList<>();
+  /** Machines that are up and have room, but no GPU. */
+  private final List<Slot> bare = new ArrayList<>();
   private final List<Slot> coming = new ArrayList<>();
   private final List<Slot> fresh = new ArrayList<>();
   private final Map<String, Integer> inZone = new HashMap<>();
@@ -39,7 +42,11 @@
     all.add(s);
     inZone.merge(s.zone, 1, Integer::sum);
     if (!s.full()) {
-      open(s).add(s);
+      if (!s.gpusTaken()) {
+        open(s).add(s);
+      } else if (s.kind == Slot.Kind.READY) {
+        bare.add(s);
+      }
     }
   }
 
@@ -77,6 +84,7 @@
   /** A slot may have room again, since something there is to be stopped. */
   void reopen(Slot s) {
     if (!ready.contains(s)) {
+      bare.remove(s);
       ready.add(s);
     }
   }
@@ -88,16 +96,36 @@
   /** Slots with such room for this job, best first. */
   List<Slot> candidates(Room room, JobSpec spec, Predicate<Slot> allowed, ToDoubleFunction<Slot> score) {
     List<Slot> from = open(room);
-    from.removeIf(Slot::full);
+    from.removeIf(this::filledUp);
     List<Slot> out = new ArrayList<>();
+    if (spec.gpus() <= 0 && from == ready) {
+      bare.removeIf(Slot::full);
+      add(bare, out, room, spec, allowed, score);
+    }
+    add(from, out, room, spec, allowed, score);
+    out.sort(Comparator.comparingDouble(s -> s.score));
+    return out;
+  }
+
+  private boolean filledUp(Slot s) {
+    if (s.full()) {
+      return true;
+    }
+    if (s.gpusTaken() && s.kind == Slot.Kind.READY) {
+      bare.add(s);
+      return true;
+    }
+    return s.gpusTaken();
+  }
+
+  private static void add(
+      List<Slot> from, List<Slot> out, Room room, JobSpec spec, Predicate<Slot> allowed, ToDoubleFunction<Slot> score) {
     for (Slot s : from) {
       if (s.count(spec, room == Room.FREEING) > 0 && s.allows(spec) && allowed.test(s)) {
         s.score = score.applyAsDouble(s);
         out.add(s);
       }
     }
-    out.sort(Comparator.comparingDouble(s -> s.score));
-    return out;
   }
 
   static Slot slot(Machine m, double now) {
--- a/src/test/java/io/embernotch/plan/PlannerTest.java
+++ b/src/test/java/io/embernotch/plan/PlannerTest.java
@@ -10,6 +10,7 @@
 import io.embernotch.model.JobSpec;
 import io.embernotch.model.Machine;
 import io.embernotch.model.MachineType;
+import io.embernotch.model.Priority;
 import io.embernotch.settings.OperatorSettings;
 import io.embernotch.settings.SettingsReader;
 import io.embernotch.testkit.World;
@@ -196,4 +197,56 @@
     add(job("j-3", "array", 6));
     assertThat(plan().buys).hasSize(1);
   }
+
+  private static String small(String ref, int tasks) {
+    return job(ref, "array", tasks).replace("\"cards\":1.0", "\"cards\":0.0").replace("\"cores\":4.0", "\"cores\":2.0")
+        .replace("\"mem_gb\":20.0", "\"mem_gb\":4.0");
+  }
+
+  /** They once went where GPUs were free, and took the CPUs without which those are of no use. */
+  @Test
+  void whatNeedsNoGpuGoesWhereAllAreTakenAndOnlyThenElsewhere() {
+    Machine taken = machine("n-1", false);
+    Job gang = add(gang("j-1"));
+    run(gang, 0, taken);
+    Machine spot = machine("n-2", true);
+    add(small("j-2", 4));
+    Plan p = plan();
+    assertThat(p.starts).hasSize(1);
+    assertThat(p.starts.get(0).placements()).hasSize(4).allMatch(x -> x.machine() == taken);
+    assertThat(p.buys).isEmpty();
+    // The gang takes 4 CPUs here, so 22 such tasks have room beside it.
+    jobs.remove(1);
+    add(small("j-3", 30));
+    p = plan();
+    assertThat(p.starts.get(0).placements().stream().filter(x -> x.machine() == taken)).hasSize(22);
+    assertThat(p.starts.get(0).placements().stream().filter(x -> x.machine() == spot)).hasSize(8);
+  }
+
+  @Test
+  void anInheritedRankAndTheEarliestLatestStartComeFirst() {
+    full = true;
+    spotFull = true;
+    machine("n-1", true);
+    // Nine tasks each: none is within the team's guarantee, which would come first.
+    add(job("j-1", "array", 9));
+    Job early = add(job("j-2", "array", 9));
+    early.startByMs = 5;
+    Job high = add(job("j-3", "array", 9));
+    high.rank = Priority.HIGH;
+    Job waiting = add(job("j-4", "array", 9));
+    waiting.rank = Priority.HIGH;
+    waiting.waitingFor.add("j-1");
+    List<String> order = new ArrayList<>();
+    for (int i = 0; i < 3; i++) {
+      Plan p = plan();
+      assertThat(p.starts).hasSize(1);
+      Job next = p.starts.get(0).job();
+      order.add(next.spec.ref());
+      jobs.remove(next);
+    }
+    assertThat(order).containsExactly("j-3", "j-2", "j-1");
+    assertThat(jobs).containsExactly(waiting);
+    assertThat(plan().starts).isEmpty();
+  }
 }
