--- a/src/main/java/io/embernotch/plan/Planner.java
+++ b/src/main/java/io/embernotch/plan/Planner.java
@@ -40,7 +40,6 @@
   private Market market;
   private Preemption preemption;
   private Queueing queueing;
-  private Lending lending;
   private Plan plan;
   /** Slots that may be filled at present. */
   private Predicate<Slot> only = s -> true;
@@ -70,14 +69,12 @@
     preemption = new Preemption(slots, plan, now);
     queueing = new Queueing(jobs, types);
     List<Job> order = inOrder(jobs);
-    lending = null;
     int live = 0;
     while (live < order.size() && order.get(live).spec.priority() == Priority.PRODUCTION) {
       place(order.get(live++));
     }
     // Room for the next live service goes before all other work, or that would fill it.
     headroom.stream().filter(h -> h.like().priority() == Priority.PRODUCTION).forEach(this::keepFree);
-    lending = new Lending(slots, headroom, order.subList(live, order.size()));
     order.subList(live, order.size()).forEach(this::place);
     headroom.stream().filter(h -> h.like().priority() != Priority.PRODUCTION).forEach(this::keepFree);
     market.collect(plan);
@@ -149,7 +146,6 @@
       claimed = bringBack(spec, tasks.size(), zones, start);
     }
     fill(spec, Room.NOW, tasks.size() - next[0] - claimed, zones, start);
-    borrow(spec, tasks.size() - next[0] - claimed, zones, start);
     int placed = next[0];
     claimed += claimLater(spec, tasks.size() - placed - claimed, zones, true);
     usage.take(spec, placed + claimed);
@@ -202,23 +198,6 @@
     return fill(spec, room, wanted, zones, s -> score(spec, s, zones), taken);
   }
 
-  /** Short tasks without room take idle ordinary machines that are kept for others, as far as these are lent. */
-  private void borrow(JobSpec spec, int wanted, Zones zones, Taken start) {
-    if (wanted <= 0 || lending == null || !lending.any() || !spec.spot() || !queueing.shorterThanBoot(spec)) {
-      return;
-    }
-    int left = wanted;
-    for (Slot s : slots.candidates(Room.NOW, spec, s -> lending.lends(s) && zones.room(s.zone) > 0, s -> score(spec, s, zones))) {
-      int n = Math.min(Math.min(s.count(spec, false), left), zones.room(s.zone));
-      if (n > 0 && lending.lends(s)) {
-        lending.lend();
-        take(s, spec, n, zones);
-        start.by(s, n);
-        left -= n;
-      }
-    }
-  }
-
   private int fill(
       JobSpec spec, Room room, int wanted, Zones zones, ToDoubleFunction<Slot> score, Taken taken) {
     if (wanted <= 0) {
@@ -396,12 +375,11 @@
     Zones anywhere = Zones.anywhere();
     // Nobody knows the next job's image, so machines that have many are kept, and young ones returned.
     ToDoubleFunction<Slot> score = s -> -PACK_S * s.used() - (s.machine == null ? 0 : s.machine.images.size());
-    int wanted = h.count() - (lending == null ? 0 : lending.comingBack(h));
-    int now = fill(h.like(), Room.NOW, wanted, anywhere, score, (s, n) -> {});
+    int now = fill(h.like(), Room.NOW, h.count(), anywhere, score, (s, n) -> {});
     if (h.like().shape() == Shape.GANG) {
-      now += fill(h.like(), Room.FREEING, wanted - now, anywhere, score, (s, n) -> {});
+      now += fill(h.like(), Room.FREEING, h.count() - now, anywhere, score, (s, n) -> {});
     }
-    claimNew(h.like(), wanted - now, anywhere);
+    claimNew(h.like(), h.count() - now, anywhere);
   }
 
   private void collectReturns() {
--- a/src/main/java/io/embernotch/plan/Queueing.java
+++ b/src/main/java/io/embernotch/plan/Queueing.java
@@ -66,11 +66,6 @@
     return k.pending > k.placed * Math.min(1, bootS(spec) / k.meanS());
   }
 
-  /** Tasks of its class end sooner than a machine boots. */
-  boolean shorterThanBoot(JobSpec spec) {
-    return depth(spec) > 1;
-  }
-
   private int depth(JobSpec spec) {
     Kind k = kinds.get(spec.jobClass());
     if (spec.shape() != Shape.ARRAY || k == null || k.expectS <= 0) {
--- a/src/test/java/io/embernotch/plan/PlannerTest.java
+++ b/src/test/java/io/embernotch/plan/PlannerTest.java
@@ -249,24 +249,4 @@
     assertThat(jobs).containsExactly(waiting);
     assertThat(plan().starts).isEmpty();
   }
-
-  /** Idle machines were kept for gangs to come while arrays waited a minute for machines of their own. */
-  @Test
-  void halfOfWhatIsKeptForGangsIsLentToTasksThatEndSoonerThanAMachineBoots() {
-    for (int i = 1; i <= 6; i++) {
-      machine("n-" + i, false);
-    }
-    JobSpec gang = JobCodec.read(Json.parseObject(gang("j-9").getBytes()));
-    List<Fleet.Headroom> kept = List.of(new Fleet.Headroom(gang, 6));
-    add(job("j-1", "array", 48).replace("\"owner\":\"red\"", "\"owner\":\"blue\""));
-    Plan p = planner.plan(1000, jobs, machines, Map.of("g8", G8), (t, z, s) -> full, List.of(), kept);
-    assertThat(p.starts.get(0).placements().stream().map(x -> x.machine()).distinct()).hasSize(3);
-    // What is lent comes back, so nothing is rented in its place for gangs that may come.
-    assertThat(p.buys).allMatch(Plan.Buy::spot);
-    // Tasks that run longer than a machine boots have machines of their own rented.
-    jobs.clear();
-    add(job("j-2", "array", 48).replace("\"owner\":\"red\"", "\"owner\":\"blue\"").replace("\"expect_s\":30.0", "\"expect_s\":90.0"));
-    p = planner.plan(1000, jobs, machines, Map.of("g8", G8), (t, z, s) -> full, List.of(), kept);
-    assertThat(p.starts).isEmpty();
-  }
 }
