--- a/src/main/java/io/embernotch/steward/Awaited.java
+++ b/src/main/java/io/embernotch/steward/Awaited.java
@@ -5,9 +5,9 @@
 import io.embernotch.model.Shape;
 import io.vertx.core.Future;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 
 /**
  * Checks the jobs that a submission names. That one was never accepted only the store can tell; that
@@ -18,15 +18,7 @@
 
   private final Env env;
   /** Accepted jobs, and whether they are services. */
-  private final Map<String, Boolean> accepted =
-      new LinkedHashMap<>(64, 0.75f, true) {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
-          return size() > MOST;
-        }
-      };
+  private final Map<String, Boolean> accepted = new Recent<>(MOST);
 
   Awaited(Env env) {
     this.env = env;
@@ -47,7 +39,7 @@
       Boolean known = accepted.get(ref);
       all.add(known != null ? Future.succeededFuture(complaint(ref, known)) : read(ref));
     }
-    return Future.all(all).map(f -> all.stream().map(Future::result).filter(c -> c != null).findFirst().orElse(null));
+    return Future.all(all).map(f -> all.stream().map(Future::result).filter(Objects::nonNull).findFirst().orElse(null));
   }
 
   private Future<String> read(String ref) {
--- a/src/main/java/io/embernotch/steward/Chains.java
+++ b/src/main/java/io/embernotch/steward/Chains.java
@@ -226,5 +226,4 @@
     }
     return n;
   }
-
 }
--- a/src/main/java/io/embernotch/steward/EndedCache.java
+++ b/src/main/java/io/embernotch/steward/EndedCache.java
@@ -3,7 +3,6 @@
 import io.embernotch.codec.JobCodec;
 import io.embernotch.http.Answer;
 import io.embernotch.model.Phase;
-import java.util.LinkedHashMap;
 import java.util.Map;
 
 /** Ends that are known to be in the store; they never change, so any node may repeat them. */
@@ -12,15 +11,7 @@
 
   private record End(Phase phase, int done) {}
 
-  private final Map<String, End> ends =
-      new LinkedHashMap<>(64, 0.75f, true) {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, End> eldest) {
-          return size() > MOST;
-        }
-      };
+  private final Map<String, End> ends = new Recent<>(MOST);
 
   void put(String ref, Phase phase, int done) {
     ends.put(ref, new End(phase, done));
--- /dev/null
+++ b/src/main/java/io/embernotch/steward/Recent.java
@@ -0,0 +1,20 @@
+package io.embernotch.steward;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** What was used most recently, up to a number of entries. */
+final class Recent<K, V> extends LinkedHashMap<K, V> {
+  private static final long serialVersionUID = 1L;
+  private final int most;
+
+  Recent(int most) {
+    super(64, 0.75f, true);
+    this.most = most;
+  }
+
+  @Override
+  protected boolean removeEldestEntry(Map.Entry<K, V> eldest) {
+    return size() > most;
+  }
+}
--- a/src/test/java/io/embernotch/steward/UpgradeTest.java
+++ b/src/test/java/io/embernotch/steward/UpgradeTest.java
@@ -67,6 +67,21 @@
     assertThat(world.phase(0, "j-5")).isEqualTo("cancelled");
   }
 
+  @Test
+  void aStewardOfTheFormerVersionMayGoInTheMiddleOfStarts() {
+    String name = world.boot("g8", "z1", true);
+    world.pass(6);
+    // Two starts are written, of which no command left or none arrived; one is on a machine that is gone.
+    left("j-1", 3, "{\"next\":6,\"open\":[[0,5,\"" + name + "\",\"z1\"],[1,5,\"" + name + "\",\"z1\"],[2,5,\"n-999999\",\"z1\"]]}");
+    Node old = world.steward();
+    old.kill();
+    world.pass(12);
+    assertThat(world.running("j-1")).containsOnlyKeys("j-1/0", "j-1/1");
+    // What was on the machine that is gone starts elsewhere only when its lease must be over.
+    world.pass(45);
+    assertThat(world.running("j-1")).hasSize(3);
+  }
+
   /** The demands of the former version's reader, which dies of a key or a value that it cannot read. */
   @Test
   void whatIsWrittenWhileTheLimitsAreAsBeforeTheFormerVersionReads() {
