--- a/src/test/java/io/embernotch/steward/ChainsTest.java
+++ b/src/test/java/io/embernotch/steward/ChainsTest.java
@@ -11,6 +11,8 @@
 import io.embernotch.testkit.World.Node;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Jobs that wait for others: nothing starts too early, and no job is left behind a cancelled one. */
 class ChainsTest {
@@ -188,6 +190,29 @@
     }
   }
 
+  /** The end of the first job is in the store in any case; how many of the others are is left to chance. */
+  @ParameterizedTest
+  @ValueSource(doubles = {0, 0.01, 0.05, 0.2, 1})
+  void noStepOfACascadeIsLostWithItsSteward(double afterS) {
+    Node old = settle();
+    accept(0, job("j-0", "array", 1));
+    for (int i = 1; i <= 60; i++) {
+      accept(i % 3, after("j-" + i, 1, "j-" + i / 2, "j-" + i / 3));
+    }
+    world.pass(10);
+    assertThat(world.abort(old.index, "j-0").status()).isEqualTo(200);
+    world.time.pass(afterS);
+    old.kill();
+    // One that names them comes while nobody leads.
+    Node left = other(old);
+    assertThat(world.submit(left.index, after("j-99", 1, "j-60")).status()).isIn(200, 201);
+    world.pass(30);
+    for (int i = 1; i <= 60; i++) {
+      assertThat(world.phase(left.index, "j-" + i)).isEqualTo("cancelled");
+    }
+    assertThat(world.phase(left.index, "j-99")).isEqualTo("cancelled");
+  }
+
   @Test
   void someHundredCancelledJobsAreWrittenInTimeUnderLoweredLimits() {
     World low = World.lowering();
--- a/src/test/java/io/embernotch/steward/UpgradeTest.java
+++ b/src/test/java/io/embernotch/steward/UpgradeTest.java
@@ -117,6 +117,21 @@
     assertThat(Json.bytes(world.state.value("run/j-1")).length).isGreaterThan(1024);
   }
 
+  @Test
+  void aDescriptionAcceptedUnderLargerLimitsIsKnownForGood() {
+    String large = job("j-1", "array", 1).replace("\"img\"", "\"" + "i".repeat(450) + "\"").replace("\"c\"", "\"" + "c".repeat(450) + "\"");
+    world.state.plant("job/j-1", "{\"at\":900000,\"piece\":" + OLD_PIECE + ",\"job\":" + large + "}");
+    settle();
+    lower();
+    for (int n = 0; n < 3; n++) {
+      assertThat(world.submit(n, large).status()).isEqualTo(200);
+      // A new one of that size would not fit the lower limits: its user is told at once.
+      assertThat(world.submit(n, large.replace("j-1", "j-2")).status()).isEqualTo(400);
+    }
+    world.pass(12);
+    assertThat(world.running("j-1")).hasSize(1);
+  }
+
   @Test
   void newJobsFitTheLowerLimitsFromTheStart() {
     settle();
