--- a/src/main/java/io/embernotch/steward/Steward.java
+++ b/src/main/java/io/embernotch/steward/Steward.java
@@ -83,6 +83,8 @@
   private boolean loaded;
   private boolean stopped;
   private boolean planArmed;
+  /** A job has been let go, and a plan is to be made in this turn. */
+  private boolean planAsked;
   private double plannedAt = -1e9;
   private double planTookS;
   private long planned;
@@ -276,7 +278,11 @@
     @Override
     public void released(Job job) {
       demand.seen(job.spec, env.clock().now());
-      planSoon();
+      // In the turn of the commit's answer, whatever the pace of plans: few jobs are let go in a second.
+      if (!planAsked) {
+        planAsked = true;
+        tell(new StewardMessage.MakePlan());
+      }
     }
 
     @Override
@@ -549,6 +555,7 @@
 
   private void makePlan() {
     planArmed = false;
+    planAsked = false;
     double now = env.clock().now();
     if (!host.live() || (!fleet.listedOnce() && now - acquiredAt < env.settings().workers().reportS() && ledger.machines.isEmpty())) {
       return;
