Controllers pass workers' reports on to the steward; workers stay where they are

Change: a controller that is not steward passes reports on as frames (`Reception`), several to a packet, and the answers back. While no steward is known, workers get an answer without a token; the next steward is handed what they last said. The key `steward` says that its holder takes such frames, so the former version is never sent one and its workers get 421 as before. A steward that does not answer for a quarter of the workers' lease has its workers sent straight to it. A machine that the cloud lists as running is given a report's time from then on, not from the takeover: one was returned in the second before its first report.

--- a/src/main/java/io/embernotch/model/Machine.java
+++ b/src/main/java/io/embernotch/model/Machine.java
@@ -19,8 +19,8 @@
   public double bornAt;
   /** Until then it is counted on to come up, or to find us. */
   public double countUntil;
-  /** The cloud lists it as running, though its worker may not have found us yet. */
-  public boolean wasUp;
+  /** When the cloud first listed it as running, though its worker may not have found us yet; below 0 if it has not. */
+  public double listedUpAt = -1;
   /** Last report of any age, and last one that we answered with 200; below 0 if none. */
   public double heardAt = -1;
   public double renewedAt = -1;
--- a/src/main/java/io/embernotch/peer/Frame.java
+++ b/src/main/java/io/embernotch/peer/Frame.java
@@ -1,5 +1,6 @@
 package io.embernotch.peer;
 
+import io.embernotch.model.WorkerReport;
 import io.embernotch.straggler.MachineView;
 import io.embernotch.straggler.Restart;
 import java.util.List;
@@ -35,6 +36,12 @@
   /** The machine is gone, or has moved to another part. */
   record Forget(long epoch, String machine) implements Frame {}
 
+  /**
+   * A worker's report, passed on to the steward; {@link Told} answers it, unless {@code id} is 0. Only
+   * a steward whose key says that it takes them may be sent one: the former version drops the connection.
+   */
+  record Report(long id, WorkerReport report) implements Frame {}
+
   /** The restarts that a round of the owner of a part proposes to the steward. */
   record Propose(String from, long epoch, List<Restart> restarts) implements Frame {}
 }
--- a/src/main/java/io/embernotch/peer/FrameCodec.java
+++ b/src/main/java/io/embernotch/peer/FrameCodec.java
@@ -1,6 +1,10 @@
 package io.embernotch.peer;
 
 import io.embernotch.codec.BadInput;
+import io.embernotch.model.Cause;
+import io.embernotch.model.TaskReport;
+import io.embernotch.model.TaskState;
+import io.embernotch.model.WorkerReport;
 import io.embernotch.straggler.MachineView;
 import io.embernotch.straggler.MachineView.TaskView;
 import io.embernotch.straggler.Restart;
@@ -29,6 +33,7 @@
   private static final byte PROPOSE = 7;
   private static final byte SUBMIT = 8;
   private static final byte IMAGES = 9;
+  private static final byte REPORT = 10;
 
   private FrameCodec() {}
 
@@ -73,6 +78,9 @@
       b.put(IMAGES).putLong(f.epoch());
       text(b, f.machine());
       texts(b, f.images());
+    } else if (frame instanceof Frame.Report f) {
+      b.put(REPORT).putLong(f.id());
+      report(b, f.report());
     } else if (frame instanceof Frame.Forget f) {
       b.put(FORGET).putLong(f.epoch());
       text(b, f.machine());
@@ -106,10 +114,11 @@
           switch (kind) {
             case BEAT -> new Frame.Beat(text(b), text(b), b.getLong(), flag(b));
             case JOB_CREATED -> new Frame.JobCreated(blob(b));
-            case ASK -> new Frame.Ask(b.getLong(), what(b.get()), text(b));
+            case ASK -> new Frame.Ask(b.getLong(), one(Frame.Ask.What.values(), b.get()), text(b));
             case SUBMIT -> new Frame.Submit(b.getLong(), blob(b));
             case TOLD -> new Frame.Told(b.getLong(), b.getShort(), b.getShort(), blob(b));
             case VIEW -> new Frame.View(b.getLong(), view(b));
+            case REPORT -> new Frame.Report(b.getLong(), report(b));
             case IMAGES -> new Frame.Images(b.getLong(), text(b), texts(b));
             case FORGET -> new Frame.Forget(b.getLong(), text(b));
             case PROPOSE -> new Frame.Propose(text(b), b.getLong(), restarts(b));
@@ -124,22 +133,59 @@
     }
   }
 
-  private static List<Restart> restarts(ByteBuffer b) {
-    List<Restart> out = new ArrayList<>();
+  private static void report(ByteBuffer b, WorkerReport r) {
+    text(b, r.machine());
+    text(b, r.address());
+    text(b, r.type());
+    text(b, r.zone());
+    flag(b, r.spot());
+    b.putLong(r.session()).putLong(r.seq()).putLong(r.token());
+    b.putDouble(r.recallS() == null ? -1 : r.recallS());
+    b.putShort((short) r.tasks().size());
+    for (TaskReport t : r.tasks()) {
+      text(b, t.ref());
+      b.putInt(t.task()).putLong(t.attempt()).put((byte) t.state().ordinal());
+      b.put((byte) (t.cause() == null ? -1 : t.cause().ordinal()));
+      flag(b, t.saved());
+    }
+  }
+
+  private static WorkerReport report(ByteBuffer b) {
+    String machine = text(b);
+    String address = text(b);
+    String type = text(b);
+    String zone = text(b);
+    boolean spot = flag(b);
+    long session = b.getLong();
+    long seq = b.getLong();
+    long token = b.getLong();
+    double recall = b.getDouble();
+    List<TaskReport> tasks = new ArrayList<>();
     for (int n = b.getShort() & MAX_COUNT; n > 0; n--) {
-      out.add(new Restart(text(b), b.getInt(), b.getLong(), text(b), b.getDouble()));
+      tasks.add(new TaskReport(text(b), b.getInt(), b.getLong(), one(TaskState.values(), b.get()), cause(b.get()), flag(b)));
     }
-    return out;
+    return new WorkerReport(machine, address, type, zone, spot, session, seq, token, recall < 0 ? null : recall, tasks);
+  }
+
+  private static Cause cause(byte b) {
+    return b < 0 ? null : one(Cause.values(), b);
   }
 
-  private static Frame.Ask.What what(byte b) {
-    Frame.Ask.What[] all = Frame.Ask.What.values();
+  private static <T> T one(T[] all, byte b) {
     if (b < 0 || b >= all.length) {
-      throw new BadInput("unknown request " + b);
+      throw new BadInput("unknown value " + b);
     }
     return all[b];
   }
 
+  private static List<Restart> restarts(ByteBuffer b) {
+    List<Restart> out = new ArrayList<>();
+    for (int n = b.getShort() & MAX_COUNT; n > 0; n--) {
+      out.add(new Restart(text(b), b.getInt(), b.getLong(), text(b), b.getDouble()));
+    }
+    return out;
+  }
+
   private static void view(ByteBuffer b, MachineView v) {
     text(b, v.machine());
     text(b, v.type());
--- a/src/main/java/io/embernotch/peer/VertxPeerLink.java
+++ b/src/main/java/io/embernotch/peer/VertxPeerLink.java
@@ -58,7 +58,7 @@
   public void send(String node, Frame frame) {
     Outgoing out = outgoing.get(node);
     if (out != null && out.socket != null) {
-      write(out.socket, frame);
+      out.outbox.add(frame);
     }
   }
 
@@ -70,8 +70,9 @@
     }
   }
 
-  private void attach(NetSocket socket) {
-    FrameReader reader = new FrameReader(f -> handler.accept(f, reply -> write(socket, reply)));
+  private Outbox attach(NetSocket socket) {
+    Outbox out = new Outbox(socket);
+    FrameReader reader = new FrameReader(f -> handler.accept(f, out::add));
     socket.handler(
         bytes -> {
           try {
@@ -82,18 +83,41 @@
           }
         });
     socket.exceptionHandler(e -> LOG.debug("connection to a controller failed: {}", e.getMessage()));
+    return out;
   }
 
-  private static void write(NetSocket socket, Frame frame) {
-    // A peer that does not read must not fill our memory: frames are dropped, and repeated later.
-    if (!socket.writeQueueFull()) {
-      socket.write(Buffer.buffer(FrameCodec.encode(frame)));
+  /** Gathers the frames of one turn of the loop, so that passed-on reports share packets and system calls. */
+  private static final class Outbox {
+    private final NetSocket socket;
+    private Buffer gathered;
+
+    Outbox(NetSocket socket) {
+      this.socket = socket;
+    }
+
+    void add(Frame frame) {
+      // A peer that does not read must not fill our memory: frames are dropped, and repeated later.
+      if (socket.writeQueueFull()) {
+        return;
+      }
+      if (gathered == null) {
+        gathered = Buffer.buffer();
+        Vertx.currentContext().runOnContext(v -> flush());
+      }
+      gathered.appendBytes(FrameCodec.encode(frame));
+    }
+
+    private void flush() {
+      Buffer all = gathered;
+      gathered = null;
+      socket.write(all);
     }
   }
 
   private final class Outgoing {
     final HostPort address;
     NetSocket socket;
+    Outbox outbox;
 
     Outgoing(HostPort address) {
       this.address = address;
@@ -105,7 +129,7 @@
           .onSuccess(
               s -> {
                 socket = s;
-                attach(s);
+                outbox = attach(s);
                 s.closeHandler(
                     v -> {
                       socket = null;
--- a/src/main/java/io/embernotch/steward/Controller.java
+++ b/src/main/java/io/embernotch/steward/Controller.java
@@ -38,10 +38,9 @@
 import org.slf4j.LoggerFactory;
 
 /** One controller: takes in what users and workers send, and is steward whenever it holds the key. */
-public final class Controller implements Door, Election.Listener, Steward.Host, Submissions.Host {
+public final class Controller implements Door, Election.Listener, Steward.Host, Submissions.Host, Reception.Host {
   private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
   private static final String TYPES = "types";
-  private static final int MISDIRECTED = 421;
 
   private final Env env;
   private final Settings settings;
@@ -57,6 +56,7 @@
   private final Pacer polls;
   private final Map<String, MachineType> types = new LinkedHashMap<>();
   private final ImageNews images = new ImageNews();
+  private final Reception reception;
   private final EndedCache ended = new EndedCache();
   private final Map<Long, Promise<Answer>> asked = new HashMap<>();
   private long nextAsk = 1;
@@ -80,6 +80,7 @@
             env.clock(), env.timers(), Math.max(1, settings.quota().maxConnections() / settings.workers().reportS()), 1);
     this.stored = new StoredStatus(env, ended);
     this.submissions = new Submissions(env, types, pieceSize, this);
+    this.reception = new Reception(env, this);
   }
 
   public void start() {
@@ -252,23 +253,31 @@
 
   @Override
   public Future<Answer> report(WorkerReport report) {
-    if (steward == null) {
-      return answer(misdirected());
-    }
-    if (election.unprovenForS() > settings.holdS()) {
+    return steward == null ? reception.report(report) : own(report);
+  }
+
+  private Future<Answer> own(WorkerReport report) {
+    if (steward == null || election.unprovenForS() > settings.holdS()) {
       return answer(Answer.later("leadership is not proven"));
     }
     Promise<byte[]> reply = Promise.promise();
     steward.tell(new StewardMessage.Report(report, reply));
-    return reply.future().map(b -> b == null ? misdirected() : Answer.of(200, b));
+    return reply.future().map(b -> b == null ? Reception.misdirected(null) : Answer.of(200, b));
   }
 
-  private Answer misdirected() {
-    ObjectNode o = Json.object();
-    if (stewardNode != null && !stewardNode.equals(settings.node())) {
-      o.put("steward", stewardNode);
-    }
-    return Answer.of(MISDIRECTED, Json.bytes(o));
+  @Override
+  public Future<Answer> ask(String node, LongFunction<Frame> question, double withinS) {
+    return askPeer(node, question, withinS);
+  }
+
+  @Override
+  public void send(String node, Frame frame) {
+    peers.send(node, frame);
+  }
+
+  @Override
+  public boolean badlyPlaced() {
+    return env.store().failingForS() > 0 && (alive.live().isEmpty() || alive.firstWithState() != null);
   }
 
   // ---- leadership
@@ -277,6 +286,7 @@
   public void acquired(long epoch) {
     env.store().leading(true);
     steward = new Steward(env, this, epoch, types.values());
+    reception.recent().forEach(r -> steward.tell(new StewardMessage.Heard(r)));
     steward.start();
     sendBeats();
   }
@@ -289,12 +299,14 @@
       steward = null;
     }
     stewardNode = null;
+    reception.stewardIs(null, 0, false);
   }
 
   @Override
-  public void stewardIs(String node, long epoch) {
+  public void stewardIs(String node, long epoch, boolean relays) {
     stewardNode = node;
     stewardEpoch = epoch;
+    reception.stewardIs(node, epoch, relays);
   }
 
   @Override
@@ -373,6 +385,12 @@
       } else {
         reply.complete(Answer.later("not the steward"));
       }
+    } else if (frame instanceof Frame.Report f) {
+      if (f.id() != 0) {
+        own(f.report()).onSuccess(a -> back.send(new Frame.Told(f.id(), a.status(), a.retryAfterS(), a.body())));
+      } else if (steward != null) {
+        steward.tell(new StewardMessage.Heard(f.report()));
+      }
     } else if (frame instanceof Frame.Submit f) {
       submissions
           .passedOn(f.body())
@@ -403,6 +421,9 @@
       }
       stewardNode = f.node();
       stewardEpoch = f.stewardEpoch();
+      // Whether it takes reports stands in its key; without the store, workers go to it by themselves.
+      boolean willKnow = env.store().failingForS() == 0;
+      reception.stewardIs(willKnow ? null : f.node(), willKnow ? 0 : f.stewardEpoch(), false);
     }
   }
 
--- a/src/main/java/io/embernotch/steward/EarlyReports.java
+++ b/src/main/java/io/embernotch/steward/EarlyReports.java
@@ -1,6 +1,5 @@
 package io.embernotch.steward;
 
-import io.embernotch.codec.WorkerCodec;
 import io.embernotch.model.WorkerReport;
 import java.util.ArrayDeque;
 import java.util.LinkedHashMap;
@@ -20,10 +19,8 @@
 
   private final Map<String, WorkerReport> latest = new LinkedHashMap<>();
 
-  void add(StewardMessage.Report m) {
-    WorkerReport r = m.report();
+  void add(WorkerReport r) {
     latest.merge(r.machine(), r, (old, now) -> now.newerThan(old.session(), old.seq()) ? now : old);
-    m.reply().complete(WorkerCodec.stay());
   }
 
   /** Hands over the latest report of each machine, a slice a turn. */
--- a/src/main/java/io/embernotch/steward/Election.java
+++ b/src/main/java/io/embernotch/steward/Election.java
@@ -28,8 +28,8 @@
 
     void lost(String why);
 
-    /** The steward is {@code node} now, or nobody if null. */
-    void stewardIs(String node, long epoch);
+    /** The steward is {@code node} now, or nobody if null; whether it takes reports that others pass on. */
+    void stewardIs(String node, long epoch, boolean relays);
 
     /** True if another controller is better placed to contend, so that this one lets it go first. */
     boolean yieldFirst();
@@ -144,7 +144,7 @@
       return;
     }
     if (!entry.present()) {
-      listener.stewardIs(null, 0);
+      listener.stewardIs(null, 0, false);
       double wait = Math.max(avoidUntil - clock.now(), listener.yieldFirst() ? lifeS / 4 : 0);
       if (wait > 0) {
         // After the pause somebody else may have it, so look again rather than contend blindly.
@@ -161,7 +161,7 @@
       store.revoke(entry.value().path("permit").asLong()).onComplete(r -> timers.after(0.01, this::look));
       return;
     }
-    listener.stewardIs(holder, entry.stamp());
+    listener.stewardIs(holder, entry.stamp(), entry.value().path("relay").asBoolean());
     store.watch(KEY, entry.stamp(), 2 * lifeS).onComplete(r -> timers.after(r.failed() ? lifeS / 8 : 0.001, this::look));
   }
 
@@ -192,7 +192,7 @@
   }
 
   private void claim(long granted, double sentAt) {
-    ObjectNode value = Json.object().put("node", node).put("permit", granted);
+    ObjectNode value = Json.object().put("node", node).put("permit", granted).put("relay", true);
     store
         .commit(new Txn().when(KEY, 0).write(KEY, value, granted), Rank.URGENT)
         .onSuccess(
@@ -242,7 +242,7 @@
     epoch = stamp;
     provenUntil = sentAt + lifeS * (1 - Settings.DRIFT);
     LOG.info("steward since epoch {}", epoch);
-    listener.stewardIs(node, epoch);
+    listener.stewardIs(node, epoch, true);
     listener.acquired(epoch);
     timers.after(lifeS / 3, () -> renew(granted));
   }
--- a/src/main/java/io/embernotch/steward/FleetKeeper.java
+++ b/src/main/java/io/embernotch/steward/FleetKeeper.java
@@ -241,7 +241,7 @@
         m.countUntil = Math.max(m.countUntil, Math.max(findUs, m.bornAt + boot));
       }
       if (l.phase().equals("running")) {
-        m.wasUp = true;
+        m.listedUpAt = m.listedUpAt < 0 ? now : m.listedUpAt;
         find(m);
       }
       if (l.phase().equals("failed") && !m.failed) {
@@ -284,10 +284,11 @@
   /**
    * When the machine last gave a sign of life. One that ran under an earlier steward is given a
    * report's time-out longer to find us; before, such a machine was taken for a booting one, and
-   * its services stayed down until its lease and the old steward's hold were over.
+   * its services stayed down until its lease and the old steward's hold were over. One that has only
+   * just come up is given the same time: it was once returned in the second before its first report.
    */
   private double lastSign(Machine m) {
-    return m.up() ? m.heardAt : startedAt + env.settings().workers().reportS();
+    return m.up() ? m.heardAt : Math.max(startedAt, m.listedUpAt) + env.settings().workers().reportS();
   }
 
   /**
@@ -300,7 +301,7 @@
     List<Machine> silent = new ArrayList<>();
     int up = 0;
     for (Machine m : ledger.machines.values()) {
-      if (m.deleting || !(m.up() || m.wasUp || !m.open.isEmpty())) {
+      if (m.deleting || !(m.up() || m.listedUpAt >= 0 || !m.open.isEmpty())) {
         continue;
       }
       up++;
--- /dev/null
+++ b/src/main/java/io/embernotch/steward/Reception.java
@@ -0,0 +1,156 @@
+package io.embernotch.steward;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.embernotch.codec.Json;
+import io.embernotch.codec.WorkerCodec;
+import io.embernotch.http.Answer;
+import io.embernotch.model.WorkerReport;
+import io.embernotch.peer.Frame;
+import io.vertx.core.Future;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.function.LongFunction;
+
+/**
+ * What a controller that is not steward does with the workers that report to it: it passes their
+ * reports on to the steward, and its answers back. So workers stay where they are when the steward
+ * changes. When all of them reported to the steward itself, a thousand connected to its successor at
+ * once, and a fifth of a core took up to 30 s to get over that.
+ *
+ * <p>While no steward is known, workers are told to stay. The next one is handed what they last said,
+ * so that it knows its machines before their next reports.
+ */
+final class Reception {
+  private static final int MISDIRECTED = 421;
+
+  /** Reports handed to a new steward in one turn: more would not fit the connection's queue. */
+  private static final int SLICE = 48;
+
+  /** What is needed of the controller. */
+  interface Host {
+    /** Asks another controller; 503 if it does not answer in time. */
+    Future<Answer> ask(String node, LongFunction<Frame> question, double withinS);
+
+    void send(String node, Frame frame);
+
+    /** The state service answers another controller, and not this one. */
+    boolean badlyPlaced();
+  }
+
+  private record Last(WorkerReport report, double at) {}
+
+  private final Env env;
+  private final Host host;
+  private final double withinS;
+  /** So long a steward that does not answer is waited for. */
+  private final double patienceS;
+  private final Map<String, Last> last;
+  private String steward;
+  private long epoch;
+  private boolean relays;
+  private double changedAt;
+  /** The first report passed on since the steward last answered one; below 0 if there is none. */
+  private double unansweredSince = -1;
+  private double tryAt;
+
+  Reception(Env env, Host host) {
+    this.env = env;
+    this.host = host;
+    // A worker waits four seconds, whatever the report period; less than one must do here.
+    this.withinS = Math.min(3, env.settings().workers().reportS() * 0.4);
+    this.patienceS = env.settings().workers().leaseS() / 4;
+    this.last = new Recent<>(env.settings().quota().maxConnections());
+    this.changedAt = env.clock().now();
+  }
+
+  /** Another steward is known, or none. {@code takesReports} tells of a version that is passed reports. */
+  void stewardIs(String node, long newEpoch, boolean takesReports) {
+    boolean same = Objects.equals(node, steward) && newEpoch == epoch;
+    if (same && takesReports == relays) {
+      return;
+    }
+    if (!same) {
+      changedAt = env.clock().now();
+      unansweredSince = -1;
+    }
+    steward = node;
+    epoch = newEpoch;
+    relays = takesReports;
+    if (node != null && takesReports && !node.equals(env.settings().node())) {
+      List<WorkerReport> news = recent();
+      handOver(news, 0, newEpoch);
+    }
+  }
+
+  /** What workers said within a report period or so. */
+  List<WorkerReport> recent() {
+    List<WorkerReport> out = new ArrayList<>();
+    double since = env.clock().now() - 1.5 * env.settings().workers().reportS();
+    for (Last l : last.values()) {
+      if (l.at >= since) {
+        out.add(l.report);
+      }
+    }
+    return out;
+  }
+
+  private void handOver(List<WorkerReport> reports, int from, long to) {
+    if (epoch != to) {
+      return;
+    }
+    int end = Math.min(reports.size(), from + SLICE);
+    for (WorkerReport r : reports.subList(from, end)) {
+      host.send(steward, new Frame.Report(0, r));
+    }
+    if (end < reports.size()) {
+      env.timers().after(env.settings().workers().reportS() / 200, () -> handOver(reports, end, to));
+    }
+  }
+
+  /** A worker reports to this controller while another one, or none, is steward. */
+  Future<Answer> report(WorkerReport r) {
+    double now = env.clock().now();
+    last.put(r.machine(), new Last(r, now));
+    if (steward == null) {
+      // Elsewhere a steward may be known: a node that is cut off must not keep its workers.
+      boolean leave = now - changedAt > patienceS && host.badlyPlaced();
+      return Future.succeededFuture(leave ? misdirected(null) : stay());
+    }
+    boolean deaf = unansweredSince >= 0 && now - unansweredSince > patienceS;
+    if (!relays || (deaf && now < tryAt)) {
+      return Future.succeededFuture(misdirected(steward));
+    }
+    if (deaf) {
+      // Once in a while one report tells whether the steward answers again.
+      tryAt = now + patienceS / 2;
+    }
+    unansweredSince = unansweredSince < 0 ? now : unansweredSince;
+    long to = epoch;
+    return host.ask(steward, id -> new Frame.Report(id, r), withinS)
+        .map(
+            a -> {
+              if (a.status() == 503) {
+                return stay();
+              }
+              if (to == epoch) {
+                unansweredSince = -1;
+              }
+              return a;
+            });
+  }
+
+  private static Answer stay() {
+    return Answer.of(200, WorkerCodec.stay());
+  }
+
+  /** Names the steward to a worker, or nobody. */
+  static Answer misdirected(String steward) {
+    ObjectNode o = Json.object();
+    if (steward != null) {
+      o.put("steward", steward);
+    }
+    return Answer.of(MISDIRECTED, Json.bytes(o));
+  }
+}
--- a/src/main/java/io/embernotch/steward/Steward.java
+++ b/src/main/java/io/embernotch/steward/Steward.java
@@ -5,6 +5,7 @@
 import io.embernotch.actor.Latencies;
 import io.embernotch.codec.Json;
 import io.embernotch.codec.RunCodec;
+import io.embernotch.codec.WorkerCodec;
 import io.embernotch.http.Answer;
 import io.embernotch.model.Attempt;
 import io.embernotch.model.Cause;
@@ -14,6 +15,7 @@
 import io.embernotch.model.Phase;
 import io.embernotch.model.Priority;
 import io.embernotch.model.Shape;
+import io.embernotch.model.WorkerReport;
 import io.embernotch.peer.Frame;
 import io.embernotch.plan.Plan;
 import io.embernotch.plan.Planner;
@@ -206,11 +208,7 @@
     List<StewardMessage> held = new ArrayList<>(waiting);
     waiting.clear();
     held.forEach(this::receive);
-    early.drain(env.loop(), r -> {
-      if (!stopped && workers.learn(r)) {
-        planSoon();
-      }
-    });
+    early.drain(env.loop(), this::heard);
     planSoon();
   }
 
@@ -221,7 +219,10 @@
     if (stopped) {
       refuse(message);
     } else if (!loaded && message instanceof StewardMessage.Report m) {
-      early.add(m);
+      early.add(m.report());
+      m.reply().complete(WorkerCodec.stay());
+    } else if (!loaded && message instanceof StewardMessage.Heard m) {
+      early.add(m.report());
     } else if (!loaded && message instanceof StewardMessage.Ask m) {
       // Its user would have gone before the store is read.
       refuse(m);
@@ -229,6 +230,8 @@
       waiting.add(message);
     } else if (message instanceof StewardMessage.Report m) {
       report(m);
+    } else if (message instanceof StewardMessage.Heard m) {
+      heard(m.report());
     } else if (message instanceof StewardMessage.Ask m) {
       ask(m);
     } else if (message instanceof StewardMessage.JobCreated m) {
@@ -250,6 +253,12 @@
     }
   }
 
+  private void heard(WorkerReport report) {
+    if (!stopped && workers.learn(report)) {
+      planSoon();
+    }
+  }
+
   private void report(StewardMessage.Report m) {
     Machine known = ledger.machines.get(m.report().machine());
     int openBefore = known == null ? 0 : known.open.size();
--- a/src/main/java/io/embernotch/steward/StewardMessage.java
+++ b/src/main/java/io/embernotch/steward/StewardMessage.java
@@ -13,6 +13,9 @@
   /** A worker reports; {@code reply} gets the body of the 200, or null if it must not get one. */
   record Report(WorkerReport report, Promise<byte[]> reply) implements StewardMessage {}
 
+  /** What a worker reported to another controller before there was a steward; nobody waits for an answer. */
+  record Heard(WorkerReport report) implements StewardMessage {}
+
   record Ask(Frame.Ask.What what, String ref, Promise<Answer> reply) implements StewardMessage {}
 
   record JobCreated(Job job, int piece) implements StewardMessage {}
--- /dev/null
+++ b/src/test/java/io/embernotch/steward/ReceptionTest.java
@@ -0,0 +1,191 @@
+package io.embernotch.steward;
+
+import static io.embernotch.testkit.World.job;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.embernotch.codec.Json;
+import io.embernotch.codec.WorkerCodec;
+import io.embernotch.http.Answer;
+import io.embernotch.testkit.FakeWorker;
+import io.embernotch.testkit.World;
+import io.embernotch.testkit.World.Node;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Workers whose reports a controller passes on, or keeps until there is a steward. */
+class ReceptionTest {
+  private final World world = new World(3, 10);
+
+  private Node settle() {
+    world.pass(2);
+    Node n = world.steward();
+    assertThat(n).isNotNull();
+    return n;
+  }
+
+  private Node other(Node n) {
+    return world.nodes.get((n.index + 1) % 3);
+  }
+
+  /** Machines that report to the given controller, with room for eight tasks each. */
+  private void machines(int count, Node at) {
+    for (int i = 0; i < count; i++) {
+      world.boot("g8", i % 2 == 0 ? "z1" : "z2", true);
+    }
+    world.pass(world.bootS + 0.5);
+    world.workers.values().forEach(w -> w.node = at.index);
+    world.pass(2);
+    world.workers.values().forEach(w -> w.moves = 0);
+  }
+
+  /** The same, each full of replicas, so that none is returned for being idle. */
+  private void busy(int count, Node at) {
+    machines(count, at);
+    for (int i = 0; i < count; i++) {
+      world.submit(0, job("j-10" + i, "standing", 8));
+    }
+    world.pass(4);
+    assertThat(world.workers.values().stream().mapToInt(w -> w.alive().size()).sum()).isEqualTo(8 * count);
+    assertThat(world.workers).hasSize(count);
+  }
+
+  private Answer report(Node n, FakeWorker w) {
+    return world.await(n.controller.report(WorkerCodec.read(w.report())));
+  }
+
+  private long moves() {
+    return world.workers.values().stream().mapToInt(w -> w.moves).sum();
+  }
+
+  @AfterEach
+  void nothingEverRanTwice() {
+    assertThat(world.broken()).isEmpty();
+  }
+
+  @Test
+  void workersStayWhereTheyAreWhenTheStewardChangesAndItsSuccessorKnowsThemAtOnce() {
+    Node old = settle();
+    machines(6, other(old));
+    world.submit(0, job("j-1", "standing", 8));
+    world.pass(4);
+    assertThat(world.running("j-1")).hasSize(8);
+    var before = world.running("j-1");
+    old.kill();
+    // Its key lasts three seconds more; then reports need not be waited for.
+    world.pass(4);
+    Node now = world.steward();
+    assertThat(now).isNotNull().isNotSameAs(old);
+    world.submit(now.index, job("j-2", "standing", 8));
+    world.pass(1.5);
+    assertThat(world.running("j-2")).hasSize(8);
+    assertThat(world.running("j-1")).isEqualTo(before);
+    world.pass(40);
+    assertThat(moves()).isZero();
+    assertThat(world.running("j-1")).isEqualTo(before);
+  }
+
+  @Test
+  void withoutAStewardWorkersAreToldToStayAndNothingIsRenewed() {
+    Node old = settle();
+    Node follower = other(old);
+    machines(1, follower);
+    FakeWorker w = world.workers.firstEntry().getValue();
+    world.nodes.forEach(n -> n.noState = n != old);
+    old.kill();
+    world.pass(4);
+    Answer a = report(follower, w);
+    assertThat(a.status()).isEqualTo(200);
+    assertThat(Json.parseObject(a.body()).has("baton")).isFalse();
+    assertThat(moves()).isZero();
+  }
+
+  @Test
+  void aNodeThatTheStoreRefusesSendsItsWorkersAwayOnceAnotherIsServed() {
+    Node old = settle();
+    Node refused = other(old);
+    busy(2, refused);
+    refused.noState = true;
+    refused.noPeers = true;
+    world.pass(12);
+    // It can neither pass anything on nor learn who is steward.
+    assertThat(world.workers.values()).allMatch(w -> w.node != refused.index);
+    assertThat(world.deleted).isEmpty();
+  }
+
+  @Test
+  void aStewardOfTheFormerVersionIsNotPassedReports() {
+    Node old = settle();
+    world.nodes.forEach(Node::kill);
+    world.pass(5);
+    String key = "{\"when\":[],\"apply\":[{\"write\":\"steward\",\"v\":{\"node\":\"c9\",\"permit\":1}}]}";
+    world.state.handle("POST", "/commit", key.getBytes(StandardCharsets.UTF_8));
+    Node follower = other(old);
+    follower.start();
+    world.pass(1);
+    world.boot("g8", "z1", true);
+    world.pass(world.bootS + 0.3);
+    Answer a = report(follower, world.workers.firstEntry().getValue());
+    assertThat(a.status()).isEqualTo(421);
+    assertThat(Json.parseObject(a.body()).get("steward").asText()).isEqualTo("c9");
+  }
+
+  @Test
+  void aStewardThatNoWorkerReachesHearsThemThroughOthers() {
+    Node old = settle();
+    busy(4, old);
+    old.noWorkers = true;
+    world.pass(6);
+    world.submit(0, job("j-3", "standing", 8));
+    world.pass(35);
+    // Direct commands fail, so the starts go out with the answers to reports.
+    assertThat(world.steward()).isSameAs(old);
+    assertThat(world.running("j-3")).hasSize(8);
+    assertThat(world.deleted).isEmpty();
+  }
+
+  @Test
+  void aStewardThatHearsMostMachinesNoMoreGivesWay() {
+    Node old = settle();
+    busy(10, other(old));
+    world.nodes.forEach(n -> n.noWorkers = true);
+    world.pass(18);
+    assertThat(world.steward()).isNotSameAs(old);
+    // What holds replicas is waited for; what is returned held nothing.
+    assertThat(world.running("j-100")).hasSize(8);
+  }
+
+  @Test
+  void moreThanHalfOfTheMachinesMayFallSilentAndTheStewardGoesOn() {
+    // A zone can hold more than half: each steward in turn then took itself for the one cut off.
+    Node old = settle();
+    busy(10, old);
+    world.workers.values().stream().limit(6).forEach(w -> w.cut = true);
+    world.pass(29);
+    assertThat(world.steward()).isSameAs(old);
+    assertThat(world.deleted).hasSize(6);
+  }
+
+  @Test
+  void beforeTheStoreIsReadNobodyIsKeptWaiting() {
+    Node old = settle();
+    busy(1, old);
+    FakeWorker w = world.workers.firstEntry().getValue();
+    Node next = other(old);
+    world.state.slowLists = true;
+    old.kill();
+    world.pass(5);
+    Node now = world.nodes.stream().filter(n -> n.controller != null && !n.down && n != next).findFirst().orElseThrow();
+    for (Node n : new Node[] {next, now}) {
+      Answer a = report(n, w);
+      assertThat(a.status()).isEqualTo(200);
+      assertThat(Json.parseObject(a.body()).has("baton")).isFalse();
+      assertThat(world.poll(n.index, "j-77").status()).isIn(404, 503);
+    }
+    world.state.slowLists = false;
+    world.pass(8);
+    assertThat(world.steward()).isNotNull();
+    // The pages that were read are not asked for again, and what was reported meanwhile is known.
+    assertThat(Json.parseObject(report(now, w).body()).has("baton")).isTrue();
+  }
+}
--- a/src/test/java/io/embernotch/testkit/World.java
+++ b/src/test/java/io/embernotch/testkit/World.java
@@ -485,6 +485,7 @@
     Node n = nodes.get(w.node);
     if (n.down || n.noWorkers) {
       w.node = (w.node + 1) % nodes.size();
+      w.moves++;
       return;
     }
     double sentAt = time.now();
@@ -501,6 +502,7 @@
             }
           } else {
             String to = a.status() == 421 ? Json.parseObject(a.body()).path("steward").asText("") : "";
+            w.moves++;
             w.node = to.isEmpty() ? (w.node + 1) % nodes.size() : Integer.parseInt(to.substring(1));
             if (!to.isEmpty() && hops < 2) {
               report(w, hops + 1);
