What is cut off with its zone runs on; cancellations are told once nothing outlives them

Change: a live steward gives each other controller the right to renew the workers of its own zone while it is cut off with them (`Standby`), for a hold that is one worker lease longer than before; `Wards` knows until when each may have done so. A silent controller with more than half of its zone's machines is a cut zone: it is waited for, and nothing is rented there. As such a hold and a lease outlast `cancel_s`, a cancellation is decided and told only once each task is proven gone or must be in time (`Cancels`); else 503. No right is given while a controller may be of the former version, or a told cancellation has tasks left in that zone.

--- a/src/main/java/io/embernotch/model/Job.java
+++ b/src/main/java/io/embernotch/model/Job.java
@@ -19,6 +19,8 @@
    * only then may anybody be told, and from then on always.
    */
   public boolean endKept;
+  /** Its user wants it cancelled: nothing of it starts any more, and it ends once that can be told. */
+  public boolean cancelling;
   /** When the end was decided, by the time of day. */
   public long endedMs;
   /** Jobs that must be done before any task of this one starts, and are not yet known to be. */
@@ -83,7 +85,7 @@
   }
 
   public int pendingCount() {
-    return end != null || held() ? 0 : remaining() - open.size();
+    return end != null || cancelling || held() ? 0 : remaining() - open.size();
   }
 
   public int running() {
--- a/src/main/java/io/embernotch/peer/Frame.java
+++ b/src/main/java/io/embernotch/peer/Frame.java
@@ -42,6 +42,15 @@
    */
   record Report(long id, WorkerReport report) implements Frame {}
 
+  /**
+   * A controller is there, for a steward that takes reports: the number of this message, the highest one
+   * that was answered (0: none), and how long ago it last renewed a worker by itself; below 0: never.
+   */
+  record Here(String node, long seq, long ack, double renewedAgoS) implements Frame {}
+
+  /** The steward's answer: whether the controller may renew workers of its zone for a while if it is cut off. */
+  record Noted(long epoch, long seq, boolean granted) implements Frame {}
+
   /** The restarts that a round of the owner of a part proposes to the steward. */
   record Propose(String from, long epoch, List<Restart> restarts) implements Frame {}
 }
--- a/src/main/java/io/embernotch/peer/FrameCodec.java
+++ b/src/main/java/io/embernotch/peer/FrameCodec.java
@@ -34,6 +34,8 @@
   private static final byte SUBMIT = 8;
   private static final byte IMAGES = 9;
   private static final byte REPORT = 10;
+  private static final byte HERE = 11;
+  private static final byte NOTED = 12;
 
   private FrameCodec() {}
 
@@ -81,6 +83,13 @@
     } else if (frame instanceof Frame.Report f) {
       b.put(REPORT).putLong(f.id());
       report(b, f.report());
+    } else if (frame instanceof Frame.Here f) {
+      b.put(HERE);
+      text(b, f.node());
+      b.putLong(f.seq()).putLong(f.ack()).putDouble(f.renewedAgoS());
+    } else if (frame instanceof Frame.Noted f) {
+      b.put(NOTED).putLong(f.epoch()).putLong(f.seq());
+      flag(b, f.granted());
     } else if (frame instanceof Frame.Forget f) {
       b.put(FORGET).putLong(f.epoch());
       text(b, f.machine());
@@ -118,6 +127,8 @@
             case SUBMIT -> new Frame.Submit(b.getLong(), blob(b));
             case TOLD -> new Frame.Told(b.getLong(), b.getShort(), b.getShort(), blob(b));
             case VIEW -> new Frame.View(b.getLong(), view(b));
+            case HERE -> new Frame.Here(text(b), b.getLong(), b.getLong(), b.getDouble());
+            case NOTED -> new Frame.Noted(b.getLong(), b.getLong(), flag(b));
             case REPORT -> new Frame.Report(b.getLong(), report(b));
             case IMAGES -> new Frame.Images(b.getLong(), text(b), texts(b));
             case FORGET -> new Frame.Forget(b.getLong(), text(b));
--- a/src/main/java/io/embernotch/settings/Settings.java
+++ b/src/main/java/io/embernotch/settings/Settings.java
@@ -64,11 +64,25 @@
   }
 
   /**
-   * How long a steward that cannot prove its lease goes on renewing worker leases. A cancellation
-   * that a successor accepts at once must still be obeyed in time by a worker that the old steward
-   * renewed last, so hold and worker lease together stay below {@code cancel_s}.
+   * How long worker leases are renewed by those who cannot reach a steward or prove to be one: a
+   * steward cut off from the state service, and a controller cut off with its zone. One worker lease
+   * longer than {@link #formerHoldS}; so a cancellation is only told once each task of the job is
+   * proven gone, or must be in time whoever renews ("ran_cancelled" in ARCHITECTURE).
    */
   public double holdS() {
+    return formerHoldS() + workers.leaseS();
+  }
+
+  /**
+   * The same while a controller of the version before may take over, which tells cancellations at once:
+   * this hold and a worker lease together stay below {@code cancel_s}.
+   */
+  public double formerHoldS() {
     return 0.8 * Math.max(0, workers.cancelS() - workers.leaseS());
   }
+
+  /** A controller that has had no answer of the steward for so long is out of contact with it. */
+  public double contactS() {
+    return workers.leaseS() / 4;
+  }
 }
--- /dev/null
+++ b/src/main/java/io/embernotch/steward/Cancels.java
@@ -0,0 +1,82 @@
+package io.embernotch.steward;
+
+import io.embernotch.codec.JobCodec;
+import io.embernotch.http.Answer;
+import io.embernotch.model.Attempt;
+import io.embernotch.model.Job;
+import io.embernotch.model.Machine;
+import io.embernotch.model.Phase;
+import io.embernotch.settings.Settings;
+import io.embernotch.store.Pacer.Rank;
+import io.vertx.core.Promise;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Cancellations on their way. From the moment one is asked for, nothing of the job starts and all that
+ * runs is stopped; it is decided, and so told to anybody, only once no task of it can outlive {@code
+ * cancel_s} from then on: each is proven gone, or its machine's worker must kill it in time whoever
+ * renews the worker's lease. Behind a cut, that takes until the renewals there end.
+ */
+final class Cancels {
+  private final Env env;
+  private final Ledger ledger;
+  private final Committer committer;
+  private final Endings endings;
+  private final Workers workers;
+  private final Map<Job, List<Promise<Answer>>> asked = new LinkedHashMap<>();
+
+  Cancels(Env env, Ledger ledger, Committer committer, Endings endings, Workers workers) {
+    this.env = env;
+    this.ledger = ledger;
+    this.committer = committer;
+    this.endings = endings;
+    this.workers = workers;
+  }
+
+  /** A user wants the job cancelled; its tasks have been told to stop. */
+  void ask(Job job, Promise<Answer> reply) {
+    asked.computeIfAbsent(job, j -> new ArrayList<>()).add(reply);
+    env.timers().after(env.settings().workers().reportS() / 2, () -> reply.tryComplete(Answer.later("tasks of it cannot be reached yet")));
+    check(job);
+  }
+
+  void checkAll() {
+    List.copyOf(asked.keySet()).forEach(this::check);
+  }
+
+  /** Something of the job may have ended. */
+  void check(Job job) {
+    List<Promise<Answer>> replies = asked.get(job);
+    if (replies == null) {
+      return;
+    }
+    if (job.end == null) {
+      if (!allGoneInTime(job)) {
+        return;
+      }
+      endings.decide(job, Phase.CANCELLED);
+    }
+    asked.remove(job);
+    Answer answer = Answer.of(200, JobCodec.brief(job.spec.ref(), job.end));
+    if (job.endKept) {
+      replies.forEach(r -> r.tryComplete(answer));
+    } else {
+      committer.now(job, 0, Rank.FIRST, () -> replies.forEach(r -> r.tryComplete(answer)));
+    }
+  }
+
+  private boolean allGoneInTime(Job job) {
+    // What the commit and its answer may take counts as well: a tenth is far more than they do.
+    double by = env.clock().now() + env.settings().workers().cancelS() * (0.9 - Settings.DRIFT);
+    for (Attempt a : job.open.values()) {
+      Machine m = ledger.machines.get(a.machine);
+      if (m == null || workers.goneBy(m) > by) {
+        return false;
+      }
+    }
+    return true;
+  }
+}
--- a/src/main/java/io/embernotch/steward/Controller.java
+++ b/src/main/java/io/embernotch/steward/Controller.java
@@ -257,7 +257,7 @@
   }
 
   private Future<Answer> own(WorkerReport report) {
-    if (steward == null || election.unprovenForS() > settings.holdS()) {
+    if (steward == null || election.unprovenForS() > steward.holdS()) {
       return answer(Answer.later("leadership is not proven"));
     }
     Promise<byte[]> reply = Promise.promise();
@@ -353,6 +353,7 @@
 
   private void beat() {
     sendBeats();
+    reception.beat();
     for (String silent : alive.newlySilent()) {
       peers.renew(silent);
     }
@@ -391,6 +392,12 @@
       } else if (steward != null) {
         steward.tell(new StewardMessage.Heard(f.report()));
       }
+    } else if (frame instanceof Frame.Here f) {
+      if (steward != null) {
+        back.send(steward.heard(f));
+      }
+    } else if (frame instanceof Frame.Noted f) {
+      reception.noted(f);
     } else if (frame instanceof Frame.Submit f) {
       submissions
           .passedOn(f.body())
--- a/src/main/java/io/embernotch/steward/Endings.java
+++ b/src/main/java/io/embernotch/steward/Endings.java
@@ -50,6 +50,13 @@
     committer.soon(job, 0);
   }
 
+  /** Nothing of a job that is told to be cancelled is left in a zone. */
+  boolean clear(String zone) {
+    return ending.stream()
+        .filter(j -> j.end == Phase.CANCELLED)
+        .allMatch(j -> j.open.values().stream().noneMatch(a -> a.zone.equals(zone)));
+  }
+
   /** Lets go of jobs that have ended, once nothing of them is open or unwritten. */
   void retire() {
     for (Job job : List.copyOf(ending)) {
--- a/src/main/java/io/embernotch/steward/FleetKeeper.java
+++ b/src/main/java/io/embernotch/steward/FleetKeeper.java
@@ -8,6 +8,7 @@
 import io.embernotch.model.MachineType;
 import io.embernotch.plan.Fleet;
 import io.embernotch.plan.Plan;
+import io.embernotch.settings.Settings;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -52,6 +53,9 @@
 
     void changed();
 
+    /** Controllers that have been heard from lately, this one included. */
+    Set<String> controllers();
+
     /** So many machines are silent at once that it is rather we who are cut off. */
     void deaf();
   }
@@ -75,6 +79,7 @@
   private boolean urgentDelete;
   private boolean idleDelete;
   private double typesAt = -1e9;
+  private Set<String> cutZones = Set.of();
 
   FleetKeeper(Env env, Ledger ledger, Workers workers, long epoch, Outcome outcome) {
     this.env = env;
@@ -111,7 +116,7 @@
   }
 
   boolean exhausted(String type, String zone, boolean spot) {
-    return fullUntil.getOrDefault(pool(type, zone, spot), -1.0) > env.clock().now();
+    return cutZones.contains(zone) || fullUntil.getOrDefault(pool(type, zone, spot), -1.0) > env.clock().now();
   }
 
   private static String pool(String type, String zone, boolean spot) {
@@ -301,7 +306,7 @@
     List<Machine> silent = new ArrayList<>();
     int up = 0;
     for (Machine m : ledger.machines.values()) {
-      if (m.deleting || !(m.up() || m.listedUpAt >= 0 || !m.open.isEmpty())) {
+      if (!mayBeUp(m)) {
         continue;
       }
       up++;
@@ -315,6 +320,7 @@
       }
       return;
     }
+    cutZones = cutZones(silent);
     for (Machine m : silent) {
       workers.probe(m);
       double limit = m.probeFailedAt > lastSign(m) ? SILENT_REPORTS : SILENT_REPORTS + 1;
@@ -325,11 +331,41 @@
     }
   }
 
+  private static boolean mayBeUp(Machine m) {
+    return !m.deleting && (m.up() || m.listedUpAt >= 0 || !m.open.isEmpty());
+  }
+
+  /**
+   * Zones that are cut off: a controller there is silent, and more than half of the machines. It renews
+   * their workers for as long as it may, so what runs there is let run, and nothing new is rented.
+   */
+  private Set<String> cutZones(List<Machine> silent) {
+    Set<String> live = outcome.controllers();
+    Set<String> out = new HashSet<>();
+    for (Settings.Member c : env.settings().members()) {
+      if (live.contains(c.node()) || out.contains(c.location())) {
+        continue;
+      }
+      long gone = silent.stream().filter(m -> c.location().equals(m.zone)).count();
+      long there = ledger.machines.values().stream().filter(m -> c.location().equals(m.zone) && mayBeUp(m)).count();
+      if (gone * 2 > there) {
+        out.add(c.location());
+      }
+    }
+    if (!out.equals(cutZones)) {
+      LOG.info("zones that are cut off: {}", out);
+    }
+    return out;
+  }
+
   /**
    * A live service on a machine that only lost the network runs on until its lease is over, and
    * would have to start anew elsewhere if the machine were returned before.
    */
   private boolean worthWaitingFor(Machine m, double now) {
+    if (cutZones.contains(m.zone)) {
+      return now - lastSign(m) < env.settings().holdS() + PATIENCE * env.settings().workers().leaseS();
+    }
     return m.load().pinned && m.up() && now - m.renewedAt < PATIENCE * env.settings().workers().leaseS();
   }
 
@@ -390,14 +426,14 @@
   }
 
   /** Tasks on machines whose worker's lease must have run out are gone, deleted or not. */
-  List<Attempt> expired(double othersUntil) {
+  List<Attempt> expired() {
     List<Attempt> out = new ArrayList<>();
     double now = env.clock().now();
     for (Machine m : ledger.machines.values()) {
       if (m.open.isEmpty() || (m.up() && now - m.heardAt < env.settings().workers().leaseS())) {
         continue;
       }
-      if (workers.leaseOver(m, othersUntil)) {
+      if (workers.leaseOver(m)) {
         for (Attempt a : m.open.values()) {
           if (a.start != Attempt.Start.SENDING) {
             out.add(a);
--- a/src/main/java/io/embernotch/steward/Reception.java
+++ b/src/main/java/io/embernotch/steward/Reception.java
@@ -54,6 +54,7 @@
   /** The first report passed on since the steward last answered one; below 0 if there is none. */
   private double unansweredSince = -1;
   private double tryAt;
+  private final Standby standby;
 
   Reception(Env env, Host host) {
     this.env = env;
@@ -63,6 +64,7 @@
     this.patienceS = env.settings().workers().leaseS() / 4;
     this.last = new Recent<>(env.settings().quota().maxConnections());
     this.changedAt = env.clock().now();
+    this.standby = new Standby(env);
   }
 
   /** Another steward is known, or none. {@code takesReports} tells of a version that is passed reports. */
@@ -84,6 +86,19 @@
     }
   }
 
+  /** Tells the steward that we are here; called a few times in a report period. */
+  void beat() {
+    if (steward != null && relays && !steward.equals(env.settings().node())) {
+      host.send(steward, standby.here());
+    }
+  }
+
+  void noted(Frame.Noted n) {
+    if (n.epoch() == epoch) {
+      standby.noted(n);
+    }
+  }
+
   /** What workers said within a report period or so. */
   List<WorkerReport> recent() {
     List<WorkerReport> out = new ArrayList<>();
@@ -113,6 +128,10 @@
   Future<Answer> report(WorkerReport r) {
     double now = env.clock().now();
     last.put(r.machine(), new Last(r, now));
+    Answer renewal = standby.renewal(r, steward);
+    if (renewal != null) {
+      return Future.succeededFuture(renewal);
+    }
     if (steward == null) {
       // Elsewhere a steward may be known: a node that is cut off must not keep its workers.
       boolean leave = now - changedAt > patienceS && host.badlyPlaced();
--- /dev/null
+++ b/src/main/java/io/embernotch/steward/Standby.java
@@ -0,0 +1,79 @@
+package io.embernotch.steward;
+
+import io.embernotch.codec.WorkerCodec;
+import io.embernotch.http.Answer;
+import io.embernotch.model.WorkerReport;
+import io.embernotch.peer.Frame;
+import io.embernotch.settings.Settings;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A controller's right to renew the workers of its own zone while it is cut off with them. Without it
+ * all that runs behind a cut ends with its lease, though nothing is wrong there. The right is given by
+ * a live steward with each {@link Frame.Noted}, counts from the sending of what that answers, and is
+ * used only once the steward has not answered for {@link Settings#contactS}. {@link Wards} is the
+ * steward's side, which knows until when such renewals may have gone on.
+ */
+final class Standby {
+  private static final int REMEMBERED = 64;
+
+  private final Env env;
+  private final Map<Long, Double> sentAt = new Recent<>(REMEMBERED);
+  private long seq;
+  private long ack;
+  /** When the last message was sent that a steward has answered; the same for those that gave the right. */
+  private double contactAt;
+  private double grantedAt = -1e9;
+  private double renewedAt = -1;
+  /** When each worker was last sent to look for the steward itself. */
+  private final Map<String, Double> awayAt;
+
+  Standby(Env env) {
+    this.env = env;
+    this.contactAt = env.clock().now();
+    this.awayAt = new Recent<>(env.settings().quota().maxConnections());
+    // A process that is started anew goes on with higher numbers.
+    this.seq = env.clock().wallMs();
+  }
+
+  Frame.Here here() {
+    double now = env.clock().now();
+    sentAt.put(++seq, now);
+    return new Frame.Here(env.settings().node(), seq, ack, renewedAt < 0 ? -1 : now - renewedAt);
+  }
+
+  void noted(Frame.Noted n) {
+    Double sent = sentAt.get(n.seq());
+    if (sent == null) {
+      return;
+    }
+    ack = Math.max(ack, n.seq());
+    contactAt = Math.max(contactAt, sent);
+    if (n.granted()) {
+      grantedAt = Math.max(grantedAt, sent);
+    }
+  }
+
+  /**
+   * The answer that renews a worker's lease under the token it has; null if that is not for us to give.
+   * Now and then, with a fresh lease, a worker is sent to look for the steward itself: perhaps only we
+   * are cut off, and it would get no orders here.
+   */
+  Answer renewal(WorkerReport r, String steward) {
+    double now = env.clock().now();
+    Settings s = env.settings();
+    boolean cutOff = now - contactAt > s.contactS() * (1 + Settings.DRIFT);
+    boolean granted = now - grantedAt < s.holdS() * (1 - Settings.DRIFT);
+    if (!cutOff || !granted || r.token() == 0 || !s.location().equals(r.zone())) {
+      return null;
+    }
+    Double away = awayAt.putIfAbsent(r.machine(), now - s.workers().leaseS() / 2 + s.workers().reportS() / 4);
+    if (away != null && now - away > s.workers().leaseS() / 2) {
+      awayAt.put(r.machine(), now);
+      return Reception.misdirected(steward);
+    }
+    renewedAt = now;
+    return Answer.of(200, WorkerCodec.response(r.token(), List.of()));
+  }
+}
--- a/src/main/java/io/embernotch/steward/Steward.java
+++ b/src/main/java/io/embernotch/steward/Steward.java
@@ -24,6 +24,7 @@
 import io.embernotch.store.Pacer.Rank;
 import io.embernotch.straggler.MachineView;
 import io.embernotch.straggler.Restart;
+import io.vertx.core.Promise;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -80,6 +81,8 @@
   private final Chains chains;
   private final Endings endings;
   private final UserDesk users;
+  private final Wards wards;
+  private final Cancels cancels;
   private final double acquiredAt;
   private final List<StewardMessage> waiting = new ArrayList<>();
   private final EarlyReports early = new EarlyReports();
@@ -110,7 +113,9 @@
     this.chains = new Chains(env, ledger, hooks);
     this.endings = new Endings(env, ledger, committer, chains, (ref, e) -> host.ended(ref, e.phase(), e.tasks(), e.done()));
     this.users = new UserDesk(env, ledger, committer, host::live, hooks);
-    this.workers = new Workers(env, ledger, epoch, this);
+    this.wards = new Wards(env.settings(), acquiredAt);
+    this.workers = new Workers(env, ledger, epoch, wards, this);
+    this.cancels = new Cancels(env, ledger, committer, endings, workers);
     this.fleet = new FleetKeeper(env, ledger, workers, epoch, this);
     this.feed =
         new StragglerFeed(
@@ -319,10 +324,11 @@
     }
 
     @Override
-    public void cancel(Job job) {
-      LOG.debug("job {} is cancelled", job.spec.ref());
-      endings.decide(job, Phase.CANCELLED);
+    public void cancel(Job job, Promise<Answer> reply) {
+      LOG.debug("job {} is to be cancelled", job.spec.ref());
+      job.cancelling = true;
       List.copyOf(job.open.values()).forEach(a -> ask(a, 0));
+      cancels.ask(job, reply);
       planSoon();
     }
 
@@ -448,6 +454,7 @@
       a.job.restarted.set(a.task);
     }
     committer.later(a.job, a.task);
+    cancels.check(a.job);
     planSoon();
   }
 
@@ -483,6 +490,22 @@
     planSoon();
   }
 
+  @Override
+  public Set<String> controllers() {
+    return host.controllers();
+  }
+
+  /** Another controller is there; it may be given the right to renew its zone's workers. */
+  Frame.Noted heard(Frame.Here here) {
+    boolean may = loaded && host.live() && endings.clear(wards.zoneOf(here.node()));
+    return wards.heard(here, epoch, may, env.clock().now());
+  }
+
+  /** How long workers are renewed without a proven lease. */
+  double holdS() {
+    return wards.ownHoldS();
+  }
+
   @Override
   public void deaf() {
     host.resign("most machines are silent");
@@ -495,7 +518,7 @@
       return;
     }
     double now = env.clock().now();
-    for (Attempt a : fleet.expired(acquiredAt + env.settings().holdS())) {
+    for (Attempt a : fleet.expired()) {
       gone(a, ledger.machines.get(a.machine), "the worker's lease is over");
     }
     for (Machine m : List.copyOf(ledger.machines.values())) {
@@ -503,6 +526,7 @@
       workers.flush(m);
     }
     fleet.tick();
+    cancels.checkAll();
     endings.retire();
     chains.lookUp();
     for (Restart r : restarts.due()) {
--- a/src/main/java/io/embernotch/steward/UserDesk.java
+++ b/src/main/java/io/embernotch/steward/UserDesk.java
@@ -17,8 +17,8 @@
     /** A job that the store holds and nobody has told the steward of. */
     void found(Entry job);
 
-    /** Decides that a job is cancelled and has its tasks stopped. */
-    void cancel(Job job);
+    /** Has a job's tasks stopped, and answers once it is cancelled or done, or cannot be yet. */
+    void cancel(Job job, Promise<Answer> reply);
 
     boolean over();
   }
@@ -89,7 +89,8 @@
       return;
     }
     if (job.end == null) {
-      host.cancel(job);
+      host.cancel(job, reply);
+      return;
     }
     Answer answer = Answer.of(200, JobCodec.brief(ref, job.end));
     if (job.endKept) {
--- /dev/null
+++ b/src/main/java/io/embernotch/steward/Wards.java
@@ -0,0 +1,116 @@
+package io.embernotch.steward;
+
+import io.embernotch.peer.Frame;
+import io.embernotch.settings.Settings;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * What the steward knows of the controllers that may renew workers of their zone when they are cut off
+ * ({@link Standby}): until when each may have done so.
+ *
+ * <p>A controller renews nothing before {@code contactS} after the sending of a message that we have
+ * answered. Say its message n acknowledges our answer to k, and k acknowledged our answer to j. Then k
+ * was sent after we answered j, so up to {@code contactS} after that answer it renewed nothing by
+ * itself but what n owns up to. All times are ours; held and late messages only make them earlier.
+ */
+final class Wards {
+  private static final int REMEMBERED = 64;
+
+  private static final class Ward {
+    final Map<Long, Double> answeredAt = new Recent<>(REMEMBERED);
+    final Map<Long, Long> acks = new Recent<>(REMEMBERED);
+    double renewedAt = -1e9;
+    double safeUntil = -1e9;
+    double grantEnds;
+  }
+
+  private final Settings settings;
+  private final double acquiredAt;
+  private final Map<String, Ward> wards = new HashMap<>();
+
+  Wards(Settings settings, double acquiredAt) {
+    this.settings = settings;
+    this.acquiredAt = acquiredAt;
+  }
+
+  private double longestHold() {
+    return settings.holdS() * (1 + Settings.DRIFT);
+  }
+
+  /**
+   * Every other controller is known to be of a version that waits with cancellations. While one may not
+   * be, nobody renews for longer than the former version counts on.
+   */
+  boolean allNew() {
+    return settings.members().stream().allMatch(m -> wards.containsKey(m.node()));
+  }
+
+  /** How long this steward renews workers without a proven lease. */
+  double ownHoldS() {
+    return allNew() ? settings.holdS() : settings.formerHoldS();
+  }
+
+  /** The zone of a controller; null if the settings do not know it. */
+  String zoneOf(String node) {
+    return settings.members().stream().filter(m -> m.node().equals(node)).map(Settings.Member::location).findFirst().orElse(null);
+  }
+
+  /**
+   * A controller has written. {@code may} be given the right if our lease is proven, and no job whose
+   * cancellation was told has tasks left in its zone. Returns the answer to send at once.
+   */
+  Frame.Noted heard(Frame.Here h, long epoch, boolean may, double now) {
+    Ward w = wards.computeIfAbsent(h.node(), n -> new Ward());
+    if (h.ack() == 0 || w.answeredAt.isEmpty()) {
+      // What its former process, or it under an earlier steward, has renewed, nobody owns up to.
+      w.renewedAt = Math.max(w.renewedAt, Math.min(now, Math.max(acquiredAt + longestHold(), w.grantEnds)));
+    }
+    if (h.renewedAgoS() >= 0) {
+      w.renewedAt = Math.max(w.renewedAt, now - h.renewedAgoS());
+    }
+    Long before = w.acks.get(h.ack());
+    Double answered = before == null ? null : w.answeredAt.get(before);
+    if (answered != null) {
+      w.safeUntil = Math.max(w.safeUntil, answered + settings.contactS());
+    }
+    w.acks.put(h.seq(), h.ack());
+    w.answeredAt.put(h.seq(), now);
+    boolean granted = may && allNew();
+    if (granted) {
+      w.grantEnds = now + longestHold();
+    }
+    return new Frame.Noted(epoch, h.seq(), granted);
+  }
+
+  /** No controller has renewed a worker of this zone by itself later than at this time, counted at {@code now}. */
+  double renewedUntil(String zone, double now) {
+    double latest = -1e9;
+    for (Settings.Member m : settings.members()) {
+      if (m.location().equals(zone)) {
+        latest = Math.max(latest, renewedUntil(wards.get(m.node()), now));
+      }
+    }
+    return latest;
+  }
+
+  private double renewedUntil(Ward w, double now) {
+    double others = acquiredAt + longestHold();
+    if (w == null) {
+      return Math.min(now, others);
+    }
+    return now <= w.safeUntil ? w.renewedAt : Math.max(w.renewedAt, Math.min(now, Math.max(others, w.grantEnds)));
+  }
+
+  /** Renewals of this zone's workers that nobody else can stop end by this time. */
+  double renewalEnds(String zone) {
+    double latest = -1e9;
+    for (Settings.Member m : settings.members()) {
+      if (m.location().equals(zone)) {
+        Ward w = wards.get(m.node());
+        latest = Math.max(latest, Math.max(acquiredAt + longestHold(), w == null ? 0 : w.grantEnds));
+      }
+    }
+    return latest;
+  }
+}
--- a/src/main/java/io/embernotch/steward/Workers.java
+++ b/src/main/java/io/embernotch/steward/Workers.java
@@ -56,8 +56,12 @@
   private final long epochBase;
   private final double callS;
   private final Set<String> deleted = new HashSet<>();
+  private final Wards wards;
+  private final double acquiredAt;
 
-  Workers(Env env, Ledger ledger, long epoch, Outcome outcome) {
+  Workers(Env env, Ledger ledger, long epoch, Wards wards, Outcome outcome) {
+    this.wards = wards;
+    this.acquiredAt = env.clock().now();
     this.env = env;
     this.ledger = ledger;
     this.outcome = outcome;
@@ -367,14 +371,33 @@
     }
   }
 
+  /** Seconds after its last renewal at which a worker has killed everything, with drift and some to spare. */
+  private double lifeS() {
+    return env.settings().workers().leaseS() * (1 + 2 * Settings.DRIFT) + 0.5;
+  }
+
+  /** An earlier steward may have renewed a worker that has not seen our token until then. */
+  private double othersUntil(Machine m) {
+    return m.seenToken >= epochBase ? -1e9 : acquiredAt + env.settings().holdS() * (1 + Settings.DRIFT);
+  }
+
   /**
-   * True once the machine's worker must have killed everything: nobody can have renewed its lease
-   * for longer than it lasts. An earlier steward may have done so until {@code othersUntil}.
+   * True once the machine's worker must have killed everything: nobody can have renewed its lease for
+   * longer than it lasts, neither an earlier steward nor a controller cut off with the machine's zone.
    */
-  boolean leaseOver(Machine m, double othersUntil) {
-    double last = m.seenToken >= epochBase ? m.renewedAt : Math.max(m.renewedAt, othersUntil);
-    double life = env.settings().workers().leaseS() * (1 + 2 * Settings.DRIFT) + 0.5;
-    return env.clock().now() > last + life;
+  boolean leaseOver(Machine m) {
+    double now = env.clock().now();
+    // Without its zone, any controller may have.
+    double wardsUntil = m.zone == null ? now : wards.renewedUntil(m.zone, now);
+    return now > Math.max(m.renewedAt, Math.max(othersUntil(m), wardsUntil)) + lifeS();
+  }
+
+  /** What is on a machine that we never reach again is gone by this time, whoever else renews its worker. */
+  double goneBy(Machine m) {
+    if (m.zone == null) {
+      return Double.MAX_VALUE;
+    }
+    return Math.max(m.renewedAt, Math.max(othersUntil(m), wards.renewalEnds(m.zone))) + lifeS();
   }
 
   /** Asks a silent machine for its state; the answer counts as news, but renews nothing. */
--- a/src/test/java/io/embernotch/peer/FrameTest.java
+++ b/src/test/java/io/embernotch/peer/FrameTest.java
@@ -4,6 +4,10 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import io.embernotch.codec.BadInput;
+import io.embernotch.model.Cause;
+import io.embernotch.model.TaskReport;
+import io.embernotch.model.TaskState;
+import io.embernotch.model.WorkerReport;
 import io.embernotch.straggler.MachineView;
 import io.embernotch.straggler.Restart;
 import java.util.ArrayList;
@@ -19,6 +23,13 @@
               new MachineView.TaskView("j-1", 7, 3, 12, 40, 5, 1, 27, true, null, null),
               new MachineView.TaskView("j-2", 8, 4, 13, 0, 5, 1, 27, false, "z1", List.of("g8", "h9"))));
 
+  private static final WorkerReport REPORT =
+      new WorkerReport(
+          "n-1", "10.1.0.2:9000", "g8", "z1", true, 2, 88, 41L << 20, 12.5,
+          List.of(
+              new TaskReport("j-1", 7, 3, TaskState.RUNNING, null, false),
+              new TaskReport("j-2", 8, 4, TaskState.EXITED, Cause.STOPPED, true)));
+
   private static List<Frame> all() {
     return List.of(
         new Frame.Beat("c1", null, 0, true),
@@ -26,6 +37,9 @@
         new Frame.View(44, VIEW),
         new Frame.Forget(44, "n-1"),
         new Frame.Images(44, "n-1", List.of("img-1", "img-2")),
+        new Frame.Report(3, REPORT),
+        new Frame.Here("c2", 9, 8, -1),
+        new Frame.Noted(44, 9, true),
         new Frame.Propose("c2", 44, List.of(new Restart("j-1", 2, 3, "n-7", 0.25))));
   }
 
--- a/src/test/java/io/embernotch/steward/RulesTest.java
+++ b/src/test/java/io/embernotch/steward/RulesTest.java
@@ -182,8 +182,11 @@
     world.directFate = Fate.HELD;
     world.submit(0, job("j-9", "standing", 2));
     world.pass(0.3);
-    assertThat(world.abort(1, "j-9").status()).isEqualTo(200);
+    // The start may still arrive: the cancellation can't be told yet.
+    assertThat(world.abort(1, "j-9").status()).isEqualTo(503);
     world.directFate = Fate.ARRIVES;
+    world.pass(2);
+    assertThat(world.abort(1, "j-9").status()).isEqualTo(200);
     world.pass(10);
     world.releaseHeld();
     world.pass(5);
--- /dev/null
+++ b/src/test/java/io/embernotch/steward/StandbyTest.java
@@ -0,0 +1,161 @@
+package io.embernotch.steward;
+
+import static io.embernotch.testkit.World.job;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.embernotch.peer.Frame;
+import io.embernotch.settings.Settings;
+import io.embernotch.settings.SettingsReader;
+import io.embernotch.testkit.FakeWorker;
+import io.embernotch.testkit.World;
+import io.embernotch.testkit.World.Node;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** A zone that is cut off: what runs there runs on, and no rule gives way for it. Node 2 is in zone z2. */
+class StandbyTest {
+  private static final double CUT_S = 56;
+
+  private final World world = new World(3, 4);
+  private final Settings settings = world.nodes.get(0).settings;
+
+  /** A steward outside of z2, and a service with replicas in both zones. */
+  private Map<String, FakeWorker> spreadService(String ref) {
+    world.pass(2);
+    if (world.steward() == world.nodes.get(2)) {
+      world.nodes.get(2).kill();
+      world.pass(6);
+      world.nodes.get(2).start();
+    }
+    assertThat(world.submit(0, job(ref, "standing", 6).replace("\"scatter\":false", "\"scatter\":true")).status()).isEqualTo(201);
+    world.pass(15);
+    Map<String, FakeWorker> on = world.running(ref);
+    assertThat(on).hasSize(6);
+    assertThat(on.values().stream().filter(w -> w.zone.equals("z2"))).hasSize(3);
+    return on;
+  }
+
+  private boolean anyInZ2(String ref) {
+    return world.running(ref).values().stream().anyMatch(w -> w.zone.equals("z2"));
+  }
+
+  @AfterEach
+  void nothingEverRanTwice() {
+    assertThat(world.broken()).isEmpty();
+  }
+
+  @Test
+  void replicasBehindACutRunOnUntilItIsOver() {
+    Map<String, FakeWorker> before = spreadService("j-1");
+    world.cutZone = "z2";
+    for (int i = 0; i < CUT_S; i++) {
+      world.pass(1);
+      assertThat(world.running("j-1")).isEqualTo(before);
+    }
+    world.cutZone = null;
+    world.pass(20);
+    assertThat(world.running("j-1")).isEqualTo(before);
+  }
+
+  @Test
+  void theyRunOnThoughTheStewardEndsDuringTheCut() {
+    Map<String, FakeWorker> before = spreadService("j-1");
+    world.cutZone = "z2";
+    world.pass(10);
+    world.steward().kill();
+    world.pass(CUT_S - 10);
+    world.cutZone = null;
+    world.pass(20);
+    assertThat(world.running("j-1")).isEqualTo(before);
+  }
+
+  @Test
+  void aLongerCutEndsThemAndOnlyThenTheyStartElsewhere() {
+    spreadService("j-1");
+    world.submit(0, job("j-2", "standing", 4).replace("\"room\":null", "\"room\":\"z2\""));
+    world.pass(15);
+    assertThat(world.running("j-2")).hasSize(4);
+    world.cutZone = "z2";
+    world.cloudDown = true;
+    // The renewals end, and then the leases; the checker sees to it that nothing starts before.
+    world.pass(settings.holdS() + settings.workers().leaseS() + 5);
+    assertThat(anyInZ2("j-1")).isFalse();
+    world.cutZone = null;
+    world.cloudDown = false;
+    world.pass(25);
+    assertThat(world.running("j-1")).hasSize(6);
+    assertThat(world.running("j-2")).hasSize(4);
+  }
+
+  @Test
+  void aCancellationIsToldOnlyOnceWhatIsBehindTheCutMustEndInTime() {
+    spreadService("j-1");
+    world.cutZone = "z2";
+    world.cloudDown = true;
+    world.pass(12);
+    assertThat(world.abort(0, "j-1").status()).isEqualTo(503);
+    assertThat(world.phase(0, "j-1")).isNotEqualTo("cancelled");
+    // What can be reached ends at once, and nothing starts again.
+    assertThat(world.running("j-1").values()).allMatch(w -> w.zone.equals("z2"));
+    double waited = 12;
+    while (world.abort(1, "j-1").status() != 200) {
+      world.pass(1);
+      waited += 1;
+      assertThat(waited).isLessThan(settings.holdS());
+    }
+    assertThat(anyInZ2("j-1")).isTrue();
+    world.pass(settings.workers().cancelS() - 1);
+    assertThat(world.running("j-1")).isEmpty();
+  }
+
+  @Test
+  void aCancellationToldBeforeACutLeavesNothingBehindIt() {
+    spreadService("j-1");
+    assertThat(world.abort(0, "j-1").status()).isEqualTo(200);
+    world.cutZone = "z2";
+    assertThat(world.running("j-1")).isEmpty();
+  }
+
+  @Test
+  void noRightIsGivenWhileAControllerMayBeOfTheFormerVersion() {
+    spreadService("j-1");
+    // It never wrote to this steward, as a former version would not.
+    Node silent = world.steward() == world.nodes.get(0) ? world.nodes.get(1) : world.nodes.get(0);
+    silent.noPeers = true;
+    world.steward().kill();
+    world.pass(10);
+    world.nodes.stream().filter(n -> n.down).forEach(Node::start);
+    world.pass(settings.holdS() + 10);
+    world.cutZone = "z2";
+    world.pass(settings.workers().leaseS() + 4);
+    assertThat(anyInZ2("j-1")).isFalse();
+  }
+
+  @Test
+  void theStewardKnowsUntilWhenAControllerMayHaveRenewed() {
+    Settings s = SettingsReader.parse(World.toml(0));
+    Wards wards = new Wards(s, 100);
+    double hold = s.holdS() * (1 + Settings.DRIFT);
+    // Nothing heard: it may hold a right of an earlier steward.
+    assertThat(wards.renewedUntil("z2", 110)).isEqualTo(110);
+    assertThat(wards.renewedUntil("z2", 500)).isEqualTo(100 + hold);
+    assertThat(wards.heard(new Frame.Here("c2", 1, 0, -1), 7, true, 200).granted()).isFalse();
+    assertThat(wards.heard(new Frame.Here("c1", 1, 0, -1), 7, true, 200).granted()).isTrue();
+    assertThat(wards.heard(new Frame.Here("c2", 2, 1, -1), 7, true, 202).granted()).isTrue();
+    wards.heard(new Frame.Here("c2", 3, 2, -1), 7, true, 204);
+    // 3 acknowledges 2, which acknowledged 1, answered at 200: until contactS after that it renewed nothing.
+    assertThat(wards.renewedUntil("z2", 200 + s.contactS())).isEqualTo(100 + hold);
+    // From then on it may have, until the right that it was given at 204 ends.
+    assertThat(wards.renewedUntil("z2", 220)).isEqualTo(220);
+    assertThat(wards.renewedUntil("z2", 900)).isEqualTo(204 + hold);
+    // It owns up to a renewal, and is in contact again.
+    for (int i = 4; i < 8; i++) {
+      wards.heard(new Frame.Here("c2", i, i - 1, 10 + 2 * i), 7, true, 230 + 2 * i);
+    }
+    assertThat(wards.renewedUntil("z2", 245)).isEqualTo(220);
+    // A new process knows nothing of what the one before it did.
+    wards.heard(new Frame.Here("c2", 50, 0, -1), 7, true, 260);
+    assertThat(wards.renewedUntil("z2", 300)).isGreaterThanOrEqualTo(260);
+  }
+}
--- a/src/test/java/io/embernotch/testkit/World.java
+++ b/src/test/java/io/embernotch/testkit/World.java
@@ -60,6 +60,8 @@
   /** Rented machines do not come up. */
   public boolean noBoot;
   public double bootS = 5;
+  /** A zone that is cut off from everything, or null. */
+  public String cutZone;
   private int nextMachine = 1;
 
   /** One controller, as long as it lives. */
@@ -156,7 +158,8 @@
   private void deliver(Node from, Node to, Frame frame) {
     frames++;
     time.after(HOP_S, () -> {
-      if (!from.down && !to.down && !from.noPeers && !to.noPeers) {
+      boolean cut = apart(from.settings.location(), to.settings.location());
+      if (!from.down && !to.down && !from.noPeers && !to.noPeers && !cut) {
         to.frames.accept(frame, reply -> deliver(to, from, reply));
       }
     });
@@ -190,13 +193,21 @@
     return new World(3, 2, "[cluster.state.next]\nwrite_rps = 30.0\nvalue_kb = 1.0\ntxn_ops = 4\n");
   }
 
+  private static String zone(int index) {
+    return index == 2 ? "z2" : "z1";
+  }
+
+  private boolean apart(String one, String other) {
+    return cutZone != null && cutZone.equals(one) != cutZone.equals(other);
+  }
+
   private static String toml(int index, int scale) {
     StringBuilder s = new StringBuilder();
-    s.append("node='c").append(index).append("'\nlocation='z1'\nclient_listen='10.0.0.").append(index + 1)
+    s.append("node='c").append(index).append("'\nlocation='").append(zone(index)).append("'\nclient_listen='10.0.0.").append(index + 1)
         .append(":8080'\nback='10.0.0.").append(index + 1).append(":8081'\n");
     for (int i = 0; i < 3; i++) {
       if (i != index) {
-        s.append("[[members]]\nnode='c").append(i).append("'\nlocation='z1'\naddress='10.0.0.").append(i + 1).append(":8081'\n");
+        s.append("[[members]]\nnode='c").append(i).append("'\nlocation='").append(zone(i)).append("'\naddress='10.0.0.").append(i + 1).append(":8081'\n");
       }
     }
     s.append("""
@@ -355,6 +366,9 @@
   }
 
   private Future<Reply> arrive(Node from, String method, HostPort to, String path, byte[] body) {
+    if (from.settings.location().equals(cutZone) && (to.equals(from.settings.state()) || to.equals(from.settings.cloud()))) {
+      return null;
+    }
     if (to.equals(from.settings.state())) {
       if (from.noState) {
         return Future.succeededFuture(new Reply(503, "{}".getBytes(StandardCharsets.UTF_8)));
@@ -373,7 +387,7 @@
           : Future.succeededFuture(cloud(method, path, body));
     }
     FakeWorker w = workers.values().stream().filter(x -> x.address.equals(to.toString())).findFirst().orElse(null);
-    if (w == null || w.cut || from.noWorkers || directFate == Fate.LOST) {
+    if (w == null || w.cut || from.noWorkers || apart(from.settings.location(), w.zone) || directFate == Fate.LOST) {
       return null;
     }
     directs += path.equals("/do") ? 1 : 0;
@@ -483,7 +497,7 @@
 
   private void report(FakeWorker w, int hops) {
     Node n = nodes.get(w.node);
-    if (n.down || n.noWorkers) {
+    if (n.down || n.noWorkers || apart(n.settings.location(), w.zone)) {
       w.node = (w.node + 1) % nodes.size();
       w.moves++;
       return;
