Machines of a zone back from a cut are given a report's time; submissions handed on

While a steward writes many starts, submissions waited 2 s for its changes though the other controllers' were unused.

Change: silence counts from a report period after a zone is back. A submission that would wait is handed to another controller, each in turn and a few at a time; a flood is still refused at once.

--- a/src/main/java/io/embernotch/steward/Controller.java
+++ b/src/main/java/io/embernotch/steward/Controller.java
@@ -157,7 +157,7 @@
 
   @Override
   public Future<Answer> elsewhere(byte[] body, double withinS) {
-    String node = alive.firstWithState();
+    String node = alive.nextWithState();
     return node == null ? null : askPeer(node, id -> new Frame.Submit(id, body), withinS);
   }
 
--- a/src/main/java/io/embernotch/steward/FleetKeeper.java
+++ b/src/main/java/io/embernotch/steward/FleetKeeper.java
@@ -80,6 +80,8 @@
   private boolean idleDelete;
   private double typesAt = -1e9;
   private Set<String> cutZones = Set.of();
+  /** When zones were last back from a cut. */
+  private final Map<String, Double> backAt = new HashMap<>();
 
   FleetKeeper(Env env, Ledger ledger, Workers workers, long epoch, Outcome outcome) {
     this.env = env;
@@ -291,9 +293,12 @@
    * report's time-out longer to find us; before, such a machine was taken for a booting one, and
    * its services stayed down until its lease and the old steward's hold were over. One that has only
    * just come up is given the same time: it was once returned in the second before its first report.
+   * So is one whose zone is back from a cut: 238 were once returned as the first controller was back.
    */
   private double lastSign(Machine m) {
-    return m.up() ? m.heardAt : Math.max(startedAt, m.listedUpAt) + env.settings().workers().reportS();
+    double report = env.settings().workers().reportS();
+    double back = backAt.getOrDefault(m.zone, -1e9) + report;
+    return Math.max(back, m.up() ? m.heardAt : Math.max(startedAt, m.listedUpAt) + report);
   }
 
   /**
@@ -354,6 +359,7 @@
     }
     if (!out.equals(cutZones)) {
       LOG.info("zones that are cut off: {}", out);
+      cutZones.stream().filter(z -> !out.contains(z)).forEach(z -> backAt.put(z, env.clock().now()));
     }
     return out;
   }
--- a/src/main/java/io/embernotch/steward/Peers.java
+++ b/src/main/java/io/embernotch/steward/Peers.java
@@ -17,6 +17,7 @@
   private final double liveS;
   private final double renewS;
   private final Map<String, Heard> heard = new HashMap<>();
+  private int turn;
   private final Map<String, Double> renewedAt = new HashMap<>();
 
   Peers(Settings settings, Clock clock) {
@@ -57,6 +58,12 @@
     return null;
   }
 
+  /** Like {@link #firstWithState}, each in turn. */
+  String nextWithState() {
+    List<String> served = live().stream().filter(n -> heard.get(n).stateOk).toList();
+    return served.isEmpty() ? null : served.get(turn++ % served.size());
+  }
+
   /** Nodes whose connection is worth renewing now: it may hang behind a cut that is over. */
   List<String> newlySilent() {
     List<String> out = new ArrayList<>();
--- a/src/main/java/io/embernotch/steward/Submissions.java
+++ b/src/main/java/io/embernotch/steward/Submissions.java
@@ -69,6 +69,7 @@
     return take(body, false);
   }
 
+  private int handedOn;
   private final Map<String, Taking> underWay = new HashMap<>();
 
   private Future<Answer> take(byte[] body, boolean mayPassOn) {
@@ -97,7 +98,8 @@
     }
     double waitS = env.store().waitS();
     if (waitS > patienceS / 2) {
-      return Future.succeededFuture(Answer.later("more is submitted than the state service takes", (int) Math.ceil(waitS)));
+      Answer refusal = Answer.later("more is submitted than the state service takes", (int) Math.ceil(waitS));
+      return mayPassOn ? handOn(body, refusal) : Future.succeededFuture(refusal);
     }
     Job job = new Job(spec, env.clock().wallMs());
     ObjectNode value = RunCodec.writeJob(job, pieceSize);
@@ -110,6 +112,20 @@
     return taking.go();
   }
 
+  /**
+   * Another controller may have changes to spare while a steward's go to starts; it is given a few
+   * submissions at a time. A flood is still refused at once.
+   */
+  private Future<Answer> handOn(byte[] body, Answer refusal) {
+    Future<Answer> other =
+        handedOn < env.settings().stateFloor().writeRps() / 4 ? host.elsewhere(body, patienceS) : null;
+    if (other == null) {
+      return Future.succeededFuture(refusal);
+    }
+    handedOn++;
+    return other.map(a -> a.status() == 503 ? refusal : a).onComplete(r -> handedOn--);
+  }
+
   /**
    * Turns a submission down for good, unless the job was accepted before: it may have been under
    * other limits, and its user is to get its state, whatever would be said of it now.
@@ -141,7 +157,8 @@
 
     Future<Answer> go() {
       env.timers().after(patienceS, () -> reply.tryComplete(Answer.later("the state service does not answer")));
-      if (env.store().failingForS() > 0) {
+      if (env.store().failingForS() > 0 || env.store().waitS() > hedgeS) {
+        // Another has changes to spare while ours wait behind starts.
         passOn();
       }
       if (job.spec.awaits().isEmpty()) {
