Machines that hang are replaced sooner than those that are cut off

The log of probes tells them apart: hung ones take connections and do not answer, cut ones take none.

Change: a machine whose last probe was connected and unanswered is not waited for.

--- a/src/main/java/io/embernotch/model/Machine.java
+++ b/src/main/java/io/embernotch/model/Machine.java
@@ -35,8 +35,9 @@
   public boolean doInFlight;
   public double doFailedAt = -1e9;
   public boolean probing;
-  /** When it last did not answer a probe. */
+  /** When it last did not answer a probe, and whether it took the connection then. */
   public double probeFailedAt = -1e9;
+  public boolean probeConnected;
   /** The cloud takes it at this time; below 0 without notice. */
   public double recallAt = -1;
   /** Nothing new is put here; it is returned once empty. */
--- a/src/main/java/io/embernotch/steward/FleetKeeper.java
+++ b/src/main/java/io/embernotch/steward/FleetKeeper.java
@@ -330,7 +330,9 @@
       workers.probe(m);
       double limit = m.probeFailedAt > lastSign(m) ? SILENT_REPORTS : SILENT_REPORTS + 1;
       if (now - lastSign(m) > limit * report && !worthWaitingFor(m, now)) {
-        LOG.info("machine {} has been silent for {} s with {} tasks", m.name, Math.round(now - lastSign(m)), m.open.size());
+        LOG.info(
+            "machine {} has been silent for {} s with {} tasks, {}", m.name, Math.round(now - lastSign(m)), m.open.size(),
+            m.probeConnected ? "takes connections" : "takes no connection");
         giveBack(m);
       }
     }
@@ -366,9 +368,13 @@
 
   /**
    * A live service on a machine that only lost the network runs on until its lease is over, and
-   * would have to start anew elsewhere if the machine were returned before.
+   * would have to start anew elsewhere if the machine were returned before. One that takes a connection
+   * and does not answer is not cut off: it hangs, and so does the service.
    */
   private boolean worthWaitingFor(Machine m, double now) {
+    if (m.probeConnected && m.probeFailedAt > lastSign(m)) {
+      return false;
+    }
     if (cutZones.contains(m.zone)) {
       return now - lastSign(m) < env.settings().holdS() + PATIENCE * env.settings().workers().leaseS();
     }
--- a/src/main/java/io/embernotch/steward/Workers.java
+++ b/src/main/java/io/embernotch/steward/Workers.java
@@ -422,6 +422,7 @@
               m.probing = false;
               if (!(e instanceof CallFailed f) || f.tried) {
                 m.probeFailedAt = env.clock().now();
+                m.probeConnected = e instanceof CallFailed f && f.sent;
               }
             });
   }
--- a/src/test/java/io/embernotch/steward/RulesTest.java
+++ b/src/test/java/io/embernotch/steward/RulesTest.java
@@ -336,6 +336,23 @@
     assertThat(world.running("j-23").values()).noneMatch(x -> x == w);
   }
 
+  @Test
+  void aMachineThatHangsIsReplacedSoonerThanOneThatIsCutOff() {
+    // Behind a cut a service runs on; on a machine that takes connections and never answers it does not.
+    settle();
+    run(job("j-28", "standing", 8), "j-28", 8);
+    FakeWorker hung = world.running("j-28").get("j-28/0");
+    hung.hung = true;
+    world.pass(14);
+    assertThat(world.deleted).containsExactly(hung.name);
+    world.pass(8);
+    assertThat(world.running("j-28")).hasSize(8);
+    FakeWorker cut = world.running("j-28").get("j-28/0");
+    cut.cut = true;
+    world.pass(20);
+    assertThat(world.deleted).doesNotContain(cut.name);
+  }
+
   @Test
   void aMachineThatWasCutWhenLeadershipMovedIsReplacedSoon() {
     // It had never reported to the new steward, and was once taken for a machine still booting.
--- a/src/test/java/io/embernotch/testkit/FakeWorker.java
+++ b/src/test/java/io/embernotch/testkit/FakeWorker.java
@@ -34,6 +34,8 @@
   public Double recallS;
   /** Neither reports leave nor commands arrive. */
   public boolean cut;
+  /** It takes connections, and neither answers nor reports. */
+  public boolean hung;
   /** Every task that starts fails at once. */
   public boolean sick;
   double lastRenewed;
--- a/src/test/java/io/embernotch/testkit/World.java
+++ b/src/test/java/io/embernotch/testkit/World.java
@@ -347,9 +347,13 @@
 
   private Future<Reply> call(Node from, int life, String method, HostPort to, String path, byte[] body, double timeout) {
     Promise<Reply> promise = Promise.promise();
+    // A probe of what is cut off does not even get a connection.
+    FakeWorker w = at(to);
+    boolean reached = w == null || !(w.cut || from.noWorkers || apart(from.settings.location(), w.zone));
+    boolean connects = reached || !path.equals("/status");
     time.after(timeout, () -> {
       if (from.life == life) {
-        promise.tryFail(new CallFailed(true, "no answer in time"));
+        promise.tryFail(new CallFailed(connects, "no answer in time"));
       }
     });
     time.after(HOP_S, () -> {
@@ -386,8 +390,8 @@
           ? Future.succeededFuture(new Reply(503, "{\"error\":\"trouble\"}".getBytes(StandardCharsets.UTF_8)))
           : Future.succeededFuture(cloud(method, path, body));
     }
-    FakeWorker w = workers.values().stream().filter(x -> x.address.equals(to.toString())).findFirst().orElse(null);
-    if (w == null || w.cut || from.noWorkers || apart(from.settings.location(), w.zone) || directFate == Fate.LOST) {
+    FakeWorker w = at(to);
+    if (w == null || w.cut || w.hung || from.noWorkers || apart(from.settings.location(), w.zone) || directFate == Fate.LOST) {
       return null;
     }
     directs += path.equals("/do") ? 1 : 0;
@@ -398,6 +402,10 @@
     return Future.succeededFuture(path.equals("/do") ? w.direct(body) : new Reply(200, w.report()));
   }
 
+  private FakeWorker at(HostPort address) {
+    return workers.values().stream().filter(x -> x.address.equals(address.toString())).findFirst().orElse(null);
+  }
+
   /** Delivers what was held back, minutes late perhaps. */
   public void releaseHeld() {
     List<Runnable> all = new ArrayList<>(held);
@@ -482,7 +490,7 @@
     if (workers.get(w.name) != w) {
       return;
     }
-    if (!w.cut) {
+    if (!w.cut && !w.hung) {
       report(w, 0);
     }
     time.after(1.0, () -> reportLoop(w));
