The lease on a loop of its own; reports wait for the reading of the store

Change: `LeaseKeeper` renews on its own loop and connection, and stops if the core shows no sign of life for a quarter of the workers' lease. Reports wait up to 3 of the worker's 4 s for a steward and its reading, so that the answer renews from the report's sending; then the worker is told to stay.

--- a/src/main/java/io/embernotch/app/Server.java
+++ b/src/main/java/io/embernotch/app/Server.java
@@ -10,17 +10,19 @@
 import io.embernotch.settings.Settings;
 import io.embernotch.steward.Controller;
 import io.embernotch.steward.Env;
+import io.embernotch.store.LeaseKeeper;
 import io.embernotch.store.StoreClient;
 import io.vertx.core.Context;
 import io.vertx.core.Deployable;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Puts a controller together: a loop for what it decides, and one for the crowd that it answers. */
+/** Puts a controller together: a loop for what it decides, one for the crowd that it answers, one for its lease. */
 final class Server {
   private static final Logger LOG = LoggerFactory.getLogger(Server.class);
 
@@ -30,7 +32,7 @@
 
   static void start(Settings settings, OperatorSettings operator) {
     VertxOptions options = new VertxOptions();
-    options.setEventLoopPoolSize(2).setWorkerPoolSize(1).setInternalBlockingPoolSize(1);
+    options.setEventLoopPoolSize(3).setWorkerPoolSize(1).setInternalBlockingPoolSize(1);
     // A process with a share of a core is late now and then; that is no reason for a stack trace.
     options.setBlockedThreadCheckInterval(60_000);
     options.setFileSystemOptions(
@@ -60,7 +62,29 @@
             new StoreClient(store, clock, timers, settings),
             new CloudClient(cloud, clock, timers, settings),
             workers);
-    Controller controller = new Controller(env, peers);
+    Promise<LeaseKeeper> keeper = Promise.promise();
+    vertx
+        .deployVerticle(
+            (Deployable)
+                lease -> {
+                  keeper.complete(keeper(vertx, lease, env));
+                  return Future.succeededFuture();
+                })
+        .compose(v -> keeper.future())
+        .onSuccess(kept -> loop.runOnContext(v -> listen(vertx, env, peers, new Controller(env, peers, kept))));
+  }
+
+  private static LeaseKeeper keeper(Vertx vertx, Context lease, Env env) {
+    Settings settings = env.settings();
+    VertxTimers timers = new VertxTimers(vertx, lease);
+    VertxCaller caller = new VertxCaller(vertx, timers, 1, 1, settings.workers().reportS() / 3, KEEP_S);
+    return new LeaseKeeper(
+        caller, settings.state(), env.clock(), timers, task -> lease.runOnContext(v -> task.run()), env.loop(),
+        settings.stewardLeaseS(env.operator()), Settings.DRIFT, settings.contactS());
+  }
+
+  private static void listen(Vertx vertx, Env env, VertxPeerLink peers, Controller controller) {
+    Settings settings = env.settings();
     vertx
         .deployVerticle((Deployable) front -> front(vertx, front, env, controller))
         .compose(v -> peers.start(vertx, settings.back()))
--- a/src/main/java/io/embernotch/steward/Controller.java
+++ b/src/main/java/io/embernotch/steward/Controller.java
@@ -16,6 +16,7 @@
 import io.embernotch.peer.PeerLink;
 import io.embernotch.settings.Settings;
 import io.embernotch.store.Entry;
+import io.embernotch.store.LeaseKeeper;
 import io.embernotch.store.Pacer;
 import io.embernotch.store.Pacer.Rank;
 import io.embernotch.store.Txn;
@@ -45,6 +46,7 @@
   private final Env env;
   private final Settings settings;
   private final PeerLink peers;
+  private final LeaseKeeper keeper;
   private final Election election;
   private final Peers alive;
   private final PartKeeper part;
@@ -64,14 +66,13 @@
   private String stewardNode;
   private long stewardEpoch;
 
-  public Controller(Env env, PeerLink peers) {
+  public Controller(Env env, PeerLink peers, LeaseKeeper keeper) {
     this.env = env;
     this.settings = env.settings();
     this.peers = peers;
+    this.keeper = keeper;
     this.alive = new Peers(settings, env.clock());
-    this.election =
-        new Election(
-            settings, settings.stewardLeaseS(env.operator()), env.store(), env.clock(), env.timers(), this);
+    this.election = new Election(settings, env.store(), keeper, env.clock(), env.timers(), this);
     this.part = new PartKeeper(env.clock(), 6 * env.operator().roundS());
     this.round = new Round(env.operator().flagRatio(), env.operator().beta(), env.operator().roundS());
     this.pieceSize = RunCodec.piece(settings.stateFloor().valueKb(), settings.zones());
@@ -287,6 +288,7 @@
     env.store().leading(true);
     steward = new Steward(env, this, epoch, types.values());
     reception.recent().forEach(r -> steward.tell(new StewardMessage.Heard(r)));
+    reception.unpark(this::own);
     steward.start();
     sendBeats();
   }
@@ -352,6 +354,7 @@
   // ---- the other controllers
 
   private void beat() {
+    keeper.alive();
     sendBeats();
     reception.beat();
     for (String silent : alive.newlySilent()) {
--- a/src/main/java/io/embernotch/steward/EarlyReports.java
+++ b/src/main/java/io/embernotch/steward/EarlyReports.java
@@ -1,5 +1,7 @@
 package io.embernotch.steward;
 
+import io.embernotch.actor.Timers;
+import io.embernotch.codec.WorkerCodec;
 import io.embernotch.model.WorkerReport;
 import java.util.ArrayDeque;
 import java.util.LinkedHashMap;
@@ -8,29 +10,52 @@
 import java.util.function.Consumer;
 
 /**
- * What workers report before the store is read. They are told to stay at once: an answer without a
- * token renews nothing and has nothing done, but its worker keeps the connection. While they were
- * kept waiting, a thousand workers gave up after four seconds, connected anew, and so took the time
- * that the reading needed.
+ * What workers report before the store is read. Their reports wait for that, since an answer that
+ * renews them counts from the report's sending; before they would give up they are told to stay: an
+ * answer without a token renews nothing, but its worker keeps the connection. Left to give up, a
+ * thousand workers connected anew and took the time that the reading needed.
  */
 final class EarlyReports {
   /** Reports taken in one turn, so that everything else gets its own. */
   private static final int SLICE = 32;
 
+  /** Workers give up after four seconds. */
+  static final double PATIENCE_S = 3;
+
   private final Map<String, WorkerReport> latest = new LinkedHashMap<>();
+  private final Map<String, StewardMessage.Report> waiting = new LinkedHashMap<>();
+
+  /** A report whose worker waits; told to stay unless {@link #drain} comes first. */
+  void add(StewardMessage.Report m, Timers timers) {
+    String machine = m.report().machine();
+    StewardMessage.Report before = waiting.put(machine, m);
+    if (before != null) {
+      before.reply().tryComplete(WorkerCodec.stay());
+    }
+    timers.after(
+        PATIENCE_S,
+        () -> {
+          if (waiting.remove(machine, m)) {
+            add(m.report());
+            m.reply().tryComplete(WorkerCodec.stay());
+          }
+        });
+  }
 
   void add(WorkerReport r) {
     latest.merge(r.machine(), r, (old, now) -> now.newerThan(old.session(), old.seq()) ? now : old);
   }
 
-  /** Hands over the latest report of each machine, a slice a turn. */
-  void drain(Executor loop, Consumer<WorkerReport> to) {
-    ArrayDeque<WorkerReport> left = new ArrayDeque<>(latest.values());
+  /** Hands over those that wait for an answer, and then what else was heard, a slice a turn. */
+  void drain(Executor loop, Consumer<StewardMessage> to) {
+    ArrayDeque<StewardMessage> left = new ArrayDeque<>(waiting.values());
+    latest.values().forEach(r -> left.add(new StewardMessage.Heard(r)));
+    waiting.clear();
     latest.clear();
     slice(left, loop, to);
   }
 
-  private static void slice(ArrayDeque<WorkerReport> left, Executor loop, Consumer<WorkerReport> to) {
+  private static void slice(ArrayDeque<StewardMessage> left, Executor loop, Consumer<StewardMessage> to) {
     for (int i = 0; i < SLICE && !left.isEmpty(); i++) {
       to.accept(left.poll());
     }
@@ -38,4 +63,10 @@
       loop.execute(() -> slice(left, loop, to));
     }
   }
+
+  /** Nobody will read the store here any more. */
+  void refuse() {
+    waiting.values().forEach(m -> m.reply().tryComplete(null));
+    waiting.clear();
+  }
 }
--- a/src/main/java/io/embernotch/steward/Election.java
+++ b/src/main/java/io/embernotch/steward/Election.java
@@ -6,6 +6,7 @@
 import io.embernotch.codec.Json;
 import io.embernotch.settings.Settings;
 import io.embernotch.store.Entry;
+import io.embernotch.store.LeaseKeeper;
 import io.embernotch.store.Pacer.Rank;
 import io.embernotch.store.StoreClient;
 import io.embernotch.store.StoreFailure;
@@ -46,21 +47,22 @@
   private final Clock clock;
   private final Timers timers;
   private final double lifeS;
+  private final LeaseKeeper keeper;
   private final Listener listener;
   private State state = State.FOLLOWING;
   private long permit;
   private long epoch;
-  private double provenUntil = -1;
   private double avoidUntil = -1;
   private boolean looking;
 
   public Election(
-      Settings settings, double lifeS, StoreClient store, Clock clock, Timers timers, Listener listener) {
+      Settings settings, StoreClient store, LeaseKeeper keeper, Clock clock, Timers timers, Listener listener) {
     this.node = settings.node();
     this.store = store;
     this.clock = clock;
     this.timers = timers;
-    this.lifeS = lifeS;
+    this.keeper = keeper;
+    this.lifeS = keeper.lifeS();
     this.listener = listener;
   }
 
@@ -77,12 +79,12 @@
    * good renewal, less drift.
    */
   public boolean live() {
-    return state == State.HOLDING && clock.now() < provenUntil;
+    return state == State.HOLDING && clock.now() < keeper.provenUntil();
   }
 
   /** Seconds since the lease could last be proven; at most 0 while it can be. */
   public double unprovenForS() {
-    return clock.now() - provenUntil;
+    return clock.now() - keeper.provenUntil();
   }
 
   public long epoch() {
@@ -115,7 +117,7 @@
   private void lose(String why) {
     LOG.info("no longer steward: {}", why);
     state = State.FOLLOWING;
-    provenUntil = -1;
+    keeper.letGo();
     listener.lost(why);
     look();
   }
@@ -240,32 +242,15 @@
     state = State.HOLDING;
     permit = granted;
     epoch = stamp;
-    provenUntil = sentAt + lifeS * (1 - Settings.DRIFT);
+    keeper.keep(granted, sentAt, this::ended);
     LOG.info("steward since epoch {}", epoch);
     listener.stewardIs(node, epoch, true);
     listener.acquired(epoch);
-    timers.after(lifeS / 3, () -> renew(granted));
   }
 
-  private void renew(long which) {
-    if (state != State.HOLDING || permit != which) {
-      return;
+  private void ended(long which) {
+    if (state == State.HOLDING && permit == which) {
+      lose("the lease has ended");
     }
-    double sentAt = clock.now();
-    store
-        .extend(which, lifeS / 3)
-        .onSuccess(
-            alive -> {
-              if (state != State.HOLDING || permit != which) {
-                return;
-              }
-              if (!alive) {
-                lose("the lease has ended");
-                return;
-              }
-              provenUntil = Math.max(provenUntil, sentAt + lifeS * (1 - Settings.DRIFT));
-              timers.after(Math.max(0, sentAt + lifeS / 3 - clock.now()), () -> renew(which));
-            })
-        .onFailure(e -> timers.after(lifeS / 15, () -> renew(which)));
   }
 }
--- a/src/main/java/io/embernotch/steward/Reception.java
+++ b/src/main/java/io/embernotch/steward/Reception.java
@@ -7,11 +7,16 @@
 import io.embernotch.model.WorkerReport;
 import io.embernotch.peer.Frame;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
+import java.util.function.Function;
 import java.util.function.LongFunction;
+import java.util.stream.Collectors;
 
 /**
  * What a controller that is not steward does with the workers that report to it: it passes their
@@ -39,6 +44,16 @@
     boolean badlyPlaced();
   }
 
+  /** Compared by identity: a report can be long. */
+  private static final class Parked {
+    final WorkerReport report;
+    final Promise<Answer> reply = Promise.promise();
+
+    Parked(WorkerReport report) {
+      this.report = report;
+    }
+  }
+
   private record Last(WorkerReport report, double at) {}
 
   private final Env env;
@@ -47,6 +62,7 @@
   /** So long a steward that does not answer is waited for. */
   private final double patienceS;
   private final Map<String, Last> last;
+  private final Set<Parked> parked = new LinkedHashSet<>();
   private String steward;
   private long epoch;
   private boolean relays;
@@ -59,8 +75,7 @@
   Reception(Env env, Host host) {
     this.env = env;
     this.host = host;
-    // A worker waits four seconds, whatever the report period; less than one must do here.
-    this.withinS = Math.min(3, env.settings().workers().reportS() * 0.4);
+    this.withinS = EarlyReports.PATIENCE_S;
     this.patienceS = env.settings().workers().leaseS() / 4;
     this.last = new Recent<>(env.settings().quota().maxConnections());
     this.changedAt = env.clock().now();
@@ -81,8 +96,11 @@
     epoch = newEpoch;
     relays = takesReports;
     if (node != null && takesReports && !node.equals(env.settings().node())) {
-      List<WorkerReport> news = recent();
-      handOver(news, 0, newEpoch);
+      Set<String> waiting = parked.stream().map(p -> p.report.machine()).collect(Collectors.toSet());
+      handOver(recent().stream().filter(r -> !waiting.contains(r.machine())).toList(), 0, newEpoch);
+    }
+    if (node != null && !node.equals(env.settings().node())) {
+      unpark(this::report);
     }
   }
 
@@ -135,7 +153,7 @@
     if (steward == null) {
       // Elsewhere a steward may be known: a node that is cut off must not keep its workers.
       boolean leave = now - changedAt > patienceS && host.badlyPlaced();
-      return Future.succeededFuture(leave ? misdirected(null) : stay());
+      return leave ? Future.succeededFuture(misdirected(null)) : park(r);
     }
     boolean deaf = unansweredSince >= 0 && now - unansweredSince > patienceS;
     if (!relays || (deaf && now < tryAt)) {
@@ -160,6 +178,25 @@
             });
   }
 
+  /** Waits a moment for a steward, so that the worker's lease counts from this report. */
+  private Future<Answer> park(WorkerReport r) {
+    Parked p = new Parked(r);
+    parked.add(p);
+    env.timers().after(withinS, () -> {
+      if (parked.remove(p)) {
+        p.reply.complete(stay());
+      }
+    });
+    return p.reply.future();
+  }
+
+  /** A steward is known, here or elsewhere: those who wait are answered by it. */
+  void unpark(Function<WorkerReport, Future<Answer>> by) {
+    List<Parked> all = List.copyOf(parked);
+    parked.clear();
+    all.forEach(p -> by.apply(p.report).onSuccess(p.reply::complete));
+  }
+
   private static Answer stay() {
     return Answer.of(200, WorkerCodec.stay());
   }
--- a/src/main/java/io/embernotch/steward/Steward.java
+++ b/src/main/java/io/embernotch/steward/Steward.java
@@ -5,7 +5,6 @@
 import io.embernotch.actor.Latencies;
 import io.embernotch.codec.Json;
 import io.embernotch.codec.RunCodec;
-import io.embernotch.codec.WorkerCodec;
 import io.embernotch.http.Answer;
 import io.embernotch.model.Attempt;
 import io.embernotch.model.Cause;
@@ -139,6 +138,7 @@
       refuse(m);
     }
     waiting.clear();
+    early.refuse();
   }
 
   long epoch() {
@@ -213,7 +213,7 @@
     List<StewardMessage> held = new ArrayList<>(waiting);
     waiting.clear();
     held.forEach(this::receive);
-    early.drain(env.loop(), this::heard);
+    early.drain(env.loop(), this::receive);
     planSoon();
   }
 
@@ -224,8 +224,7 @@
     if (stopped) {
       refuse(message);
     } else if (!loaded && message instanceof StewardMessage.Report m) {
-      early.add(m.report());
-      m.reply().complete(WorkerCodec.stay());
+      early.add(m, env.timers());
     } else if (!loaded && message instanceof StewardMessage.Heard m) {
       early.add(m.report());
     } else if (!loaded && message instanceof StewardMessage.Ask m) {
@@ -252,7 +251,7 @@
 
   private static void refuse(StewardMessage message) {
     if (message instanceof StewardMessage.Report m) {
-      m.reply().complete(null);
+      m.reply().tryComplete(null);
     } else if (message instanceof StewardMessage.Ask m) {
       m.reply().complete(Answer.later("no steward yet"));
     }
--- a/src/main/java/io/embernotch/store/StoreClient.java
+++ b/src/main/java/io/embernotch/store/StoreClient.java
@@ -201,18 +201,6 @@
         .compose(reply -> reply.status() == 200 ? parsed(reply, o -> Json.whole(o, "permit")) : odd(reply));
   }
 
-  /** True if the lease got its full time again, false if it has ended. */
-  public Future<Boolean> extend(long permit, double withinS) {
-    return send("POST", "/leases/" + permit + "/extend", null, 0, Rank.URGENT, withinS)
-        .compose(
-            reply ->
-                switch (reply.status()) {
-                  case 200 -> Future.succeededFuture(true);
-                  case 404 -> Future.succeededFuture(false);
-                  default -> odd(reply);
-                });
-  }
-
   public Future<Void> revoke(long permit) {
     return send("DELETE", "/leases/" + permit, null, 0, Rank.URGENT, timeoutS).mapEmpty();
   }
--- /dev/null
+++ b/src/test/java/io/embernotch/store/LeaseKeeperTest.java
@@ -0,0 +1,92 @@
+package io.embernotch.store;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.embernotch.http.CallFailed;
+import io.embernotch.http.Reply;
+import io.embernotch.settings.HostPort;
+import io.embernotch.testkit.FakeTime;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** The steward's lease while the core is busy, the service answers late, or leadership has moved on. */
+class LeaseKeeperTest {
+  private static final double LIFE_S = 3;
+
+  private final FakeTime time = new FakeTime();
+  private final List<String> asked = new ArrayList<>();
+  private final List<Long> ended = new ArrayList<>();
+  private int status = 200;
+  private Promise<Reply> late;
+  /** What the core is told waits here, as if the core were busy. */
+  private final List<Runnable> core = new ArrayList<>();
+  private final LeaseKeeper keeper =
+      new LeaseKeeper(
+          (method, to, path, body, timeout) -> {
+            asked.add(path);
+            if (late != null) {
+              return late.future();
+            }
+            return status == 0
+                ? Future.failedFuture(new CallFailed(true, "no answer"))
+                : Future.succeededFuture(new Reply(status, new byte[0]));
+          },
+          new HostPort("10.2.0.1", 2379), time, time, time, core::add, LIFE_S, 0.001, 8);
+
+  private double left() {
+    return keeper.provenUntil() - time.now();
+  }
+
+  @Test
+  void itIsRenewedThoughTheCoreIsBusyButNotForEver() {
+    keeper.keep(7, time.now(), ended::add);
+    time.pass(7);
+    assertThat(left()).isGreaterThan(LIFE_S / 2);
+    // No sign of the core for longer than it may be busy: somebody else is to lead.
+    time.pass(8);
+    assertThat(left()).isNegative();
+    keeper.alive();
+    time.pass(2);
+    assertThat(left()).isPositive();
+  }
+
+  @Test
+  void aRenewalCountsFromItsSendingAndOneWithoutAnswerNotAtAll() {
+    keeper.keep(7, time.now(), ended::add);
+    time.pass(0.5);
+    double proven = keeper.provenUntil();
+    status = 0;
+    time.pass(2);
+    assertThat(keeper.provenUntil()).isEqualTo(proven);
+    status = 503;
+    time.pass(2);
+    assertThat(left()).isNegative();
+    status = 404;
+    time.pass(1);
+    core.forEach(Runnable::run);
+    assertThat(ended).containsExactly(7L);
+    int before = asked.size();
+    time.pass(5);
+    assertThat(asked).hasSize(before);
+  }
+
+  @Test
+  void anAnswerAboutAFormerLeaseProvesNothingOfTheNextOne() {
+    late = Promise.promise();
+    keeper.keep(7, time.now(), ended::add);
+    time.pass(0.1);
+    Promise<Reply> old = late;
+    late = Promise.promise();
+    keeper.letGo();
+    assertThat(keeper.provenUntil()).isNegative();
+    keeper.keep(8, time.now() - 2, ended::add);
+    double proven = keeper.provenUntil();
+    old.complete(new Reply(200, new byte[0]));
+    time.pass(0.1);
+    assertThat(keeper.provenUntil()).isEqualTo(proven);
+    assertThat(asked).last().isEqualTo("/leases/8/extend");
+  }
+}
--- a/src/test/java/io/embernotch/testkit/World.java
+++ b/src/test/java/io/embernotch/testkit/World.java
@@ -18,6 +18,7 @@
 import io.embernotch.settings.SettingsReader;
 import io.embernotch.steward.Controller;
 import io.embernotch.steward.Env;
+import io.embernotch.store.LeaseKeeper;
 import io.embernotch.store.StoreClient;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -92,7 +93,11 @@
               new StoreClient(caller, time, clock, settings),
               new CloudClient(caller, time, clock, settings),
               caller);
-      controller = new Controller(env, new Link(this));
+      LeaseKeeper keeper =
+          new LeaseKeeper(
+              caller, settings.state(), time, clock, clock, clock, settings.stewardLeaseS(OperatorSettings.DEFAULTS),
+              Settings.DRIFT, settings.contactS());
+      controller = new Controller(env, new Link(this), keeper);
       controller.start();
     }
 
