--- a/src/main/java/io/embernotch/cloud/CloudClient.java
+++ b/src/main/java/io/embernotch/cloud/CloudClient.java
@@ -17,10 +17,6 @@
 
 /** The cloud, paced under its limit. A failed future means that it is not known what was done. */
 public final class CloudClient {
-  /** Most machines that one request may rent, and most names that one may delete. */
-  public static final int MAX_RENT = 50;
-
-  public static final int MAX_DELETE = 100;
   private static final int PAGE = 500;
 
   /** The answer to a rental request: {@code refused} means that no capacity is left. */
--- a/src/main/java/io/embernotch/plan/Planner.java
+++ b/src/main/java/io/embernotch/plan/Planner.java
@@ -1,6 +1,5 @@
 package io.embernotch.plan;
 
-import io.embernotch.cloud.CloudClient;
 import io.embernotch.model.Job;
 import io.embernotch.model.JobSpec;
 import io.embernotch.model.Machine;
@@ -48,7 +47,7 @@
     this.settings = settings;
     this.operator = operator;
     // More could not be asked for in a second.
-    this.mostNew = (int) Math.max(1, settings.cloudLimits().rps()) * CloudClient.MAX_RENT;
+    this.mostNew = (int) Math.max(1, settings.cloudLimits().rps()) * Settings.Cloud.MAX_RENT;
   }
 
   public Plan plan(
--- a/src/main/java/io/embernotch/settings/Settings.java
+++ b/src/main/java/io/embernotch/settings/Settings.java
@@ -37,7 +37,12 @@
   /** Limits of the state service; {@code stateNext} are those that it will have, or the same. */
   public record State(double rps, double writeRps, double valueKb, int txnOps) {}
 
-  public record Cloud(double rps, double listLagS) {}
+  public record Cloud(double rps, double listLagS) {
+    /** Most machines that one request may rent, and most names that one may delete ("Cloud" in the protocol). */
+    public static final int MAX_RENT = 50;
+
+    public static final int MAX_DELETE = 100;
+  }
 
   public record Quota(double cpuShare, double memoryMb, int maxConnections) {}
 
--- a/src/main/java/io/embernotch/steward/Controller.java
+++ b/src/main/java/io/embernotch/steward/Controller.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.embernotch.codec.BadInput;
-import io.embernotch.codec.CloudCodec;
 import io.embernotch.codec.JobCodec;
 import io.embernotch.codec.Json;
 import io.embernotch.codec.RunCodec;
@@ -15,19 +14,15 @@
 import io.embernotch.peer.Frame;
 import io.embernotch.peer.PeerLink;
 import io.embernotch.settings.Settings;
-import io.embernotch.store.Entry;
 import io.embernotch.store.LeaseKeeper;
 import io.embernotch.store.Pacer;
 import io.embernotch.store.Pacer.Rank;
-import io.embernotch.store.Txn;
 import io.embernotch.straggler.MachineView;
 import io.embernotch.straggler.PartKeeper;
 import io.embernotch.straggler.Restart;
-import io.embernotch.straggler.Round;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import java.nio.charset.StandardCharsets;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -41,7 +36,6 @@
 /** One controller: takes in what users and workers send, and is steward whenever it holds the key. */
 public final class Controller implements Door, Election.Listener, Steward.Host, Submissions.Host, Reception.Host {
   private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
-  private static final String TYPES = "types";
 
   private final Env env;
   private final Settings settings;
@@ -50,7 +44,6 @@
   private final Election election;
   private final Peers alive;
   private final PartKeeper part;
-  private final Round round;
   private final int pieceSize;
   private final Submissions submissions;
   private final StoredStatus stored;
@@ -74,7 +67,6 @@
     this.alive = new Peers(settings, env.clock());
     this.election = new Election(settings, env.store(), keeper, env.clock(), env.timers(), this);
     this.part = new PartKeeper(env.clock(), 6 * env.operator().roundS());
-    this.round = new Round(env.operator().flagRatio(), env.operator().beta(), env.operator().roundS());
     this.pieceSize = RunCodec.piece(settings.stateFloor().valueKb(), settings.zones());
     this.polls =
         new Pacer(
@@ -86,44 +78,13 @@
 
   public void start() {
     peers.onFrame(this::frame);
-    learnTypes();
+    new TypesBook(env, types, this::typesKnown).learn();
     election.start();
     beat();
-    env.timers().after(env.operator().roundS(), this::runRound);
+    new Rounds(env, part, this::propose).start();
   }
 
-  // ---- machine types: from the store if another node has learned them, else from the cloud
-
-  private void learnTypes() {
-    env.store()
-        .get(TYPES)
-        .onComplete(
-            r -> {
-              if (r.succeeded() && r.result().present()) {
-                takeTypes(CloudCodec.types(r.result().value()));
-              } else {
-                askCloudForTypes();
-              }
-            });
-  }
-
-  private void askCloudForTypes() {
-    env.cloud()
-        .types()
-        .onSuccess(
-            list -> {
-              takeTypes(list);
-              ObjectNode value = CloudCodec.writeTypes(list);
-              if (Json.bytes(value).length <= settings.stateFloor().valueKb() * 1024) {
-                env.store().commit(new Txn().when(TYPES, 0).write(TYPES, value));
-              }
-            })
-        .onFailure(e -> env.timers().after(settings.workers().reportS() / 3, this::learnTypes));
-  }
-
-  private void takeTypes(List<MachineType> list) {
-    list.forEach(t -> types.put(t.name(), t));
-    LOG.info("machine types: {}", types.keySet());
+  private void typesKnown() {
     if (steward != null) {
       steward.ledger().types.putAll(types);
     }
@@ -476,17 +437,7 @@
     }
   }
 
-  private void runRound() {
-    env.timers().after(env.operator().roundS(), this::runRound);
-    if (!env.operator().stragglerEnabled()) {
-      return;
-    }
-    Collection<MachineView> views = part.current();
-    List<Restart> restarts = round.run(views);
-    if (restarts.isEmpty()) {
-      return;
-    }
-    LOG.info("part of {} machines: {} restarts proposed", views.size(), restarts.size());
+  private void propose(List<Restart> restarts) {
     if (steward != null && steward.epoch() == part.epoch()) {
       steward.tell(new StewardMessage.Propose(settings.node(), restarts));
     } else if (stewardNode != null) {
--- a/src/main/java/io/embernotch/steward/FleetKeeper.java
+++ b/src/main/java/io/embernotch/steward/FleetKeeper.java
@@ -1,6 +1,5 @@
 package io.embernotch.steward;
 
-import io.embernotch.cloud.CloudClient;
 import io.embernotch.cloud.CloudClient.Rented;
 import io.embernotch.codec.CloudCodec.Listed;
 import io.embernotch.model.Attempt;
@@ -134,10 +133,10 @@
     int left = buy.number();
     boolean underWay = open.values().stream().anyMatch(b -> samePool(b, buy));
     while (left > 0 && open.size() < env.settings().cloudLimits().rps()) {
-      if (underWay && left < CloudClient.MAX_RENT) {
+      if (underWay && left < Settings.Cloud.MAX_RENT) {
         return;
       }
-      int n = Math.min(left, CloudClient.MAX_RENT);
+      int n = Math.min(left, Settings.Cloud.MAX_RENT);
       Booking b = new Booking(bookingPrefix + ++bookings, buy.type(), buy.zone(), buy.spot(), n);
       open.put(b.name, b);
       LOG.info("renting {} {} in {}{}", n, b.type, b.zone, b.spot ? " (spot)" : "");
@@ -403,7 +402,7 @@
     List<String> names = new ArrayList<>();
     leaving.removeIf(m -> ledger.machines.get(m.name) != m);
     for (Machine m : leaving) {
-      if (m.deleteRetryAt <= now && batch.size() < CloudClient.MAX_DELETE && !m.doInFlight) {
+      if (m.deleteRetryAt <= now && batch.size() < Settings.Cloud.MAX_DELETE && !m.doInFlight) {
         batch.add(m);
         names.add(m.name);
         m.deleteRetryAt = Double.MAX_VALUE;
--- /dev/null
+++ b/src/main/java/io/embernotch/steward/Starts.java
@@ -0,0 +1,70 @@
+package io.embernotch.steward;
+
+import io.embernotch.model.Attempt;
+import io.embernotch.model.Job;
+import io.embernotch.model.Machine;
+import io.embernotch.model.Priority;
+import io.embernotch.plan.Plan;
+import io.embernotch.store.Pacer.Rank;
+import java.util.ArrayDeque;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Carries out what a plan starts: opens attempts, has them committed, and only then sends them. */
+final class Starts {
+  private static final Logger LOG = LoggerFactory.getLogger(Starts.class);
+
+  private final Env env;
+  private final Ledger ledger;
+  private final Committer committer;
+  private final Workers workers;
+  private final double acquiredAt;
+  private final BooleanSupplier mayOrder;
+  private final ArrayDeque<Machine> toFlush = new ArrayDeque<>();
+  private boolean liveStarted;
+
+  Starts(Env env, Ledger ledger, Committer committer, Workers workers, double acquiredAt, BooleanSupplier mayOrder) {
+    this.env = env;
+    this.ledger = ledger;
+    this.committer = committer;
+    this.workers = workers;
+    this.acquiredAt = acquiredAt;
+    this.mayOrder = mayOrder;
+  }
+
+  void begin(Plan.Start s, double now) {
+    Job job = s.job();
+    long number = job.nextAttempt++;
+    boolean live = job.spec.priority() == Priority.PRODUCTION;
+    for (Plan.Placement p : s.placements()) {
+      Attempt a = ledger.open(job, p.task(), number, p.machine(), now);
+      job.wishes.remove(p.task());
+      committer.now(job, p.task(), live ? Rank.FIRST : Rank.USUAL, () -> {
+        if (Ledger.isOpen(a) && a.start == Attempt.Start.UNCOMMITTED && job.end == null) {
+          a.start = Attempt.Start.READY;
+          flushSoon(p.machine());
+          if (live && !liveStarted) {
+            liveStarted = true;
+            LOG.info("first live start {} ms after the takeover", Math.round((env.clock().now() - acquiredAt) * 1000));
+          }
+        }
+      });
+    }
+  }
+
+  /** Gathers the starts of one commit, so that each machine gets one command. */
+  private void flushSoon(Machine m) {
+    if (toFlush.isEmpty()) {
+      env.loop().execute(() -> {
+        Set<Machine> all = Set.copyOf(toFlush);
+        toFlush.clear();
+        if (mayOrder.getAsBoolean()) {
+          all.forEach(workers::flush);
+        }
+      });
+    }
+    toFlush.add(m);
+  }
+}
--- a/src/main/java/io/embernotch/steward/Steward.java
+++ b/src/main/java/io/embernotch/steward/Steward.java
@@ -12,7 +12,6 @@
 import io.embernotch.model.Machine;
 import io.embernotch.model.MachineType;
 import io.embernotch.model.Phase;
-import io.embernotch.model.Priority;
 import io.embernotch.model.Shape;
 import io.embernotch.model.WorkerReport;
 import io.embernotch.peer.Frame;
@@ -24,7 +23,6 @@
 import io.embernotch.straggler.MachineView;
 import io.embernotch.straggler.Restart;
 import io.vertx.core.Promise;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
@@ -82,6 +80,8 @@
   private final UserDesk users;
   private final Wards wards;
   private final Cancels cancels;
+  private final Stops stops;
+  private final Starts starts;
   private final double acquiredAt;
   private final List<StewardMessage> waiting = new ArrayList<>();
   private final EarlyReports early = new EarlyReports();
@@ -115,6 +115,8 @@
     this.wards = new Wards(env.settings(), acquiredAt);
     this.workers = new Workers(env, ledger, epoch, wards, this);
     this.cancels = new Cancels(env, ledger, committer, endings, workers);
+    this.stops = new Stops(env, ledger, workers, this::close, () -> loaded);
+    this.starts = new Starts(env, ledger, committer, workers, acquiredAt, () -> !stopped && host.live());
     this.fleet = new FleetKeeper(env, ledger, workers, epoch, this);
     this.feed =
         new StragglerFeed(
@@ -185,9 +187,9 @@
     endings.takeOver();
     for (Job job : ledger.jobs.values()) {
       if (job.end == Phase.CANCELLED) {
-        job.open.values().forEach(a -> ask(a, 0));
+        List.copyOf(job.open.values()).forEach(a -> stops.want(a, 0));
       } else if (job.spec.shape() == Shape.GANG && job.open.size() < job.spec.tasks() && !job.open.isEmpty()) {
-        breakGang(job, 0);
+        stops.breakGang(job, 0);
       }
     }
     return jobs.epoch();
@@ -312,7 +314,7 @@
     @Override
     public void cancelled(Job job) {
       endings.follows(job);
-      List.copyOf(job.open.values()).forEach(a -> ask(a, 0));
+      List.copyOf(job.open.values()).forEach(a -> stops.want(a, 0));
     }
 
     @Override
@@ -326,7 +328,7 @@
     public void cancel(Job job, Promise<Answer> reply) {
       LOG.debug("job {} is to be cancelled", job.spec.ref());
       job.cancelling = true;
-      List.copyOf(job.open.values()).forEach(a -> ask(a, 0));
+      List.copyOf(job.open.values()).forEach(a -> stops.want(a, 0));
       cancels.ask(job, reply);
       planSoon();
     }
@@ -399,7 +401,7 @@
       default -> { }
     }
     if (job.spec.shape() == Shape.GANG && job.end == null) {
-      breakGang(job, a.stopping ? a.stopGraceS : 0);
+      stops.breakGang(job, a.stopping ? a.stopGraceS : 0);
     }
   }
 
@@ -407,39 +409,11 @@
   public void gone(Attempt a, Machine m, String why) {
     LOG.info("{} is gone: {}", a, why);
     if (a.job.spec.shape() == Shape.GANG && a.job.end == null) {
-      breakGang(a.job, 0);
+      stops.breakGang(a.job, 0);
     }
     close(a);
   }
 
-  /** Stops what is left of a gang's attempt; the next one starts when all of it has ended. */
-  private void breakGang(Job job, double graceS) {
-    for (Attempt a : List.copyOf(job.open.values())) {
-      if (!a.stopping) {
-        ask(a, graceS);
-      }
-    }
-  }
-
-  /** Wants an attempt to end. One whose start has not left ends here and now. */
-  private void ask(Attempt a, double graceS) {
-    if (a.start == Attempt.Start.UNCOMMITTED || a.start == Attempt.Start.READY) {
-      close(a);
-      return;
-    }
-    if (!a.stopping || graceS < a.stopGraceS) {
-      a.stopping = true;
-      a.stopGraceS = graceS;
-      a.stopAskedAt = env.clock().now();
-      a.stopSentAt = -1e9;
-    }
-    Machine m = ledger.machines.get(a.machine);
-    if (m != null && loaded) {
-      m.touched();
-      workers.flush(m);
-    }
-  }
-
   private void touched(Attempt a) {
     Machine m = ledger.machines.get(a.machine);
     if (m != null) {
@@ -521,7 +495,9 @@
       gone(a, ledger.machines.get(a.machine), "the worker's lease is over");
     }
     for (Machine m : List.copyOf(ledger.machines.values())) {
-      drain(m, now);
+      if (stops.drained(m)) {
+        fleet.giveBack(m);
+      }
       workers.flush(m);
     }
     fleet.tick();
@@ -550,28 +526,6 @@
     }
   }
 
-  /** Empties machines that the cloud takes back, and returns those that are to hold nothing more. */
-  private void drain(Machine m, double now) {
-    if (m.recallAt >= 0) {
-      for (Attempt a : List.copyOf(m.open.values())) {
-        if (!a.stopping && a.job.end == null) {
-          stopOne(a, a.job.spec.checkpointS() > 0 ? a.job.spec.saveS() : 0);
-        }
-      }
-    }
-    if ((m.recallAt >= 0 || m.cordoned) && m.open.isEmpty() && m.up()) {
-      fleet.giveBack(m);
-    }
-  }
-
-  private void stopOne(Attempt a, double graceS) {
-    if (a.job.spec.shape() == Shape.GANG) {
-      breakGang(a.job, graceS);
-    } else {
-      ask(a, graceS);
-    }
-  }
-
   private void restart(Restart r) {
     Job job = ledger.jobs.get(r.ref());
     Attempt a = job.open.get(r.task());
@@ -579,7 +533,7 @@
     job.wishes.put(r.task(), r.target());
     committer.now(job, r.task(), Rank.USUAL, () -> {
       if (Ledger.isOpen(a) && !a.stopping && job.end == null) {
-        ask(a, a.job.spec.checkpointS() > 0 ? a.job.spec.saveS() : 0);
+        stops.want(a, a.job.spec.checkpointS() > 0 ? a.job.spec.saveS() : 0);
       }
     });
   }
@@ -614,10 +568,10 @@
     plans.record("plan", planTookS);
     for (Plan.Stop s : plan.stops) {
       LOG.info("stopping {}: {}", s.attempt(), s.why());
-      stopOne(s.attempt(), s.graceS());
+      stops.one(s.attempt(), s.graceS());
     }
     for (Plan.Start s : plan.starts) {
-      begin(s, now);
+      starts.begin(s, now);
     }
     if (fleet.listedOnce()) {
       plan.buys.forEach(fleet::rent);
@@ -630,38 +584,6 @@
     }
   }
 
-  private void begin(Plan.Start s, double now) {
-    Job job = s.job();
-    long number = job.nextAttempt++;
-    Rank rank = job.spec.priority() == Priority.PRODUCTION ? Rank.FIRST : Rank.USUAL;
-    for (Plan.Placement p : s.placements()) {
-      Attempt a = ledger.open(job, p.task(), number, p.machine(), now);
-      job.wishes.remove(p.task());
-      committer.now(job, p.task(), rank, () -> {
-        if (Ledger.isOpen(a) && a.start == Attempt.Start.UNCOMMITTED && job.end == null) {
-          a.start = Attempt.Start.READY;
-          flushSoon(p.machine());
-        }
-      });
-    }
-  }
-
-  private final ArrayDeque<Machine> toFlush = new ArrayDeque<>();
-
-  /** Gathers the starts of one commit, so that each machine gets one command. */
-  private void flushSoon(Machine m) {
-    if (toFlush.isEmpty()) {
-      env.loop().execute(() -> {
-        Set<Machine> all = Set.copyOf(toFlush);
-        toFlush.clear();
-        if (!stopped && host.live()) {
-          all.forEach(workers::flush);
-        }
-      });
-    }
-    toFlush.add(m);
-  }
-
   private ObjectNode overview() {
     return Overview.of(ledger, chains.waiting()).put("epoch", epoch).put("plans", planned).put("views", feed.sent());
   }
--- /dev/null
+++ b/src/main/java/io/embernotch/steward/TypesBook.java
@@ -0,0 +1,61 @@
+package io.embernotch.steward;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.embernotch.codec.CloudCodec;
+import io.embernotch.codec.Json;
+import io.embernotch.model.MachineType;
+import io.embernotch.store.Txn;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Machine types: from the store if another node has learned them, else from the cloud. */
+final class TypesBook {
+  private static final Logger LOG = LoggerFactory.getLogger(TypesBook.class);
+  private static final String TYPES = "types";
+
+  private final Env env;
+  private final Map<String, MachineType> types;
+  private final Runnable known;
+
+  TypesBook(Env env, Map<String, MachineType> types, Runnable known) {
+    this.env = env;
+    this.types = types;
+    this.known = known;
+  }
+
+  /** Tries until they are known. */
+  void learn() {
+    env.store()
+        .get(TYPES)
+        .onComplete(
+            r -> {
+              if (r.succeeded() && r.result().present()) {
+                take(CloudCodec.types(r.result().value()));
+              } else {
+                askCloud();
+              }
+            });
+  }
+
+  private void askCloud() {
+    env.cloud()
+        .types()
+        .onSuccess(
+            list -> {
+              take(list);
+              ObjectNode value = CloudCodec.writeTypes(list);
+              if (Json.bytes(value).length <= env.settings().stateFloor().valueKb() * 1024) {
+                env.store().commit(new Txn().when(TYPES, 0).write(TYPES, value));
+              }
+            })
+        .onFailure(e -> env.timers().after(env.settings().workers().reportS() / 3, this::learn));
+  }
+
+  private void take(List<MachineType> list) {
+    list.forEach(t -> types.put(t.name(), t));
+    LOG.info("machine types: {}", types.keySet());
+    known.run();
+  }
+}
