Reports a few at a time after a takeover; an overtaken report stops and forgets nothing

Reports that a newer one had overtaken in the queue listed ended tasks as running, and were answered with stops.

A report that was overtaken gets no reaps and no starts, and nothing is stopped for what it lists.

--- a/src/main/java/io/embernotch/steward/Steward.java
+++ b/src/main/java/io/embernotch/steward/Steward.java
@@ -82,6 +82,7 @@
   private final Cancels cancels;
   private final Stops stops;
   private final Starts starts;
+  private final ReportQueue reports;
   private final double acquiredAt;
   private final List<StewardMessage> waiting = new ArrayList<>();
   private final EarlyReports early = new EarlyReports();
@@ -116,6 +117,7 @@
     this.workers = new Workers(env, ledger, epoch, wards, this);
     this.cancels = new Cancels(env, ledger, committer, endings, workers);
     this.stops = new Stops(env, ledger, workers, this::close, () -> loaded);
+    this.reports = new ReportQueue(env.timers(), this::report);
     this.starts = new Starts(env, ledger, committer, workers, acquiredAt, () -> !stopped && host.live());
     this.fleet = new FleetKeeper(env, ledger, workers, epoch, this);
     this.feed =
@@ -235,7 +237,7 @@
     } else if (!loaded && !(message instanceof StewardMessage.Tick)) {
       waiting.add(message);
     } else if (message instanceof StewardMessage.Report m) {
-      report(m);
+      reports.add(m);
     } else if (message instanceof StewardMessage.Heard m) {
       heard(m.report());
     } else if (message instanceof StewardMessage.Ask m) {
@@ -266,6 +268,10 @@
   }
 
   private void report(StewardMessage.Report m) {
+    if (stopped) {
+      refuse(m);
+      return;
+    }
     Machine known = ledger.machines.get(m.report().machine());
     int openBefore = known == null ? 0 : known.open.size();
     byte[] body = workers.report(m.report(), host.live());
--- a/src/main/java/io/embernotch/steward/Workers.java
+++ b/src/main/java/io/embernotch/steward/Workers.java
@@ -105,7 +105,8 @@
     if (r.session() == m.session) {
       addStops(m, orders);
     }
-    if (trusted && r.session() == m.session) {
+    // One that a newer report or answer has overtaken lists what has ended since as running.
+    if (trusted && r.session() == m.session && r.seq() == m.seq) {
       addStartsInResponse(m, orders);
       addReaps(m, r, orders);
     }
--- a/src/test/java/io/embernotch/steward/ReceptionTest.java
+++ b/src/test/java/io/embernotch/steward/ReceptionTest.java
@@ -6,10 +6,15 @@
 import io.embernotch.codec.Json;
 import io.embernotch.codec.WorkerCodec;
 import io.embernotch.http.Answer;
+import io.embernotch.model.WorkerReport;
+import io.embernotch.testkit.FakeTime;
 import io.embernotch.testkit.FakeWorker;
 import io.embernotch.testkit.World;
 import io.embernotch.testkit.World.Node;
+import io.vertx.core.Promise;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -188,4 +193,36 @@
     // The pages that were read are not asked for again, and what was reported meanwhile is known.
     assertThat(Json.parseObject(report(now, w).body()).has("baton")).isTrue();
   }
+
+  @Test
+  void aFloodOfReportsLeavesTurnsToEverythingElse() {
+    FakeTime time = new FakeTime();
+    List<String> order = new ArrayList<>();
+    ReportQueue queue = new ReportQueue(time, m -> order.add("report"));
+    time.after(0.0015, () -> order.add("commit"));
+    for (int i = 0; i < 100; i++) {
+      queue.add(new StewardMessage.Report(null, Promise.promise()));
+    }
+    time.pass(0.1);
+    assertThat(order).hasSize(101);
+    assertThat(order.indexOf("commit")).isBetween(1, 20);
+    // In a quiet moment one is taken as it comes.
+    queue.add(new StewardMessage.Report(null, Promise.promise()));
+    assertThat(order).hasSize(102);
+  }
+
+  @Test
+  void aReportThatWasOvertakenStopsAndForgetsNothing() {
+    Node n = settle();
+    machines(1, n);
+    FakeWorker w = world.workers.firstEntry().getValue();
+    world.submit(0, job("j-4", "array", 2));
+    world.pass(3);
+    assertThat(w.alive()).hasSize(2);
+    WorkerReport old = WorkerCodec.read(w.report());
+    world.finish("j-4");
+    world.pass(3);
+    String answer = new String(world.await(n.controller.report(old)).body());
+    assertThat(answer).contains("\"orders\":[]");
+  }
 }
