The front under test before a busy core: late polls, health checks, malformed reports

The front loop had only been measured. The test runs the core's tasks by hand: what its user no longer waits for does not reach the core, a health check is told what was last known, a malformed report is refused without the core.

--- /dev/null
+++ b/src/test/java/io/embernotch/http/HttpFrontTest.java
@@ -0,0 +1,125 @@
+package io.embernotch.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.embernotch.actor.VertxTimers;
+import io.embernotch.model.WorkerReport;
+import io.embernotch.settings.HostPort;
+import io.embernotch.testkit.FakeTime;
+import io.vertx.core.Context;
+import io.vertx.core.Deployable;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpMethod;
+import java.net.ServerSocket;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The front before a core that is busy: its tasks are run by the test, and the time that they see is the test's. */
+class HttpFrontTest implements Door {
+  private final Vertx vertx = Vertx.vertx();
+  private final FakeTime time = new FakeTime();
+  private final BlockingQueue<Runnable> core = new LinkedBlockingQueue<>();
+  private HttpClient client;
+  private int port;
+  private int polled;
+  private int reported;
+
+  @BeforeEach
+  void listen() throws Exception {
+    try (ServerSocket s = new ServerSocket(0)) {
+      port = s.getLocalPort();
+    }
+    client = vertx.createHttpClient();
+    await(vertx.deployVerticle((Deployable) this::front));
+  }
+
+  private Future<?> front(Context loop) {
+    return new HttpFront(this, core::add, time, new VertxTimers(vertx, loop), 3600).listen(vertx, new HostPort("127.0.0.1", port));
+  }
+
+  @AfterEach
+  void close() throws Exception {
+    await(vertx.close());
+  }
+
+  private static <T> T await(Future<T> f) throws Exception {
+    return f.toCompletionStage().toCompletableFuture().get(20, TimeUnit.SECONDS);
+  }
+
+  private Future<Integer> ask(HttpMethod method, String path, String body) {
+    return client.request(method, port, "127.0.0.1", path).compose(r -> r.send(body)).map(r -> r.statusCode());
+  }
+
+  private void runNext() throws InterruptedException {
+    core.poll(20, TimeUnit.SECONDS).run();
+  }
+
+  @Test
+  void whatItsUserNoLongerWaitsForDoesNotReachTheCore() throws Exception {
+    Future<Integer> late = ask(HttpMethod.GET, "/api/jobs/j-1", "");
+    Runnable waiting = core.poll(20, TimeUnit.SECONDS);
+    // Users give a poll two seconds.
+    time.pass(2.5);
+    waiting.run();
+    assertThat(await(late)).isEqualTo(503);
+    assertThat(polled).isZero();
+    Future<Integer> good = ask(HttpMethod.GET, "/api/jobs/j-1", "");
+    runNext();
+    assertThat(await(good)).isEqualTo(200);
+    assertThat(polled).isEqualTo(1);
+  }
+
+  @Test
+  void aHealthCheckIsToldWhatWasLastKnownWhileTheCoreIsBusy() throws Exception {
+    Future<Integer> first = ask(HttpMethod.GET, "/ready", "");
+    runNext();
+    assertThat(await(first)).isEqualTo(200);
+    Future<Integer> busy = ask(HttpMethod.GET, "/ready", "");
+    assertThat(await(busy)).isEqualTo(200);
+  }
+
+  @Test
+  void aMalformedReportIsRefusedWithoutTheCore() throws Exception {
+    assertThat(await(ask(HttpMethod.POST, "/hello", "{\"hearth\":"))).isEqualTo(400);
+    assertThat(core).isEmpty();
+    assertThat(reported).isZero();
+  }
+
+  @Override
+  public Future<Answer> submit(byte[] body) {
+    return Future.succeededFuture(Answer.error(400, "not asked here"));
+  }
+
+  @Override
+  public Future<Answer> poll(String ref) {
+    polled++;
+    return Future.succeededFuture(Answer.of(200, new byte[0]));
+  }
+
+  @Override
+  public Future<Answer> abort(String ref) {
+    return Future.succeededFuture(Answer.error(400, "not asked here"));
+  }
+
+  @Override
+  public Future<Answer> report(WorkerReport report) {
+    reported++;
+    return Future.succeededFuture(Answer.of(200, new byte[0]));
+  }
+
+  @Override
+  public Answer ready() {
+    return Answer.of(200, new byte[0]);
+  }
+
+  @Override
+  public Future<Answer> overview() {
+    return Future.succeededFuture(Answer.of(200, new byte[0]));
+  }
+}
