Calls to machines by need, plans of their own for live services after a takeover

Cause: right after a takeover up to a thousand probes and commands left at once. Change: Lanes bounds calls to machines and lets live services go first, silent machines last; an idle connection makes way for another host; a command that waits also goes with the answer to a report; in the first half report period live services have plans of their own; views, images and retirement wait for a report period. A controller's memory of when it sent a worker away ends with the cut. What the loop's turns go to is in the log at info (Work).

--- a/src/main/java/io/embernotch/app/Server.java
+++ b/src/main/java/io/embernotch/app/Server.java
@@ -1,7 +1,9 @@
 package io.embernotch.app;
 
 import io.embernotch.actor.SystemClock;
+import io.embernotch.actor.Timers;
 import io.embernotch.actor.VertxTimers;
+import io.embernotch.actor.Work;
 import io.embernotch.cloud.CloudClient;
 import io.embernotch.http.HttpFront;
 import io.embernotch.http.VertxCaller;
@@ -44,12 +46,13 @@
 
   private static void wire(Vertx vertx, Context loop, Settings settings, OperatorSettings operator) {
     SystemClock clock = new SystemClock();
-    VertxTimers timers = new VertxTimers(vertx, loop);
+    Work work = Work.read();
+    Timers timers = work.around("timer", new VertxTimers(vertx, loop));
     double report = settings.workers().reportS();
     VertxCaller store = new VertxCaller(vertx, timers, 8, 1, report / 3, KEEP_S);
     VertxCaller cloud = new VertxCaller(vertx, timers, 4, 1, report / 3, KEEP_S);
     // Each worker has a connection to us already: ours to them are few at a time, and short-lived.
-    int direct = Math.max(8, settings.quota().maxConnections() / 5);
+    int direct = settings.quota().directCalls();
     VertxCaller workers = new VertxCaller(vertx, timers, 1, direct, report / 3, report / 3);
     VertxPeerLink peers = new VertxPeerLink(vertx, timers, settings);
     Env env =
@@ -58,7 +61,8 @@
             operator,
             clock,
             timers,
-            task -> loop.runOnContext(v -> task.run()),
+            task -> loop.runOnContext(v -> work.run("asked", task)),
+            work,
             new StoreClient(store, clock, timers, settings),
             new CloudClient(cloud, clock, timers, settings),
             workers);
--- a/src/main/java/io/embernotch/http/VertxCaller.java
+++ b/src/main/java/io/embernotch/http/VertxCaller.java
@@ -13,16 +13,24 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
-import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** Calls over Vert.x's client, each with a time limit of its own. */
 public final class VertxCaller implements Caller {
   private final HttpClient client;
   private final Timers timers;
   private final int most;
-  /** Hosts with a connection, or one being made. */
-  private final Map<String, Integer> hosts = new HashMap<>();
+  /** Hosts with a connection, or one being made, that which was called longest ago first. */
+  private final Map<String, Host> hosts = new LinkedHashMap<>(16, 0.75f, true);
+
+  private static final class Host {
+    final Set<HttpConnection> open = new HashSet<>();
+    int calls;
+  }
 
   /**
    * @param most hosts to be connected to at a time; a call to one more fails unsent
@@ -48,13 +56,21 @@
   @Override
   public Future<Reply> call(String method, HostPort to, String path, byte[] body, double timeoutS) {
     String host = to.host() + ":" + to.port();
-    if (!hosts.containsKey(host)) {
-      if (hosts.size() >= most) {
+    Host known = hosts.get(host);
+    if (known == null) {
+      if (hosts.size() >= most && !makeRoom()) {
         return Future.failedFuture(CallFailed.untried("too many connections"));
       }
-      hosts.put(host, 0);
+      known = new Host();
+      hosts.put(host, known);
     }
+    Host called = known;
+    called.calls++;
     Call call = new Call();
+    call.promise.future().onComplete(r -> {
+      called.calls--;
+      forget(host, called);
+    });
     call.cancelTimer = timers.after(timeoutS, call::timeOut);
     RequestOptions options =
         new RequestOptions()
@@ -64,19 +80,37 @@
             .setURI(path);
     client
         .request(options)
-        .onFailure(
-            e -> {
-              hosts.remove(host, 0);
-              call.fail(e.getMessage());
-            })
+        .onFailure(e -> call.fail(e.getMessage()))
         .onSuccess(request -> call.send(request, body));
     return call.promise.future();
   }
 
   private void opened(HttpConnection connection) {
     String host = connection.remoteAddress().hostAddress() + ":" + connection.remoteAddress().port();
-    hosts.merge(host, 1, Integer::sum);
-    connection.closeHandler(v -> hosts.computeIfPresent(host, (k, n) -> n > 1 ? n - 1 : null));
+    Host to = hosts.computeIfAbsent(host, k -> new Host());
+    to.open.add(connection);
+    connection.closeHandler(v -> {
+      to.open.remove(connection);
+      forget(host, to);
+    });
+  }
+
+  private void forget(String name, Host host) {
+    if (host.calls == 0 && host.open.isEmpty()) {
+      hosts.remove(name, host);
+    }
+  }
+
+  /** Closes the connections to a host that nothing is asked of; false if there is none. */
+  private boolean makeRoom() {
+    for (Map.Entry<String, Host> e : hosts.entrySet()) {
+      if (e.getValue().calls == 0) {
+        hosts.remove(e.getKey());
+        List.copyOf(e.getValue().open).forEach(HttpConnection::close);
+        return true;
+      }
+    }
+    return false;
   }
 
   /** One call under way; the first of answer, failure and time limit settles it. */
--- a/src/main/java/io/embernotch/plan/Planner.java
+++ b/src/main/java/io/embernotch/plan/Planner.java
@@ -58,6 +58,37 @@
       Fleet.Pools pools,
       Collection<Fleet.Expected> expected,
       Collection<Fleet.Headroom> headroom) {
+    List<Job> order = placeLive(atTime, jobs, machines, types, pools, expected);
+    // Room for the next live service goes before all other work, or that would fill it.
+    headroom.stream().filter(h -> h.like().priority() == Priority.PRODUCTION).forEach(this::keepFree);
+    order.forEach(this::place);
+    headroom.stream().filter(h -> h.like().priority() != Priority.PRODUCTION).forEach(this::keepFree);
+    market.collect(plan);
+    collectReturns();
+    return plan;
+  }
+
+  /** The same for live services alone: a fraction of the time, where a whole plan would keep them waiting. */
+  public Plan liveOnly(
+      double atTime,
+      Collection<Job> jobs,
+      Collection<Machine> machines,
+      Map<String, MachineType> types,
+      Fleet.Pools pools,
+      Collection<Fleet.Expected> expected) {
+    placeLive(atTime, jobs, machines, types, pools, expected);
+    market.collect(plan);
+    return plan;
+  }
+
+  /** Places live services, and returns the other jobs in their order. */
+  private List<Job> placeLive(
+      double atTime,
+      Collection<Job> jobs,
+      Collection<Machine> machines,
+      Map<String, MachineType> types,
+      Fleet.Pools pools,
+      Collection<Fleet.Expected> expected) {
     now = atTime;
     plan = new Plan();
     usage = new Usage(settings.teams(), jobs);
@@ -72,13 +103,7 @@
     while (live < order.size() && order.get(live).spec.priority() == Priority.PRODUCTION) {
       place(order.get(live++));
     }
-    // Room for the next live service goes before all other work, or that would fill it.
-    headroom.stream().filter(h -> h.like().priority() == Priority.PRODUCTION).forEach(this::keepFree);
-    order.subList(live, order.size()).forEach(this::place);
-    headroom.stream().filter(h -> h.like().priority() != Priority.PRODUCTION).forEach(this::keepFree);
-    market.collect(plan);
-    collectReturns();
-    return plan;
+    return order.subList(live, order.size());
   }
 
   private boolean usable(Machine m) {
--- a/src/main/java/io/embernotch/settings/Settings.java
+++ b/src/main/java/io/embernotch/settings/Settings.java
@@ -44,7 +44,12 @@
     public static final int MAX_DELETE = 100;
   }
 
-  public record Quota(double cpuShare, double memoryMb, int maxConnections) {}
+  public record Quota(double cpuShare, double memoryMb, int maxConnections) {
+    /** Calls to workers that may be under way at a time: most of the connections are theirs to us, and users'. */
+    public int directCalls() {
+      return Math.max(8, maxConnections / 5);
+    }
+  }
 
   /**
    * What fits the state service now and once its limits have been lowered, which it does without
--- a/src/main/java/io/embernotch/steward/Committer.java
+++ b/src/main/java/io/embernotch/steward/Committer.java
@@ -4,6 +4,7 @@
 import io.embernotch.actor.Clock;
 import io.embernotch.actor.Latencies;
 import io.embernotch.actor.Timers;
+import io.embernotch.actor.Work;
 import io.embernotch.codec.Json;
 import io.embernotch.model.Job;
 import io.embernotch.settings.Settings;
@@ -77,6 +78,7 @@
   private boolean saidSo;
   private final Layout layout;
   private final Runnable deposed;
+  private final Work work;
   private final Map<String, Long> stamps = new HashMap<>();
   private final Map<String, Dirty> dirty = new LinkedHashMap<>();
   private Map<String, Dirty> inFlight = Map.of();
@@ -91,11 +93,13 @@
   private long changes;
 
   Committer(
-      Settings settings, Layout layout, StoreClient store, Clock clock, Timers timers, long epoch, Runnable deposed) {
+      Settings settings, Layout layout, StoreClient store, Clock clock, Timers timers, Work work, long epoch,
+      Runnable deposed) {
     this.layout = layout;
     this.store = store;
     this.clock = clock;
     this.timers = timers;
+    this.work = work;
     this.epoch = epoch;
     this.maxChanges = settings.stateFloor().txnOps();
     this.lazyS = settings.workers().reportS();
@@ -225,8 +229,7 @@
     // Under pressure a transaction waits to be worth its request, unless a live service needs it.
     int least = rank == Rank.FIRST ? 1 : Math.max(1, Math.min(dirty.size(), maxChanges / 4));
     store.turn(least, rank, () -> {
-      int made = turn == turns && !busy && !closed ? write(least, rank) : 0;
-      store.turnOver(least, made);
+      work.run("write", () -> store.turnOver(least, turn == turns && !busy && !closed ? write(least, rank) : 0));
     });
   }
 
@@ -286,7 +289,7 @@
     changes += batch.size();
     store
         .commitInTurn(txn, rank)
-        .onSuccess(c -> answered(c, batch))
+        .onSuccess(c -> work.run("committed", () -> answered(c, batch)))
         .onFailure(e -> unanswered(e, batch));
     return batch.size();
   }
--- a/src/main/java/io/embernotch/steward/Env.java
+++ b/src/main/java/io/embernotch/steward/Env.java
@@ -2,6 +2,7 @@
 
 import io.embernotch.actor.Clock;
 import io.embernotch.actor.Timers;
+import io.embernotch.actor.Work;
 import io.embernotch.cloud.CloudClient;
 import io.embernotch.http.Caller;
 import io.embernotch.settings.OperatorSettings;
@@ -16,6 +17,7 @@
     Clock clock,
     Timers timers,
     Executor loop,
+    Work work,
     StoreClient store,
     CloudClient cloud,
     Caller workers) {}
--- a/src/main/java/io/embernotch/steward/FleetKeeper.java
+++ b/src/main/java/io/embernotch/steward/FleetKeeper.java
@@ -267,9 +267,7 @@
    * themselves, nothing could be started on them.
    */
   private void find(Machine m) {
-    if (!m.up() && !m.deleting) {
-      workers.probe(m);
-    }
+    workers.find(m);
   }
 
   private void watchBoots(double now) {
--- /dev/null
+++ b/src/main/java/io/embernotch/steward/Lanes.java
@@ -0,0 +1,79 @@
+package io.embernotch.steward;
+
+import io.embernotch.model.Machine;
+import java.util.EnumMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Calls to machines that are under way, and what waits for its turn: live services first, machines that
+ * are not heard last, so that a silent half of the fleet takes nothing from the other. After a takeover a
+ * thousand probes and commands left at once; what did not find a connection was given up for most of a
+ * report period, and live services were started behind all others.
+ */
+final class Lanes {
+  /** Whom a call is for, and which share of all calls may be under way when one more begins. */
+  enum Need {
+    LIVE(1),
+    USUAL(0.5),
+    /** Commands to and probes of machines that should be heard and are not. */
+    SILENT(0.25),
+    /** Machines that will most likely find us by themselves. */
+    FIND(0.0625);
+
+    final double share;
+
+    Need(double share) {
+      this.share = share;
+    }
+  }
+
+  private final int most;
+  private final Map<Need, Map<Machine, Runnable>> waiting = new EnumMap<>(Need.class);
+  private int underWay;
+  private boolean letting;
+
+  /** @param most calls under way at a time */
+  Lanes(int most) {
+    this.most = most;
+    for (Need n : Need.values()) {
+      waiting.put(n, new LinkedHashMap<>());
+    }
+  }
+
+  /** True if a call may begin now; it ends with {@link #leave}. Else {@code again} asks once there is room. */
+  boolean enter(Machine m, Need need, Runnable again) {
+    if (hasRoom(need) && (letting || waiting.get(need).isEmpty())) {
+      underWay++;
+      return true;
+    }
+    waiting.get(need).putIfAbsent(m, again);
+    return false;
+  }
+
+  void leave() {
+    underWay--;
+    if (letting) {
+      return;
+    }
+    letting = true;
+    for (Need need : Need.values()) {
+      Map<Machine, Runnable> queue = waiting.get(need);
+      while (hasRoom(need) && !queue.isEmpty()) {
+        Machine m = queue.keySet().iterator().next();
+        // It enters by itself, or has nothing to say any more.
+        queue.remove(m).run();
+      }
+    }
+    letting = false;
+  }
+
+  /** True while a command to the machine waits for its turn. */
+  boolean waits(Machine m) {
+    return waiting.get(Need.LIVE).containsKey(m) || waiting.get(Need.USUAL).containsKey(m);
+  }
+
+  private boolean hasRoom(Need need) {
+    return underWay < Math.max(1, need.share * most);
+  }
+}
--- a/src/main/java/io/embernotch/steward/Standby.java
+++ b/src/main/java/io/embernotch/steward/Standby.java
@@ -49,6 +49,10 @@
       return;
     }
     ack = Math.max(ack, n.seq());
+    if (env.clock().now() - contactAt > env.settings().contactS()) {
+      // The next cut is another one: a worker that is sent away before we have renewed it may lose its lease.
+      awayAt.clear();
+    }
     contactAt = Math.max(contactAt, sent);
     if (n.granted()) {
       grantedAt = Math.max(grantedAt, sent);
--- a/src/main/java/io/embernotch/steward/Starts.java
+++ b/src/main/java/io/embernotch/steward/Starts.java
@@ -47,7 +47,10 @@
           flushSoon(p.machine());
           if (live && !liveStarted) {
             liveStarted = true;
-            LOG.info("first live start {} ms after the takeover", Math.round((env.clock().now() - acquiredAt) * 1000));
+            double at = env.clock().now();
+            LOG.info(
+                "first live start {} ms after the takeover, {} ms after it was planned",
+                Math.round((at - acquiredAt) * 1000), Math.round((at - now) * 1000));
           }
         }
       });
--- a/src/main/java/io/embernotch/steward/Steward.java
+++ b/src/main/java/io/embernotch/steward/Steward.java
@@ -12,6 +12,7 @@
 import io.embernotch.model.Machine;
 import io.embernotch.model.MachineType;
 import io.embernotch.model.Phase;
+import io.embernotch.model.Priority;
 import io.embernotch.model.Shape;
 import io.embernotch.model.WorkerReport;
 import io.embernotch.peer.Frame;
@@ -87,6 +88,7 @@
   private final List<StewardMessage> waiting = new ArrayList<>();
   private final EarlyReports early = new EarlyReports();
   private boolean loaded;
+  private double loadedAt;
   private boolean stopped;
   private boolean planArmed;
   /** A job has been let go, and a plan is to be made in this turn. */
@@ -107,7 +109,7 @@
     this.layout = new Layout(RunCodec.piece(env.settings().stateFloor().valueKb(), env.settings().zones()));
     this.committer =
         new Committer(
-            env.settings(), layout, env.store(), env.clock(), env.timers(), epoch,
+            env.settings(), layout, env.store(), env.clock(), env.timers(), env.work(), epoch,
             () -> host.outranked("a commit failed on the steward's key"));
     Hooks hooks = new Hooks();
     this.chains = new Chains(env, ledger, hooks);
@@ -117,8 +119,8 @@
     this.workers = new Workers(env, ledger, epoch, wards, this);
     this.cancels = new Cancels(env, ledger, committer, endings, workers);
     this.stops = new Stops(env, ledger, workers, this::close, () -> loaded);
-    this.reports = new ReportQueue(env.timers(), this::report);
-    this.starts = new Starts(env, ledger, committer, workers, acquiredAt, () -> !stopped && host.live());
+    this.reports = new ReportQueue(env.timers(), m -> env.work().run("Report", () -> report(m)));
+    this.starts = new Starts(env, ledger, committer, workers, acquiredAt, this::leads);
     this.fleet = new FleetKeeper(env, ledger, workers, epoch, this);
     this.feed =
         new StragglerFeed(
@@ -170,7 +172,7 @@
             jobs ->
                 env.store()
                     .list(RunCodec.RUN)
-                    .compose(runs -> env.store().list(RunCodec.PART).map(parts -> take(jobs, runs, parts))))
+                    .compose(runs -> env.store().list(RunCodec.PART).map(parts -> read(jobs, runs, parts))))
         .onSuccess(
             jobsEpoch -> {
               if (!stopped) {
@@ -184,7 +186,7 @@
             });
   }
 
-  private long take(Changes jobs, Changes runs, Changes parts) {
+  private long read(Changes jobs, Changes runs, Changes parts) {
     new Takeover(env, ledger, committer, layout, chains, demand, workers.base(), acquiredAt).read(jobs, runs, parts);
     endings.takeOver();
     for (Job job : ledger.jobs.values()) {
@@ -199,6 +201,8 @@
 
   private void begin(long jobsEpoch) {
     loaded = true;
+    loadedAt = env.clock().now();
+    env.timers().after(firstS(), this::planSoon);
     LOG.info(
         "took over {} jobs, {} ended, {} machines with tasks after {} ms",
         ledger.jobs.size(), ledger.ended.size(), ledger.machines.size(),
@@ -225,6 +229,10 @@
 
   @Override
   protected void receive(StewardMessage message) {
+    env.work().run(message.getClass().getSimpleName(), () -> take(message));
+  }
+
+  private void take(StewardMessage message) {
     if (stopped) {
       refuse(message);
     } else if (!loaded && message instanceof StewardMessage.Report m) {
@@ -447,6 +455,11 @@
     planSoon();
   }
 
+  @Override
+  public boolean leads() {
+    return !stopped && host.live();
+  }
+
   @Override
   public boolean settled(String ref, int task) {
     Job job = ledger.jobs.get(ref);
@@ -508,13 +521,16 @@
     }
     fleet.tick();
     cancels.checkAll();
-    endings.retire();
     chains.lookUp();
     for (Restart r : restarts.due()) {
       restart(r);
     }
-    feed.flush(host.controllers());
-    images.tell(ledger.machines.values(), epoch, now, host::tellAll);
+    if (now - loadedAt > env.settings().workers().reportS()) {
+      // Right after a takeover nothing may take time from live services that does not serve them.
+      endings.retire();
+      feed.flush(host.controllers());
+      images.tell(ledger.machines.values(), epoch, now, host::tellAll);
+    }
     if (now - summedAt > env.settings().workers().leaseS() / 2) {
       summedAt = now;
       LOG.info("{}", Summary.of(ledger));
@@ -522,6 +538,7 @@
       if (planned != null) {
         LOG.info("planned: {}", planned);
       }
+      env.work().log();
       String commits = committer.line();
       if (commits != null) {
         LOG.info("written: {}", commits);
@@ -566,12 +583,16 @@
     plannedAt = now;
     planned++;
     chains.inherit();
+    boolean liveFirst = liveWaits(now);
     Plan plan =
-        planner.plan(
-            now, ledger.jobs.values(), ledger.machines.values(), ledger.types,
-            fleet::exhausted, fleet.expected(), demand.headroom(env.operator(), ledger.types.values(), ledger.jobs.values(), now));
+        liveFirst
+            ? planner.liveOnly(
+                now, ledger.jobs.values(), ledger.machines.values(), ledger.types, fleet::exhausted, fleet.expected())
+            : planner.plan(
+                now, ledger.jobs.values(), ledger.machines.values(), ledger.types, fleet::exhausted, fleet.expected(),
+                demand.headroom(env.operator(), ledger.types.values(), ledger.jobs.values(), now));
     planTookS = env.clock().now() - now;
-    plans.record("plan", planTookS);
+    plans.record(liveFirst ? "live plan" : "plan", planTookS);
     for (Plan.Stop s : plan.stops) {
       LOG.info("stopping {}: {}", s.attempt(), s.why());
       stops.one(s.attempt(), s.graceS());
@@ -590,6 +611,20 @@
     }
   }
 
+  /**
+   * Right after a takeover live services have plans of their own. The first whole plan takes some 0.4 s on
+   * a starved core, knows few machines yet, and keeps the next one waiting for four times that.
+   */
+  private boolean liveWaits(double now) {
+    return now - loadedAt < firstS()
+        && ledger.jobs.values().stream().anyMatch(j -> j.spec.priority() == Priority.PRODUCTION && j.pendingCount() > 0);
+  }
+
+  /** So long after a takeover live services come before what else there is to do. */
+  private double firstS() {
+    return env.settings().workers().reportS() / 2;
+  }
+
   private ObjectNode overview() {
     return Overview.of(ledger, chains.waiting()).put("epoch", epoch).put("plans", planned).put("views", feed.sent());
   }
--- a/src/main/java/io/embernotch/steward/Workers.java
+++ b/src/main/java/io/embernotch/steward/Workers.java
@@ -10,6 +10,7 @@
 import io.embernotch.model.JobSpec;
 import io.embernotch.model.Machine;
 import io.embernotch.model.Order;
+import io.embernotch.model.Priority;
 import io.embernotch.model.TaskReport;
 import io.embernotch.model.TaskState;
 import io.embernotch.model.WorkerReport;
@@ -46,6 +47,9 @@
     /** Something changed that a plan may use. */
     void changed();
 
+    /** True while the lease is proven: only then is anything started. */
+    boolean leads();
+
     /** True once everything that an exited attempt's end means is in the store. */
     boolean settled(String ref, int task);
   }
@@ -58,6 +62,7 @@
   private final Set<String> deleted = new HashSet<>();
   private final Wards wards;
   private final double acquiredAt;
+  private final Lanes lanes;
 
   Workers(Env env, Ledger ledger, long epoch, Wards wards, Outcome outcome) {
     this.wards = wards;
@@ -67,6 +72,7 @@
     this.outcome = outcome;
     this.epochBase = baseToken(epoch);
     this.callS = env.settings().workers().reportS() * 2 / 3;
+    this.lanes = new Lanes(env.settings().quota().directCalls());
   }
 
   /** Lowest token of a stewardship: the counter below it is raised machine by machine. */
@@ -234,25 +240,37 @@
     }
     List<Order> orders = new ArrayList<>();
     List<Attempt> starting = new ArrayList<>();
+    List<Attempt> stopping = new ArrayList<>();
+    // A command may have waited for its turn, or for the answer to another, while leadership was lost.
+    boolean mayStart = outcome.leads();
     for (Attempt a : m.open.values()) {
-      if (a.start == Start.READY && !a.stopping) {
+      if (a.start == Start.READY && !a.stopping && mayStart) {
         orders.add(new Order(Order.Verb.START, a.job.spec.ref(), a.task, a.number, 0));
         starting.add(a);
       } else if (stopDue(a) && now - a.stopSentAt > env.settings().workers().reportS()) {
         orders.add(stop(a));
-        a.stopSentAt = now;
+        stopping.add(a);
       }
     }
-    if (orders.isEmpty()) {
+    if (orders.isEmpty() || !lanes.enter(m, need(m, starting, now), () -> flush(m))) {
       return;
     }
     for (Attempt a : starting) {
       a.start = Start.SENDING;
       a.startToken = m.token;
     }
+    stopping.forEach(a -> a.stopSentAt = now);
     direct(m, orders, starting);
   }
 
+  private Lanes.Need need(Machine m, List<Attempt> starting, double now) {
+    if (now - m.heardAt > 2 * env.settings().workers().reportS()) {
+      return Lanes.Need.SILENT;
+    }
+    boolean live = starting.stream().anyMatch(a -> a.job.spec.priority() == Priority.PRODUCTION);
+    return live ? Lanes.Need.LIVE : Lanes.Need.USUAL;
+  }
+
   private static boolean stopDue(Attempt a) {
     return a.stopping && (a.start == Start.HELD || a.start == Start.UNSURE || a.start == Start.IN_RESPONSE);
   }
@@ -265,14 +283,21 @@
       LOG.info("machine {} has no usable address: {}", m.name, m.address);
       m.doFailedAt = env.clock().now();
       starting.forEach(a -> a.start = Start.READY);
+      lanes.leave();
       return;
     }
     long token = m.token;
     m.doInFlight = true;
     env.workers()
         .call("POST", to, "/do", WorkerCodec.direct(token, m.session, orders), callS)
-        .onSuccess(reply -> directAnswered(m, token, starting, reply))
-        .onFailure(e -> directFailed(m, token, starting, e));
+        .onComplete(r -> env.work().run("command", () -> {
+          if (r.succeeded()) {
+            directAnswered(m, token, starting, r.result());
+          } else {
+            directFailed(m, token, starting, r.cause());
+          }
+          lanes.leave();
+        }));
   }
 
   private void directAnswered(Machine m, long token, List<Attempt> starting, Reply reply) {
@@ -337,9 +362,10 @@
     return new Order(Order.Verb.STOP, a.job.spec.ref(), a.task, a.number, a.stopGraceS);
   }
 
-  /** Where the direct way has just failed, starts go out with the response instead. */
+  /** Where the direct way has just failed, or is waited for, starts go out with the response instead. */
   private void addStartsInResponse(Machine m, List<Order> orders) {
-    if (m.doInFlight || env.clock().now() - m.doFailedAt > 2 * env.settings().workers().reportS()) {
+    boolean failed = env.clock().now() - m.doFailedAt <= 2 * env.settings().workers().reportS();
+    if (m.doInFlight || !(failed || lanes.waits(m))) {
       return;
     }
     for (Attempt a : m.open.values()) {
@@ -403,15 +429,27 @@
 
   /** Asks a silent machine for its state; the answer counts as news, but renews nothing. */
   void probe(Machine m) {
-    if (m.probing || m.address == null) {
-      return;
+    if (!m.probing && m.address != null && lanes.enter(m, Lanes.Need.SILENT, () -> probe(m))) {
+      ask(m);
     }
+  }
+
+  /** Looks for a machine that has not found us; in vain once it has. */
+  void find(Machine m) {
+    if (!m.up() && !m.deleting && !m.probing && m.address != null
+        && lanes.enter(m, Lanes.Need.FIND, () -> find(m))) {
+      ask(m);
+    }
+  }
+
+  private void ask(Machine m) {
     m.probing = true;
     env.workers()
         .call("GET", HostPort.parse(m.address), "/status", null, callS)
         .onSuccess(
             reply -> {
               m.probing = false;
+              lanes.leave();
               try {
                 absorb(WorkerCodec.read(reply.body()), m);
               } catch (BadInput e) {
@@ -421,6 +459,7 @@
         .onFailure(
             e -> {
               m.probing = false;
+              lanes.leave();
               if (!(e instanceof CallFailed f) || f.tried) {
                 m.probeFailedAt = env.clock().now();
                 m.probeConnected = e instanceof CallFailed f && f.sent;
--- /dev/null
+++ b/src/test/java/io/embernotch/http/VertxCallerTest.java
@@ -0,0 +1,67 @@
+package io.embernotch.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.embernotch.actor.VertxTimers;
+import io.embernotch.settings.HostPort;
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class VertxCallerTest {
+  private Vertx vertx;
+  private Context loop;
+  private HttpServer server;
+
+  @BeforeEach
+  void listen() throws Exception {
+    vertx = Vertx.vertx();
+    loop = vertx.getOrCreateContext();
+    server = vertx.createHttpServer();
+    server.requestHandler(r -> {
+      if (!r.path().equals("/never")) {
+        r.response().end("ok");
+      }
+    });
+    server.listen(0, "0.0.0.0").toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+  }
+
+  @AfterEach
+  void close() throws Exception {
+    vertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+  }
+
+  private Future<Reply> call(VertxCaller caller, String host, String path, double within) {
+    Promise<Reply> reply = Promise.promise();
+    loop.runOnContext(
+        v -> caller.call("GET", new HostPort(host, server.actualPort()), path, null, within).onComplete(reply));
+    return reply.future();
+  }
+
+  private static Reply get(Future<Reply> f) throws Exception {
+    return f.toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+  }
+
+  /** Commands to further machines failed for most of a report period, while idle connections were kept. */
+  @Test
+  void anIdleConnectionMakesWayForAnotherHostAndABusyOneDoesNot() throws Exception {
+    VertxCaller caller = new VertxCaller(vertx, new VertxTimers(vertx, loop), 1, 1, 5, 60);
+    for (String host : new String[] {"127.0.0.1", "127.0.0.2", "127.0.0.1", "127.0.0.3"}) {
+      assertThat(get(call(caller, host, "/", 8)).status()).isEqualTo(200);
+    }
+    Future<Reply> busy = call(caller, "127.0.0.4", "/never", 1);
+    assertThat(call(caller, "127.0.0.1", "/", 8).toCompletionStage().toCompletableFuture())
+        .failsWithin(10, TimeUnit.SECONDS)
+        .withThrowableThat()
+        .havingCause()
+        .isInstanceOfSatisfying(CallFailed.class, e -> assertThat(e.tried).isFalse());
+    assertThat(busy.toCompletionStage().toCompletableFuture()).failsWithin(10, TimeUnit.SECONDS);
+    assertThat(get(call(caller, "127.0.0.1", "/", 8)).status()).isEqualTo(200);
+  }
+}
--- a/src/test/java/io/embernotch/plan/PlannerTest.java
+++ b/src/test/java/io/embernotch/plan/PlannerTest.java
@@ -63,6 +63,23 @@
     return job(ref, "group", 1).replace("standard", "high").replace("\"cards\":1.0", "\"cards\":8.0").replace("\"owner\":\"red\"", "\"owner\":\"blue\"");
   }
 
+  /** After a takeover live services waited for a plan of everything, and four times as long for the next. */
+  @Test
+  void aPlanForLiveServicesPlacesThemAsTheWholePlanDoesAndTouchesNothingElse() {
+    machine("n-1", false);
+    machine("n-2", true);
+    Job array = add(job("j-1", "array", 8));
+    Job live =
+        add(job("j-2", "standing", 2).replace("standard", "production").replace("\"loaner\":true", "\"loaner\":false"));
+    Plan all = plan();
+    Plan first =
+        planner.liveOnly(1000, jobs, machines, Map.of("g8", G8), (t, z, s) -> full, List.of());
+    assertThat(all.starts).extracting(s -> s.job()).containsExactly(live, array);
+    assertThat(first.starts).containsExactly(all.starts.get(0));
+    assertThat(first.returns).isEmpty();
+    assertThat(first.stops).isEmpty();
+  }
+
   @Test
   void liveServicesHaveLesserWorkStoppedAtOnce() {
     full = true;
--- a/src/test/java/io/embernotch/steward/StandbyTest.java
+++ b/src/test/java/io/embernotch/steward/StandbyTest.java
@@ -3,12 +3,17 @@
 import static io.embernotch.testkit.World.job;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.embernotch.actor.Work;
+import io.embernotch.model.WorkerReport;
 import io.embernotch.peer.Frame;
+import io.embernotch.settings.OperatorSettings;
 import io.embernotch.settings.Settings;
 import io.embernotch.settings.SettingsReader;
+import io.embernotch.testkit.FakeTime;
 import io.embernotch.testkit.FakeWorker;
 import io.embernotch.testkit.World;
 import io.embernotch.testkit.World.Node;
+import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -58,6 +63,23 @@
     assertThat(world.running("j-1")).isEqualTo(before);
   }
 
+  /** What an earlier cut left behind had a worker sent away at the next one before it was renewed once. */
+  @Test
+  void eachCutRenewsWorkersBeforeItSendsThemAway() {
+    FakeTime time = new FakeTime();
+    Settings far = world.nodes.get(2).settings;
+    Standby standby = new Standby(new Env(far, OperatorSettings.DEFAULTS, time, time, time, Work.NONE, null, null, null));
+    WorkerReport report = new WorkerReport("n-1", "10.0.0.9:9", "g8", "z2", false, 1, 1, 5, null, List.of());
+    for (int cut = 0; cut < 2; cut++) {
+      standby.noted(new Frame.Noted(1, standby.here().seq(), true));
+      time.pass(far.contactS() * 1.1);
+      assertThat(standby.renewal(report, "c0").status()).isEqualTo(200);
+      time.pass(far.workers().leaseS() / 2);
+      assertThat(standby.renewal(report, "c0").status()).isEqualTo(421);
+      time.pass(far.workers().leaseS() / 2);
+    }
+  }
+
   @Test
   void theyRunOnThoughTheStewardEndsDuringTheCut() {
     Map<String, FakeWorker> before = spreadService("j-1");
--- a/src/test/java/io/embernotch/testkit/World.java
+++ b/src/test/java/io/embernotch/testkit/World.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.embernotch.actor.Work;
 import io.embernotch.cloud.CloudClient;
 import io.embernotch.codec.Json;
 import io.embernotch.codec.WorkerCodec;
@@ -89,7 +90,7 @@
       Caller caller = (method, to, path, body, timeout) -> call(this, mine, method, to, path, body, timeout);
       Env env =
           new Env(
-              settings, OperatorSettings.DEFAULTS, time, clock, clock,
+              settings, OperatorSettings.DEFAULTS, time, clock, clock, Work.NONE,
               new StoreClient(caller, time, clock, settings),
               new CloudClient(caller, time, clock, settings),
               caller);
