Commands that wait: with an answer to a report, when their turn comes, never without a lease

Need: a steward that had lost its lease could still send a start that followed another command's answer. Change: WorkersTest causes that and the waits of commands and probes; the guard is Workers.Outcome.leads.

--- /dev/null
+++ b/src/test/java/io/embernotch/steward/WorkersTest.java
@@ -0,0 +1,132 @@
+package io.embernotch.steward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.embernotch.actor.Work;
+import io.embernotch.codec.JobCodec;
+import io.embernotch.codec.Json;
+import io.embernotch.http.CallFailed;
+import io.embernotch.http.Caller;
+import io.embernotch.http.Reply;
+import io.embernotch.model.Attempt;
+import io.embernotch.model.Cause;
+import io.embernotch.model.Job;
+import io.embernotch.model.Machine;
+import io.embernotch.model.WorkerReport;
+import io.embernotch.settings.OperatorSettings;
+import io.embernotch.settings.Settings;
+import io.embernotch.settings.SettingsReader;
+import io.embernotch.testkit.FakeTime;
+import io.embernotch.testkit.World;
+import io.vertx.core.Promise;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Commands that wait for their turn. */
+class WorkersTest implements Workers.Outcome {
+  private static final long EPOCH = 7;
+
+  private final FakeTime time = new FakeTime();
+  private final Settings settings =
+      SettingsReader.parse(World.toml(0).replace("max_connections = 1000", "max_connections = 40"));
+  private final List<String> called = new ArrayList<>();
+  private final List<Promise<Reply>> answers = new ArrayList<>();
+  private final Caller caller = (method, to, path, body, timeoutS) -> {
+    Promise<Reply> answer = Promise.promise();
+    called.add(to.host() + path);
+    answers.add(answer);
+    return answer.future();
+  };
+  private final Ledger ledger = new Ledger();
+  private final Workers workers =
+      new Workers(
+          new Env(settings, OperatorSettings.DEFAULTS, time, time, time, Work.NONE, null, null, caller), ledger, EPOCH,
+          new Wards(settings, time.now()), this);
+  private final Job job = new Job(JobCodec.read(Json.parseObject(World.job("j-1", "array", 16).getBytes())), 0);
+  private boolean leads = true;
+
+  /** A machine that was just heard, with a committed start. */
+  private Machine starting(int i) {
+    Machine m = ledger.machine("n-" + i, workers.base());
+    workers.learn(report(i, 1));
+    ledger.open(job, i, 1, m, time.now()).start = Attempt.Start.READY;
+    return m;
+  }
+
+  private static WorkerReport report(int i, long seq) {
+    return new WorkerReport("n-" + i, "10.0.1." + i + ":9000", "g8", "z1", false, 1, seq, 0, null, List.of());
+  }
+
+  @Test
+  void aStartThatWaitsGoesWithTheAnswerToAReportAndOnlyOnce() {
+    for (int i = 0; i < 5; i++) {
+      workers.flush(starting(i));
+    }
+    // Half of the eight calls that may be under way.
+    assertThat(called).hasSize(4).doesNotContain("10.0.1.4/do");
+    assertThat(new String(workers.report(report(4, 2), true))).contains("\"run\"").contains("j-1/4");
+    answers.get(0).fail(new CallFailed(true, "no answer in time"));
+    assertThat(called).hasSize(4);
+    assertThat(new String(workers.report(report(3, 2), true))).doesNotContain("\"run\"");
+  }
+
+  @Test
+  void aStartThatWaitsIsSentWhenItsTurnComes() {
+    for (int i = 0; i < 5; i++) {
+      workers.flush(starting(i));
+    }
+    answers.get(0).fail(new CallFailed(true, "no answer in time"));
+    assertThat(called).hasSize(5).endsWith("10.0.1.4/do");
+  }
+
+  /** What had waited, or followed an answer, would have been started by a steward that was one no more. */
+  @Test
+  void whoLeadsNoMoreStartsNothingThatWaited() {
+    for (int i = 0; i < 5; i++) {
+      workers.flush(starting(i));
+    }
+    leads = false;
+    answers.get(0).fail(new CallFailed(true, "no answer in time"));
+    assertThat(called).hasSize(4);
+    workers.flush(starting(5));
+    assertThat(called).hasSize(4);
+  }
+
+  @Test
+  void machinesThatWillFindUsAreAskedAFewAtATime() {
+    for (int i = 0; i < 3; i++) {
+      ledger.machine("n-" + i, workers.base()).address = "10.0.1." + i + ":9000";
+      workers.find(ledger.machines.get("n-" + i));
+    }
+    assertThat(called).containsExactly("10.0.1.0/status");
+    workers.learn(report(1, 1));
+    answers.get(0).fail(new CallFailed(true, "no answer in time"));
+    assertThat(called).containsExactly("10.0.1.0/status", "10.0.1.2/status");
+  }
+
+  @Override
+  public void running(Attempt a, Machine m) {}
+
+  @Override
+  public void exited(Attempt a, Machine m, Cause cause, boolean saved) {}
+
+  @Override
+  public void gone(Attempt a, Machine m, String why) {}
+
+  @Override
+  public void outranked(long token) {}
+
+  @Override
+  public void changed() {}
+
+  @Override
+  public boolean leads() {
+    return leads;
+  }
+
+  @Override
+  public boolean settled(String ref, int task) {
+    return false;
+  }
+}
