--- a/src/test/java/io/embernotch/steward/ChainsTest.java
+++ b/src/test/java/io/embernotch/steward/ChainsTest.java
@@ -18,17 +18,6 @@
 class ChainsTest {
   private final World world = new World(3);
 
-  private Node settle() {
-    world.pass(4);
-    Node n = world.steward();
-    assertThat(n).isNotNull();
-    return n;
-  }
-
-  private Node other(Node n) {
-    return world.nodes.get((n.index + 1) % 3);
-  }
-
   private void accept(int node, String json) {
     assertThat(world.submit(node, json).status()).isEqualTo(201);
   }
@@ -47,7 +36,7 @@
 
   @Test
   void aDiamondRunsStageByStageWhicheverNodeTookItsJobs() {
-    settle();
+    world.settle(4);
     accept(0, job("j-1", "array", 2));
     accept(1, after("j-2", 2, "j-1"));
     accept(2, after("j-3", 2, "j-1").replace("\"array\"", "\"group\"").replace("\"owner\":\"red\"", "\"owner\":\"blue\""));
@@ -72,7 +61,7 @@
 
   @Test
   void waitingJobsHoldNeitherMachinesNorQuotaNorGuarantee() {
-    settle();
+    world.settle(4);
     accept(0, job("j-1", "array", 1));
     world.pass(15);
     int machines = world.workers.size();
@@ -89,7 +78,7 @@
 
   @Test
   void anUncommittedEndLetsNothingStart() {
-    settle();
+    world.settle(4);
     accept(0, job("j-1", "array", 1));
     accept(0, after("j-2", 1, "j-1"));
     world.pass(15);
@@ -105,7 +94,7 @@
 
   @Test
   void aTakeoverKeepsWaitingJobsWaitingAndLetsThemGoOn() {
-    Node old = settle();
+    Node old = world.settle(4);
     accept(0, job("j-1", "array", 1));
     accept(0, after("j-2", 1, "j-1"));
     accept(0, after("j-3", 1, "j-2"));
@@ -133,7 +122,7 @@
 
   @Test
   void aCancellationReachesAllThatNeedTheJobWhenItIsTold() {
-    settle();
+    world.settle(4);
     accept(0, job("j-1", "array", 1));
     accept(0, after("j-2", 1, "j-1"));
     accept(0, after("j-3", 1, "j-2"));
@@ -156,7 +145,7 @@
 
   @Test
   void afterADoneJobACancellationStopsNothing() {
-    settle();
+    world.settle(4);
     accept(0, job("j-1", "array", 1));
     accept(0, after("j-2", 1, "j-1"));
     world.pass(15);
@@ -168,7 +157,7 @@
 
   @Test
   void aCascadeIsTakenUpByTheNextStewardWhereverTheFirstOneStopped() {
-    Node old = settle();
+    Node old = world.settle(4);
     accept(0, job("j-0", "array", 1));
     for (int i = 1; i < 40; i++) {
       accept(0, after("j-" + i, 1, "j-" + (i - 1)));
@@ -177,7 +166,7 @@
     assertThat(world.abort(old.index, "j-0").status()).isEqualTo(200);
     // Only the first end is sure to be in the store; the steward goes.
     old.kill();
-    Node left = other(old);
+    Node left = world.other(old);
     // Without a steward the store tells, as far as it is asked; it never says queued.
     for (String ref : new String[] {"j-1", "j-5", "j-39"}) {
       assertThat(world.phase(left.index, ref)).isIn("cancelled", "status 503");
@@ -194,7 +183,7 @@
   @ParameterizedTest
   @ValueSource(doubles = {0, 0.01, 0.05, 0.2, 1})
   void noStepOfACascadeIsLostWithItsSteward(double afterS) {
-    Node old = settle();
+    Node old = world.settle(4);
     accept(0, job("j-0", "array", 1));
     for (int i = 1; i <= 60; i++) {
       accept(i % 3, after("j-" + i, 1, "j-" + i / 2, "j-" + i / 3));
@@ -204,7 +193,7 @@
     world.time.pass(afterS);
     old.kill();
     // One that names them comes while nobody leads.
-    Node left = other(old);
+    Node left = world.other(old);
     assertThat(world.submit(left.index, after("j-99", 1, "j-60")).status()).isIn(200, 201);
     world.pass(30);
     for (int i = 1; i <= 60; i++) {
@@ -240,8 +229,8 @@
 
   @Test
   void whatANameIsOnlyTheStoreTells() {
-    Node steward = settle();
-    Node n = other(steward);
+    Node steward = world.settle(4);
+    Node n = world.other(steward);
     accept(n.index, job("j-1", "standing", 1));
     accept(n.index, job("j-2", "array", 1));
     Answer never = world.submit(n.index, after("j-3", 1, "j-2", "j-77"));
@@ -263,10 +252,10 @@
 
   @Test
   void aStewardThatHasNotHeardOfANamedJobWaitsForIt() {
-    Node steward = settle();
+    Node steward = world.settle(4);
     accept(steward.index, job("j-9", "array", 1));
     // Both were written by a node whose messages do not arrive, and the watch has not told either.
-    Node n = other(steward);
+    Node n = world.other(steward);
     n.noPeers = true;
     accept(n.index, job("j-1", "array", 1));
     accept(n.index, after("j-2", 1, "j-1"));
@@ -280,7 +269,7 @@
 
   @Test
   void aRepeatedSubmissionGetsItsStateWhateverWouldBeSaidOfItNow() {
-    Node steward = settle();
+    Node steward = world.settle(4);
     accept(0, job("j-1", "array", 1));
     world.pass(15);
     for (Node n : world.nodes) {
--- a/src/test/java/io/embernotch/steward/ReceptionTest.java
+++ b/src/test/java/io/embernotch/steward/ReceptionTest.java
@@ -22,17 +22,6 @@
 class ReceptionTest {
   private final World world = new World(3, 10);
 
-  private Node settle() {
-    world.pass(2);
-    Node n = world.steward();
-    assertThat(n).isNotNull();
-    return n;
-  }
-
-  private Node other(Node n) {
-    return world.nodes.get((n.index + 1) % 3);
-  }
-
   /** Machines that report to the given controller, with room for eight tasks each. */
   private void machines(int count, Node at) {
     for (int i = 0; i < count; i++) {
@@ -70,8 +59,8 @@
 
   @Test
   void workersStayWhereTheyAreWhenTheStewardChangesAndItsSuccessorKnowsThemAtOnce() {
-    Node old = settle();
-    machines(6, other(old));
+    Node old = world.settle(2);
+    machines(6, world.other(old));
     world.submit(0, job("j-1", "standing", 8));
     world.pass(4);
     assertThat(world.running("j-1")).hasSize(8);
@@ -92,8 +81,8 @@
 
   @Test
   void withoutAStewardWorkersAreToldToStayAndNothingIsRenewed() {
-    Node old = settle();
-    Node follower = other(old);
+    Node old = world.settle(2);
+    Node follower = world.other(old);
     machines(1, follower);
     FakeWorker w = world.workers.firstEntry().getValue();
     world.nodes.forEach(n -> n.noState = n != old);
@@ -107,8 +96,8 @@
 
   @Test
   void aNodeThatTheStoreRefusesSendsItsWorkersAwayOnceAnotherIsServed() {
-    Node old = settle();
-    Node refused = other(old);
+    Node old = world.settle(2);
+    Node refused = world.other(old);
     busy(2, refused);
     refused.noState = true;
     refused.noPeers = true;
@@ -120,12 +109,12 @@
 
   @Test
   void aStewardOfTheFormerVersionIsNotPassedReports() {
-    Node old = settle();
+    Node old = world.settle(2);
     world.nodes.forEach(Node::kill);
     world.pass(5);
     String key = "{\"when\":[],\"apply\":[{\"write\":\"steward\",\"v\":{\"node\":\"c9\",\"permit\":1}}]}";
     world.state.handle("POST", "/commit", key.getBytes(StandardCharsets.UTF_8));
-    Node follower = other(old);
+    Node follower = world.other(old);
     follower.start();
     world.pass(1);
     world.boot("g8", "z1", true);
@@ -137,7 +126,7 @@
 
   @Test
   void aStewardThatNoWorkerReachesHearsThemThroughOthers() {
-    Node old = settle();
+    Node old = world.settle(2);
     busy(4, old);
     old.noWorkers = true;
     world.pass(6);
@@ -151,8 +140,8 @@
 
   @Test
   void aStewardThatHearsMostMachinesNoMoreGivesWay() {
-    Node old = settle();
-    busy(10, other(old));
+    Node old = world.settle(2);
+    busy(10, world.other(old));
     world.nodes.forEach(n -> n.noWorkers = true);
     world.pass(18);
     assertThat(world.steward()).isNotSameAs(old);
@@ -163,7 +152,7 @@
   @Test
   void moreThanHalfOfTheMachinesMayFallSilentAndTheStewardGoesOn() {
     // A zone can hold more than half: each steward in turn then took itself for the one cut off.
-    Node old = settle();
+    Node old = world.settle(2);
     busy(10, old);
     world.workers.values().stream().limit(6).forEach(w -> w.cut = true);
     world.pass(29);
@@ -173,10 +162,10 @@
 
   @Test
   void beforeTheStoreIsReadNobodyIsKeptWaiting() {
-    Node old = settle();
+    Node old = world.settle(2);
     busy(1, old);
     FakeWorker w = world.workers.firstEntry().getValue();
-    Node next = other(old);
+    Node next = world.other(old);
     world.state.slowLists = true;
     old.kill();
     world.pass(5);
@@ -213,7 +202,7 @@
 
   @Test
   void aReportThatWasOvertakenStopsAndForgetsNothing() {
-    Node n = settle();
+    Node n = world.settle(2);
     machines(1, n);
     FakeWorker w = world.workers.firstEntry().getValue();
     world.submit(0, job("j-4", "array", 2));
--- a/src/test/java/io/embernotch/steward/RulesTest.java
+++ b/src/test/java/io/embernotch/steward/RulesTest.java
@@ -15,17 +15,6 @@
 class RulesTest {
   private final World world = new World(3);
 
-  private Node settle() {
-    world.pass(2);
-    Node n = world.steward();
-    assertThat(n).isNotNull();
-    return n;
-  }
-
-  private Node other(Node n) {
-    return world.nodes.get((n.index + 1) % 3);
-  }
-
   /** Has a job running on machines, and returns where. */
   private Map<String, FakeWorker> run(String json, String ref, int tasks) {
     assertThat(world.submit(0, json).status()).isEqualTo(201);
@@ -41,7 +30,7 @@
 
   @Test
   void anArrayIsAcceptedRunsAndIsDoneForGoodOnEveryNode() {
-    settle();
+    world.settle(2);
     run(job("j-1", "array", 3), "j-1", 3);
     assertThat(world.phase(1, "j-1")).isEqualTo("running");
     world.finish("j-1");
@@ -58,7 +47,7 @@
 
   @Test
   void aGangIsPlacedWholeOrNotAtAll() {
-    settle();
+    world.settle(2);
     world.noBoot = true;
     String gang = job("j-2", "group", 2).replace("\"cards\":1.0", "\"cards\":8.0").replace("\"cores\":4.0", "\"cores\":40.0");
     assertThat(world.submit(0, gang).status()).isEqualTo(201);
@@ -74,7 +63,7 @@
 
   @Test
   void aTeamNeverUsesMoreThanItsLimit() {
-    settle();
+    world.settle(2);
     assertThat(world.submit(0, job("j-3", "array", 60)).status()).isEqualTo(201);
     world.pass(30);
     assertThat(world.running("j-3")).hasSize(24);
@@ -83,7 +72,7 @@
 
   @Test
   void aLostMachineHoldsItsQuotaUntilItsTasksAreProvenGone() {
-    settle();
+    world.settle(2);
     run(job("j-3", "array", 24), "j-3", 24);
     FakeWorker cut = world.running("j-3").get("j-3/0");
     int onIt = cut.alive().size();
@@ -102,7 +91,7 @@
 
   @Test
   void withoutTheCloudTheLeaseProvesTheEnd() {
-    settle();
+    world.settle(2);
     run(job("j-5", "array", 1), "j-5", 1);
     FakeWorker cut = world.running("j-5").get("j-5/0");
     world.boot("g8", "z1", true);
@@ -117,7 +106,7 @@
 
   @Test
   void aLateDirectCommandOfADeposedStewardStartsNothing() {
-    Node old = settle();
+    Node old = world.settle(2);
     String name = world.boot("g8", "z1", true);
     world.pass(8);
     FakeWorker w = world.workers.get(name);
@@ -137,7 +126,7 @@
 
   @Test
   void anUnansweredCommandIsReplacedOnlyUnderANewerToken() {
-    settle();
+    world.settle(2);
     world.boot("g8", "z1", true);
     world.pass(8);
     world.directFate = Fate.HELD;
@@ -157,7 +146,7 @@
 
   @Test
   void aLateTransactionDoesNotUndoANewerOne() {
-    settle();
+    world.settle(2);
     world.boot("g8", "z1", true);
     world.pass(8);
     world.commitFate = Fate.HELD;
@@ -176,7 +165,7 @@
 
   @Test
   void aCancelThatRacesAStartLeavesNothingRunning() {
-    settle();
+    world.settle(2);
     world.boot("g8", "z1", true);
     world.pass(8);
     world.directFate = Fate.HELD;
@@ -197,7 +186,7 @@
   @Test
   void aCancelledJobStaysCancelledWhileItsTasksEnd() {
     // A poll once said "running" again when closing the attempts made the job's piece dirty.
-    settle();
+    world.settle(2);
     run(job("j-10", "standing", 4), "j-10", 4);
     assertThat(world.abort(0, "j-10").status()).isEqualTo(200);
     for (int i = 0; i < 40; i++) {
@@ -209,7 +198,7 @@
 
   @Test
   void aStewardCutFromTheStoreIsReplacedAndStartsNothingMore() {
-    Node old = settle();
+    Node old = world.settle(2);
     run(job("j-11", "array", 2), "j-11", 2);
     old.noState = true;
     world.pass(8);
@@ -223,7 +212,7 @@
 
   @Test
   void aStewardCutFromTheOtherNodesToo() {
-    Node old = settle();
+    Node old = world.settle(2);
     run(job("j-13", "array", 2), "j-13", 2);
     old.noState = true;
     old.noPeers = true;
@@ -234,7 +223,7 @@
 
   @Test
   void theCrashOfAllNodesLosesNoAcceptedJobAndNoRunningTask() {
-    settle();
+    world.settle(2);
     run(job("j-14", "array", 3), "j-14", 3);
     assertThat(world.submit(1, job("j-15", "array", 1)).status()).isEqualTo(201);
     world.nodes.forEach(Node::kill);
@@ -248,7 +237,7 @@
 
   @Test
   void aStateOutageStopsNothing() {
-    settle();
+    world.settle(2);
     run(job("j-16", "standing", 3), "j-16", 3);
     world.state.outage = true;
     world.pass(25);
@@ -264,7 +253,7 @@
 
   @Test
   void aListThatLacksAMachineEndsNothing() {
-    settle();
+    world.settle(2);
     Map<String, FakeWorker> on = run(job("j-18", "standing", 2), "j-18", 2);
     on.values().forEach(w -> world.unlisted.add(w.name));
     world.pass(30);
@@ -273,7 +262,7 @@
 
   @Test
   void unknownJobsGet404AndAreNotInvented() {
-    settle();
+    world.settle(2);
     assertThat(world.poll(0, "j-999").status()).isEqualTo(404);
     assertThat(world.poll(1, "j-999").status()).isEqualTo(404);
     assertThat(world.abort(2, "j-999").status()).isEqualTo(404);
@@ -282,8 +271,8 @@
 
   @Test
   void withoutAStewardAnAcceptedJobIsStillKnown() {
-    Node old = settle();
-    Node follower = other(old);
+    Node old = world.settle(2);
+    Node follower = world.other(old);
     assertThat(world.submit(follower.index, job("j-19", "array", 1)).status()).isEqualTo(201);
     old.kill();
     assertThat(world.phase(follower.index, "j-19")).isEqualTo("queued");
@@ -291,7 +280,7 @@
 
   @Test
   void aTaskGoesOnlyWhereItsJobAllows() {
-    settle();
+    world.settle(2);
     world.boot("g8", "z1", true);
     world.boot("g8", "z2", false);
     world.pass(8);
@@ -304,7 +293,7 @@
 
   @Test
   void aSpreadServiceKeepsAtMostHalfInAZone() {
-    settle();
+    world.settle(2);
     world.boot("g8", "z1", true);
     world.pass(8);
     world.submit(0, job("j-21", "standing", 5).replace("\"scatter\":false", "\"scatter\":true"));
@@ -315,7 +304,7 @@
 
   @Test
   void aMachineThatFailsEverythingIsLeftAndReturned() {
-    settle();
+    world.settle(2);
     String bad = world.boot("g8", "z1", true);
     world.pass(6);
     world.workers.get(bad).sick = true;
@@ -327,7 +316,7 @@
 
   @Test
   void noticeOfTheCloudEmptiesAMachine() {
-    settle();
+    world.settle(2);
     Map<String, FakeWorker> on = run(job("j-23", "array", 2), "j-23", 2);
     FakeWorker w = on.get("j-23/0");
     w.recallS = 12.0;
@@ -339,7 +328,7 @@
   @Test
   void aMachineThatHangsIsReplacedSoonerThanOneThatIsCutOff() {
     // Behind a cut a service runs on; on a machine that takes connections and never answers it does not.
-    settle();
+    world.settle(2);
     run(job("j-28", "standing", 8), "j-28", 8);
     FakeWorker hung = world.running("j-28").get("j-28/0");
     hung.hung = true;
@@ -356,7 +345,7 @@
   @Test
   void aMachineThatWasCutWhenLeadershipMovedIsReplacedSoon() {
     // It had never reported to the new steward, and was once taken for a machine still booting.
-    Node old = settle();
+    Node old = world.settle(2);
     run(job("j-25", "standing", 8), "j-25", 8);
     run(job("j-26", "standing", 8), "j-26", 8);
     run(job("j-27", "standing", 8), "j-27", 8);
@@ -405,7 +394,7 @@
   @Test
   void aServiceBehindACutShorterThanItsLeaseRunsOn() {
     // Such machines were returned after a few reports, and their services started anew elsewhere.
-    settle();
+    world.settle(2);
     String live = job("j-70", "standing", 1).replace("standard", "production").replace("\"loaner\":true", "\"loaner\":false");
     FakeWorker cut = run(live, "j-70", 1).get("j-70/0");
     world.boot("g8", "z1", false);
@@ -421,7 +410,7 @@
 
   @Test
   void aSilentMachineWithArraysIsGivenUpOnceAProbeFailed() {
-    settle();
+    world.settle(2);
     FakeWorker cut = run(job("j-71", "array", 1), "j-71", 1).get("j-71/0");
     world.boot("g8", "z1", true);
     world.pass(6);
--- a/src/test/java/io/embernotch/steward/UpgradeTest.java
+++ b/src/test/java/io/embernotch/steward/UpgradeTest.java
@@ -31,13 +31,6 @@
     }
   }
 
-  private Node settle() {
-    world.pass(4);
-    Node n = world.steward();
-    assertThat(n).isNotNull();
-    return n;
-  }
-
   private void lower() {
     world.state.lower(1024, 4, 30);
   }
@@ -54,7 +47,7 @@
     left("j-1", 40, "{\"next\":7,\"done\":\"" + marks + "\",\"open\":[]}");
     left("j-2", 3, "{\"next\":2,\"end\":\"done\"}");
     left("j-3", 3, "{\"next\":2,\"end\":\"cancelled\"}");
-    settle();
+    world.settle(4);
     world.pass(12);
     assertThat(world.running("j-1")).hasSize(37).doesNotContainKeys("j-1/0", "j-1/1", "j-1/9");
     assertThat(world.phase(1, "j-2")).isEqualTo("done");
@@ -86,7 +79,7 @@
   @Test
   void whatIsWrittenWhileTheLimitsAreAsBeforeTheFormerVersionReads() {
     left("j-1", 40, null);
-    settle();
+    world.settle(4);
     assertThat(world.submit(0, job("j-2", "array", 8)).status()).isEqualTo(201);
     world.pass(12);
     world.finish("j-2");
@@ -121,7 +114,7 @@
   void aDescriptionAcceptedUnderLargerLimitsIsKnownForGood() {
     String large = job("j-1", "array", 1).replace("\"img\"", "\"" + "i".repeat(450) + "\"").replace("\"c\"", "\"" + "c".repeat(450) + "\"");
     world.state.plant("job/j-1", "{\"at\":900000,\"piece\":" + OLD_PIECE + ",\"job\":" + large + "}");
-    settle();
+    world.settle(4);
     lower();
     for (int n = 0; n < 3; n++) {
       assertThat(world.submit(n, large).status()).isEqualTo(200);
@@ -134,7 +127,7 @@
 
   @Test
   void newJobsFitTheLowerLimitsFromTheStart() {
-    settle();
+    world.settle(4);
     assertThat(world.submit(0, job("j-1", "array", 40)).status()).isEqualTo(201);
     world.pass(12);
     lower();
@@ -149,7 +142,7 @@
   @Test
   void oldPiecesGoOnInPartsOnceTheyDoNotFit() {
     left("j-1", 48, null);
-    settle();
+    world.settle(4);
     world.pass(12);
     assertThat(world.running("j-1")).hasSize(48);
     lower();
@@ -173,7 +166,7 @@
   @Test
   void aTakeoverReadsPartsOverPieces() {
     left("j-1", 48, null);
-    Node old = settle();
+    Node old = world.settle(4);
     world.pass(12);
     lower();
     world.running("j-1").get("j-1/5").exit("j-1/5", "done");
@@ -201,7 +194,7 @@
   @Test
   void limitsThatFallInAnUnknownCommitLoseNothing() {
     left("j-1", 48, null);
-    settle();
+    world.settle(4);
     world.pass(12);
     world.commitFate = Fate.HELD;
     world.running("j-1").get("j-1/5").exit("j-1/5", "done");
@@ -226,7 +219,7 @@
 
   @Test
   void oneValueThatCannotBeWrittenHoldsUpNoOther() {
-    settle();
+    world.settle(4);
     assertThat(world.submit(0, job("j-1", "array", 1)).status()).isEqualTo(201);
     world.pass(12);
     // Not even one task fits; the others' ends are still to be written.
--- a/src/test/java/io/embernotch/testkit/World.java
+++ b/src/test/java/io/embernotch/testkit/World.java
@@ -336,6 +336,21 @@
     return f.result();
   }
 
+  /** Lets so much time pass, by the end of which there must be a steward. */
+  public Node settle(double seconds) {
+    pass(seconds);
+    Node n = steward();
+    if (n == null) {
+      throw new AssertionError("no steward after " + seconds + " s");
+    }
+    return n;
+  }
+
+  /** Another of three controllers. */
+  public Node other(Node n) {
+    return nodes.get((n.index + 1) % 3);
+  }
+
   /** The node that is steward and can prove it, or null. */
   public Node steward() {
     for (Node n : nodes) {
