--- a/src/main/java/io/embernotch/app/ClientCommand.java
+++ b/src/main/java/io/embernotch/app/ClientCommand.java
@@ -1,13 +1,13 @@
 package io.embernotch.app;
 
-import io.embernotch.settings.HostPort;
-import io.vertx.core.Vertx;
-import io.vertx.core.VertxOptions;
-import io.vertx.core.file.FileSystemOptions;
 import io.embernotch.actor.VertxTimers;
 import io.embernotch.http.CallFailed;
 import io.embernotch.http.Reply;
 import io.embernotch.http.VertxCaller;
+import io.embernotch.settings.HostPort;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.file.FileSystemOptions;
 import java.io.PrintWriter;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.ExecutionException;
--- a/src/main/java/io/embernotch/codec/RunCodec.java
+++ b/src/main/java/io/embernotch/codec/RunCodec.java
@@ -27,6 +27,9 @@
 
   public static final String PART = "part/";
 
+  /** The key that whoever is steward holds. */
+  public static final String STEWARD = "steward";
+
   /** An open attempt takes so many bytes besides its zone's name, and its done mark less than two more. */
   private static final int BYTES_PER_TASK = 46;
 
--- a/src/main/java/io/embernotch/steward/Env.java
+++ b/src/main/java/io/embernotch/env/Env.java
@@ -1,4 +1,4 @@
-package io.embernotch.steward;
+package io.embernotch.env;
 
 import io.embernotch.actor.Clock;
 import io.embernotch.actor.Timers;
--- /dev/null
+++ b/src/main/java/io/embernotch/fleet/FleetKeeper.java
@@ -0,0 +1,218 @@
+package io.embernotch.fleet;
+
+import io.embernotch.codec.CloudCodec.Listed;
+import io.embernotch.env.Env;
+import io.embernotch.ledger.Ledger;
+import io.embernotch.machines.Workers;
+import io.embernotch.model.Attempt;
+import io.embernotch.model.Machine;
+import io.embernotch.plan.Fleet;
+import io.embernotch.plan.Plan;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Rents, lists and returns machines, and gives up on those that never come up or fall silent. */
+public final class FleetKeeper {
+  private static final Logger LOG = LoggerFactory.getLogger(FleetKeeper.class);
+
+  /** Boot times after which a machine that has not come up is given back. */
+  private static final double HOPELESS_BOOTS = 2.5;
+
+  /** Boot times for which a machine is counted on; then another is rented in its place. */
+  static final double COUNTED_BOOTS = 1.6;
+
+  /** What is told of the fleet. */
+  public interface Outcome {
+    /** The machine and all that was on it are gone. */
+    void machineGone(Machine m);
+
+    void changed();
+
+    /** Controllers that have been heard from lately, this one included. */
+    Set<String> controllers();
+
+    /** So many machines are silent at once that it is rather we who are cut off. */
+    void deaf();
+  }
+
+  private final Env env;
+  private final Ledger ledger;
+  private final Workers workers;
+  private final Outcome outcome;
+  private final Rentals rentals;
+  private final Silence silence;
+  private final Returns returns;
+  private final double startedAt;
+  private double listedAt = -1e9;
+  private boolean answering;
+  private boolean listing;
+  private boolean listedOnce;
+  private double typesAt = -1e9;
+
+  public FleetKeeper(Env env, Ledger ledger, Workers workers, long epoch, Outcome outcome) {
+    this.env = env;
+    this.ledger = ledger;
+    this.workers = workers;
+    this.outcome = outcome;
+    this.rentals = new Rentals(env, ledger, workers, epoch, outcome::changed);
+    this.returns = new Returns(env, ledger, outcome::machineGone);
+    this.silence = new Silence(env, ledger, workers, outcome, returns::giveBack);
+    this.startedAt = env.clock().now();
+  }
+
+  public boolean listedOnce() {
+    return listedOnce;
+  }
+
+  /**
+   * True while the cloud answers. What is idle when it does not is kept: it could not be returned
+   * now, nor replaced, and a deletion that was tried may be carried out at any later time.
+   */
+  public boolean answers() {
+    return answering;
+  }
+
+  private double listEveryS() {
+    return Math.max(env.settings().cloudLimits().listLagS(), env.settings().workers().reportS());
+  }
+
+  /** What is being rented. */
+  public List<Fleet.Expected> expected() {
+    return rentals.expected();
+  }
+
+  public boolean exhausted(String type, String zone, boolean spot) {
+    return silence.isCut(zone) || rentals.full(type, zone, spot);
+  }
+
+  /** See {@link Rentals#rent}. */
+  public void rent(Plan.Buy buy) {
+    rentals.rent(buy);
+  }
+
+  public void tick() {
+    double now = env.clock().now();
+    if (!listing && now - listedAt > listEveryS()) {
+      list();
+    }
+    if (now - typesAt > 20 * env.settings().workers().reportS()) {
+      typesAt = now;
+      env.cloud().types().onSuccess(list -> list.forEach(t -> ledger.types.put(t.name(), t)));
+    }
+    watchBoots(now);
+    silence.watch(now);
+    returns.send(now);
+  }
+
+  private void list() {
+    listing = true;
+    listedAt = env.clock().now();
+    env.cloud()
+        .list()
+        .onComplete(
+            r -> {
+              listing = false;
+              if (r.succeeded()) {
+                listed(r.result());
+              } else {
+                answering = false;
+                LOG.debug("machine list: {}", r.cause().getMessage());
+              }
+            });
+  }
+
+  /**
+   * Takes what a list adds. A machine that a list lacks may be too new, or the list too old: lists
+   * never end anything here. Silence does, followed by a deletion whose answer is proof.
+   */
+  private void listed(List<Listed> list) {
+    double now = env.clock().now();
+    boolean news = !listedOnce;
+    listedOnce = true;
+    answering = true;
+    for (Listed l : list) {
+      Machine m = ledger.machines.get(l.name());
+      if (m == null) {
+        if (workers.wasDeleted(l.name())) {
+          continue;
+        }
+        m = ledger.machine(l.name(), workers.base());
+        news = true;
+      }
+      if (!m.up()) {
+        m.type = ledger.types.getOrDefault(l.type(), m.type);
+        m.zone = l.zone();
+        m.spot = l.spot();
+        m.address = l.address() == null ? m.address : l.address();
+        m.bornAt = Math.min(m.bornAt == 0 ? now : m.bornAt, now - l.ageS());
+        // One that ran under an earlier steward is given time to find us.
+        double findUs = l.phase().equals("running") ? startedAt + env.settings().workers().leaseS() / 2 : 0;
+        double boot = m.type == null ? 0 : COUNTED_BOOTS * m.type.bootS();
+        m.countUntil = Math.max(m.countUntil, Math.max(findUs, m.bornAt + boot));
+      }
+      if (l.phase().equals("running")) {
+        m.listedUpAt = m.listedUpAt < 0 ? now : m.listedUpAt;
+        find(m);
+      }
+      if (l.phase().equals("failed") && !m.failed) {
+        LOG.info("machine {} has failed", m.name);
+        m.failed = true;
+        giveBack(m);
+        news = true;
+      }
+    }
+    if (news) {
+      outcome.changed();
+    }
+  }
+
+  /**
+   * Machines that ran under an earlier steward are asked at once: until their workers find us by
+   * themselves, nothing could be started on them.
+   */
+  private void find(Machine m) {
+    workers.find(m);
+  }
+
+  private void watchBoots(double now) {
+    for (Machine m : ledger.machines.values()) {
+      if (m.up() || m.deleting || m.type == null) {
+        continue;
+      }
+      // Machines that were up under an earlier steward need time to find us.
+      double since = Math.max(m.bornAt, startedAt - m.type.bootS());
+      if (now - since > HOPELESS_BOOTS * m.type.bootS() + env.settings().workers().reportS()
+          && now - startedAt > env.settings().workers().leaseS() / 2) {
+        LOG.info("machine {} has not come up", m.name);
+        giveBack(m);
+      }
+    }
+  }
+
+  /** Returns a machine. Nothing more is placed on it, and what is on it ends with it. */
+  public void giveBack(Machine m) {
+    returns.giveBack(m);
+  }
+
+  /** Tasks on machines whose worker's lease must have run out are gone, deleted or not. */
+  public List<Attempt> expired() {
+    List<Attempt> out = new ArrayList<>();
+    double now = env.clock().now();
+    for (Machine m : ledger.machines.values()) {
+      if (m.open.isEmpty() || (m.up() && now - m.heardAt < env.settings().workers().leaseS())) {
+        continue;
+      }
+      if (workers.leaseOver(m)) {
+        for (Attempt a : m.open.values()) {
+          if (a.start != Attempt.Start.SENDING) {
+            out.add(a);
+          }
+        }
+      }
+    }
+    return out;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/embernotch/fleet/Rentals.java
@@ -0,0 +1,119 @@
+package io.embernotch.fleet;
+
+import io.embernotch.cloud.CloudClient.Rented;
+import io.embernotch.env.Env;
+import io.embernotch.ledger.Ledger;
+import io.embernotch.machines.Workers;
+import io.embernotch.model.Machine;
+import io.embernotch.model.MachineType;
+import io.embernotch.plan.Fleet;
+import io.embernotch.plan.Plan;
+import io.embernotch.settings.Settings;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Bookings under way, and where the cloud has no more machines. */
+final class Rentals {
+  private static final Logger LOG = LoggerFactory.getLogger(Rentals.class);
+
+  private record Booking(String name, String type, String zone, boolean spot, int number) {}
+
+  private final Env env;
+  private final Ledger ledger;
+  private final Workers workers;
+  private final Runnable changed;
+  private final String bookingPrefix;
+  private final Map<String, Booking> open = new LinkedHashMap<>();
+  private final Map<String, Double> fullUntil = new HashMap<>();
+  private int bookings;
+
+  /** {@code changed}: machines have come, or will not. */
+  Rentals(Env env, Ledger ledger, Workers workers, long epoch, Runnable changed) {
+    this.env = env;
+    this.ledger = ledger;
+    this.workers = workers;
+    this.changed = changed;
+    // The epoch is new with each stewardship, so no booking name is ever used twice.
+    this.bookingPrefix = "r-" + epoch + "-";
+  }
+
+  List<Fleet.Expected> expected() {
+    List<Fleet.Expected> out = new ArrayList<>();
+    for (Booking b : open.values()) {
+      out.add(new Fleet.Expected(b.type, b.zone, b.spot, b.number));
+    }
+    return out;
+  }
+
+  /** The cloud has lately had too few machines of this kind. */
+  boolean full(String type, String zone, boolean spot) {
+    return fullUntil.getOrDefault(pool(type, zone, spot), -1.0) > env.clock().now();
+  }
+
+  private static String pool(String type, String zone, boolean spot) {
+    return type + "|" + zone + "|" + spot;
+  }
+
+  /**
+   * Rents in as few calls as may be: while one is under way for a pool, what more is wanted there
+   * waits and comes with the next plan, unless it fills a call. A call for each plan's few machines
+   * used to take up all that the cloud allows.
+   */
+  void rent(Plan.Buy buy) {
+    int left = buy.number();
+    boolean underWay = open.values().stream().anyMatch(b -> samePool(b, buy));
+    while (left > 0 && open.size() < env.settings().cloudLimits().rps()) {
+      if (underWay && left < Settings.Cloud.MAX_RENT) {
+        return;
+      }
+      int n = Math.min(left, Settings.Cloud.MAX_RENT);
+      Booking b = new Booking(bookingPrefix + ++bookings, buy.type(), buy.zone(), buy.spot(), n);
+      open.put(b.name, b);
+      LOG.info("renting {} {} in {}{}", n, b.type, b.zone, b.spot ? " (spot)" : "");
+      book(b);
+      left -= n;
+    }
+  }
+
+  private static boolean samePool(Booking b, Plan.Buy buy) {
+    return b.type.equals(buy.type()) && b.zone.equals(buy.zone()) && b.spot == buy.spot();
+  }
+
+  private void book(Booking b) {
+    env.cloud()
+        .rent(b.name, b.type, b.zone, b.spot, b.number)
+        .onSuccess(r -> booked(b, r))
+        .onFailure(
+            e -> {
+              // Perhaps it was executed: the same name gives the same answer and rents nothing.
+              LOG.debug("booking {}: {}", b.name, e.getMessage());
+              env.timers().after(env.settings().workers().reportS() / 3, () -> book(b));
+            });
+  }
+
+  private void booked(Booking b, Rented r) {
+    open.remove(b.name);
+    double now = env.clock().now();
+    MachineType type = ledger.types.get(b.type);
+    for (String name : r.machines()) {
+      Machine m = ledger.machine(name, workers.base());
+      if (!m.up()) {
+        m.type = type;
+        m.zone = b.zone;
+        m.spot = b.spot;
+        m.bornAt = now;
+        m.countUntil = now + FleetKeeper.COUNTED_BOOTS * type.bootS();
+      }
+    }
+    if (r.refused() || r.machines().size() < b.number) {
+      LOG.info("no more {} in {}{}: got {} of {}", b.type, b.zone, b.spot ? " (spot)" : "", r.machines().size(), b.number);
+      fullUntil.put(pool(b.type, b.zone, b.spot), now + 5 * env.settings().workers().reportS());
+    }
+    changed.run();
+  }
+}
--- /dev/null
+++ b/src/main/java/io/embernotch/fleet/Returns.java
@@ -0,0 +1,89 @@
+package io.embernotch.fleet;
+
+import io.embernotch.env.Env;
+import io.embernotch.ledger.Ledger;
+import io.embernotch.model.Machine;
+import io.embernotch.settings.Settings;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Machines on their way back to the cloud: the answer to a deletion proves them gone. */
+final class Returns {
+  private static final Logger LOG = LoggerFactory.getLogger(Returns.class);
+
+  private final Env env;
+  private final Ledger ledger;
+  private final Consumer<Machine> gone;
+  private final Set<Machine> leaving = new LinkedHashSet<>();
+  private boolean urgentDelete;
+  private boolean idleDelete;
+
+  /** {@code gone} is told of each machine that is gone with all that was on it. */
+  Returns(Env env, Ledger ledger, Consumer<Machine> gone) {
+    this.env = env;
+    this.ledger = ledger;
+    this.gone = gone;
+  }
+
+  /** Returns a machine. Nothing more is placed on it, and what is on it ends with it. */
+  void giveBack(Machine m) {
+    if (!m.deleting) {
+      m.deleting = true;
+      m.deleteRetryAt = 0;
+      leaving.add(m);
+      if (!m.open.isEmpty()) {
+        send(env.clock().now());
+      }
+    }
+  }
+
+  void send(double now) {
+    boolean urgent = leaving.stream().anyMatch(m -> !m.open.isEmpty() && m.deleteRetryAt <= now);
+    // Proofs that tasks wait for are never behind a call that only saves money.
+    if (urgent ? urgentDelete : urgentDelete || idleDelete) {
+      return;
+    }
+    List<Machine> batch = new ArrayList<>();
+    List<String> names = new ArrayList<>();
+    leaving.removeIf(m -> ledger.machines.get(m.name) != m);
+    for (Machine m : leaving) {
+      if (m.deleteRetryAt <= now && batch.size() < Settings.Cloud.MAX_DELETE && !m.doInFlight) {
+        batch.add(m);
+        names.add(m.name);
+        m.deleteRetryAt = Double.MAX_VALUE;
+      }
+    }
+    if (batch.isEmpty()) {
+      return;
+    }
+    deleteBusy(urgent, true);
+    env.cloud()
+        .delete(names, urgent)
+        .onComplete(
+            r -> {
+              deleteBusy(urgent, false);
+              if (r.succeeded()) {
+                LOG.info("returned {}", names);
+                leaving.removeAll(new HashSet<>(batch));
+                batch.forEach(gone);
+              } else {
+                LOG.debug("could not return {}: {}", names, r.cause().getMessage());
+                batch.forEach(m -> m.deleteRetryAt = env.clock().now() + env.settings().workers().reportS() / 3);
+              }
+            });
+  }
+
+  private void deleteBusy(boolean urgent, boolean busy) {
+    if (urgent) {
+      urgentDelete = busy;
+    } else {
+      idleDelete = busy;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/embernotch/fleet/Silence.java
@@ -0,0 +1,153 @@
+package io.embernotch.fleet;
+
+import io.embernotch.env.Env;
+import io.embernotch.ledger.Ledger;
+import io.embernotch.machines.Workers;
+import io.embernotch.model.Machine;
+import io.embernotch.settings.Settings;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Machines that do not report: whether they are cut off, hang or are dead, and when they are given up. */
+final class Silence {
+  private static final Logger LOG = LoggerFactory.getLogger(Silence.class);
+
+  /** Reports come a quarter late at most: after so many periods a machine is asked itself. */
+  private static final double PROBE_REPORTS = 1.5;
+
+  /** Report periods of silence after which a machine that did not answer a probe is given up. */
+  private static final double SILENT_REPORTS = 2.2;
+
+  /**
+   * So large a share of the machines must be silent for us to be the ones who are cut off. A zone can
+   * hold more than half of them: at half, stewards that heard the rest well gave leadership to each
+   * other, and none of them started anything.
+   */
+  private static final double DEAF_SHARE = 0.8;
+
+  /** Share of a worker's lease for which a silent machine with live services is waited for. */
+  private static final double PATIENCE = 0.9;
+
+  private final Env env;
+  private final Ledger ledger;
+  private final Workers workers;
+  private final FleetKeeper.Outcome outcome;
+  private final Consumer<Machine> giveBack;
+  private final double startedAt;
+  private Set<String> cutZones = Set.of();
+  /** When zones were last back from a cut. */
+  private final Map<String, Double> backAt = new HashMap<>();
+
+  Silence(Env env, Ledger ledger, Workers workers, FleetKeeper.Outcome outcome, Consumer<Machine> giveBack) {
+    this.env = env;
+    this.ledger = ledger;
+    this.workers = workers;
+    this.outcome = outcome;
+    this.giveBack = giveBack;
+    this.startedAt = env.clock().now();
+  }
+
+  boolean isCut(String zone) {
+    return cutZones.contains(zone);
+  }
+
+  /**
+   * When the machine last gave a sign of life. One that ran under an earlier steward is given a
+   * report's time-out longer to find us; before, such a machine was taken for a booting one, and
+   * its services stayed down until its lease and the old steward's hold were over. One that has only
+   * just come up is given the same time: it was once returned in the second before its first report.
+   * So is one whose zone is back from a cut: 238 were once returned as the first controller was back.
+   */
+  private double lastSign(Machine m) {
+    double report = env.settings().workers().reportS();
+    double back = backAt.getOrDefault(m.zone, -1e9) + report;
+    return Math.max(back, m.up() ? m.heardAt : Math.max(startedAt, m.listedUpAt) + report);
+  }
+
+  /**
+   * Silent machines are probed, then deleted: the answer to the deletion proves their tasks gone.
+   * Two reports that did not come and a probe without an answer are enough; one alone may be ours.
+   */
+  void watch(double now) {
+    double report = env.settings().workers().reportS();
+    double quiet = PROBE_REPORTS * report;
+    List<Machine> silent = new ArrayList<>();
+    int up = 0;
+    for (Machine m : ledger.machines.values()) {
+      if (!mayBeUp(m)) {
+        continue;
+      }
+      up++;
+      if (now - lastSign(m) > quiet) {
+        silent.add(m);
+      }
+    }
+    if (silent.size() >= 3 && silent.size() > DEAF_SHARE * up) {
+      if (now - startedAt > 4 * report) {
+        outcome.deaf();
+      }
+      return;
+    }
+    cutZones = cutZones(silent);
+    for (Machine m : silent) {
+      workers.probe(m);
+      double limit = m.probeFailedAt > lastSign(m) ? SILENT_REPORTS : SILENT_REPORTS + 1;
+      if (now - lastSign(m) > limit * report && !worthWaitingFor(m, now)) {
+        LOG.info(
+            "machine {} has been silent for {} s with {} tasks, {}", m.name, Math.round(now - lastSign(m)), m.open.size(),
+            m.probeConnected ? "takes connections" : "takes no connection");
+        giveBack.accept(m);
+      }
+    }
+  }
+
+  private static boolean mayBeUp(Machine m) {
+    return !m.deleting && (m.up() || m.listedUpAt >= 0 || !m.open.isEmpty());
+  }
+
+  /**
+   * Zones that are cut off: a controller there is silent, and more than half of the machines. It renews
+   * their workers for as long as it may, so what runs there is let run, and nothing new is rented.
+   */
+  private Set<String> cutZones(List<Machine> silent) {
+    Set<String> live = outcome.controllers();
+    Set<String> out = new HashSet<>();
+    for (Settings.Member c : env.settings().members()) {
+      if (live.contains(c.node()) || out.contains(c.location())) {
+        continue;
+      }
+      long gone = silent.stream().filter(m -> c.location().equals(m.zone)).count();
+      long there = ledger.machines.values().stream().filter(m -> c.location().equals(m.zone) && mayBeUp(m)).count();
+      if (gone * 2 > there) {
+        out.add(c.location());
+      }
+    }
+    if (!out.equals(cutZones)) {
+      LOG.info("zones that are cut off: {}", out);
+      cutZones.stream().filter(z -> !out.contains(z)).forEach(z -> backAt.put(z, env.clock().now()));
+    }
+    return out;
+  }
+
+  /**
+   * A live service on a machine that only lost the network runs on until its lease is over, and
+   * would have to start anew elsewhere if the machine were returned before. One that takes a connection
+   * and does not answer is not cut off: it hangs, and so does the service.
+   */
+  private boolean worthWaitingFor(Machine m, double now) {
+    if (m.probeConnected && m.probeFailedAt > lastSign(m)) {
+      return false;
+    }
+    if (cutZones.contains(m.zone)) {
+      return now - lastSign(m) < env.settings().holdS() + PATIENCE * env.settings().workers().leaseS();
+    }
+    return m.load().pinned && m.up() && now - m.renewedAt < PATIENCE * env.settings().workers().leaseS();
+  }
+}
--- a/src/main/java/io/embernotch/steward/Cancels.java
+++ b/src/main/java/io/embernotch/jobs/Cancels.java
@@ -1,11 +1,15 @@
-package io.embernotch.steward;
+package io.embernotch.jobs;
 
 import io.embernotch.codec.JobCodec;
+import io.embernotch.env.Env;
 import io.embernotch.http.Answer;
+import io.embernotch.ledger.Ledger;
+import io.embernotch.machines.Workers;
 import io.embernotch.model.Attempt;
 import io.embernotch.model.Job;
 import io.embernotch.model.Machine;
 import io.embernotch.model.Phase;
+import io.embernotch.progress.Committer;
 import io.embernotch.settings.Settings;
 import io.embernotch.store.Pacer.Rank;
 import io.vertx.core.Promise;
@@ -20,7 +24,7 @@
  * cancel_s} from then on: each is proven gone, or its machine's worker must kill it in time whoever
  * renews the worker's lease. Behind a cut, that takes until the renewals there end.
  */
-final class Cancels {
+public final class Cancels {
   private final Env env;
   private final Ledger ledger;
   private final Committer committer;
@@ -28,7 +32,7 @@
   private final Workers workers;
   private final Map<Job, List<Promise<Answer>>> asked = new LinkedHashMap<>();
 
-  Cancels(Env env, Ledger ledger, Committer committer, Endings endings, Workers workers) {
+  public Cancels(Env env, Ledger ledger, Committer committer, Endings endings, Workers workers) {
     this.env = env;
     this.ledger = ledger;
     this.committer = committer;
@@ -37,18 +41,18 @@
   }
 
   /** A user wants the job cancelled; its tasks have been told to stop. */
-  void ask(Job job, Promise<Answer> reply) {
+  public void ask(Job job, Promise<Answer> reply) {
     asked.computeIfAbsent(job, j -> new ArrayList<>()).add(reply);
     env.timers().after(env.settings().workers().reportS() / 2, () -> reply.tryComplete(Answer.later("tasks of it cannot be reached yet")));
     check(job);
   }
 
-  void checkAll() {
+  public void checkAll() {
     List.copyOf(asked.keySet()).forEach(this::check);
   }
 
   /** Something of the job may have ended. */
-  void check(Job job) {
+  public void check(Job job) {
     List<Promise<Answer>> replies = asked.get(job);
     if (replies == null) {
       return;
--- a/src/main/java/io/embernotch/steward/Chains.java
+++ b/src/main/java/io/embernotch/jobs/Chains.java
@@ -1,6 +1,8 @@
-package io.embernotch.steward;
+package io.embernotch.jobs;
 
 import io.embernotch.codec.RunCodec;
+import io.embernotch.env.Env;
+import io.embernotch.ledger.Ledger;
 import io.embernotch.model.Job;
 import io.embernotch.model.Phase;
 import io.embernotch.model.Priority;
@@ -22,11 +24,11 @@
  *
  * <p>A job names only jobs accepted before it, so the graph has no circles.
  */
-final class Chains {
+public final class Chains {
   private static final Logger LOG = LoggerFactory.getLogger(Chains.class);
 
   /** What becomes of jobs that waited. */
-  interface Sink {
+  public interface Sink {
     /** Every job before it is done. */
     void released(Job job);
 
@@ -47,21 +49,21 @@
   private final Set<String> lookingUp = new LinkedHashSet<>();
   private boolean changed;
 
-  Chains(Env env, Ledger ledger, Sink sink) {
+  public Chains(Env env, Ledger ledger, Sink sink) {
     this.env = env;
     this.ledger = ledger;
     this.sink = sink;
   }
 
   /** All of the ledger's jobs anew. */
-  void rebuild() {
+  public void rebuild() {
     needing.clear();
     unknown.clear();
     List.copyOf(ledger.jobs.values()).forEach(this::add);
   }
 
   /** A job has become known; it waits from now on if it has to. */
-  void add(Job job) {
+  public void add(Job job) {
     changed = true;
     unknown.remove(job.spec.ref());
     boolean doomed = false;
@@ -96,7 +98,7 @@
   }
 
   /** The store holds the end of a job. */
-  void ended(Job job) {
+  public void ended(Job job) {
     Set<Job> after = needing.remove(job.spec.ref());
     if (job.end == Phase.CANCELLED) {
       changed = true;
@@ -141,7 +143,7 @@
   }
 
   /** Asks the store for named jobs that the steward has not heard of, a few at a time. */
-  void lookUp() {
+  public void lookUp() {
     int most = (int) Math.max(1, env.settings().stateFloor().rps() / 20);
     for (String ref : List.copyOf(unknown)) {
       if (lookingUp.size() >= most) {
@@ -172,7 +174,7 @@
    * Has jobs inherit the priority and the latest start of all that need them. To be called before a
    * plan; does nothing unless the graph has changed.
    */
-  void inherit() {
+  public void inherit() {
     if (!changed) {
       return;
     }
@@ -219,7 +221,7 @@
     return Math.round(job.spec.expectS() * 1000);
   }
 
-  int waiting() {
+  public int waiting() {
     int n = 0;
     for (Job job : ledger.jobs.values()) {
       n += job.end == null && job.held() ? 1 : 0;
--- a/src/main/java/io/embernotch/steward/Endings.java
+++ b/src/main/java/io/embernotch/jobs/Endings.java
@@ -1,7 +1,10 @@
-package io.embernotch.steward;
+package io.embernotch.jobs;
 
+import io.embernotch.env.Env;
+import io.embernotch.ledger.Ledger;
 import io.embernotch.model.Job;
 import io.embernotch.model.Phase;
+import io.embernotch.progress.Committer;
 import io.embernotch.store.Pacer.Rank;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -9,7 +12,7 @@
 import java.util.function.BiConsumer;
 
 /** How jobs end: decided once, told once the store holds it, and let go when nothing of them is left. */
-final class Endings {
+public final class Endings {
   private final Env env;
   private final Ledger ledger;
   private final Committer committer;
@@ -19,7 +22,7 @@
   /** Jobs whose end is decided, until nothing of them is open or unwritten. */
   private final Set<Job> ending = new LinkedHashSet<>();
 
-  Endings(Env env, Ledger ledger, Committer committer, Chains chains, BiConsumer<String, Ledger.Ended> letGo) {
+  public Endings(Env env, Ledger ledger, Committer committer, Chains chains, BiConsumer<String, Ledger.Ended> letGo) {
     this.env = env;
     this.ledger = ledger;
     this.committer = committer;
@@ -28,13 +31,13 @@
   }
 
   /** Ends that an earlier steward has decided. */
-  void takeOver() {
+  public void takeOver() {
     ending.clear();
     ledger.jobs.values().stream().filter(j -> j.end != null).forEach(ending::add);
   }
 
   /** Decides an end. Jobs that need this one learn of it when it is committed, not before. */
-  void decide(Job job, Phase end) {
+  public void decide(Job job, Phase end) {
     job.end = end;
     job.endedMs = env.clock().wallMs();
     ending.add(job);
@@ -45,20 +48,20 @@
   }
 
   /** The end of a job follows from one that is kept; it is written for those who read the store. */
-  void follows(Job job) {
+  public void follows(Job job) {
     ending.add(job);
     committer.soon(job, 0);
   }
 
   /** Nothing of a job that is told to be cancelled is left in a zone. */
-  boolean clear(String zone) {
+  public boolean clear(String zone) {
     return ending.stream()
         .filter(j -> j.end == Phase.CANCELLED)
         .allMatch(j -> j.open.values().stream().noneMatch(a -> a.zone.equals(zone)));
   }
 
   /** Lets go of jobs that have ended, once nothing of them is open or unwritten. */
-  void retire() {
+  public void retire() {
     for (Job job : List.copyOf(ending)) {
       if (job.open.isEmpty() && !committer.isDirty(job)) {
         String ref = job.spec.ref();
--- a/src/main/java/io/embernotch/steward/Takeover.java
+++ b/src/main/java/io/embernotch/jobs/Takeover.java
@@ -1,9 +1,15 @@
-package io.embernotch.steward;
+package io.embernotch.jobs;
 
 import io.embernotch.codec.RunCodec;
+import io.embernotch.env.Env;
+import io.embernotch.ledger.Demand;
+import io.embernotch.ledger.Ledger;
 import io.embernotch.model.Attempt;
 import io.embernotch.model.Job;
 import io.embernotch.model.Machine;
+import io.embernotch.progress.Committer;
+import io.embernotch.progress.Layout;
+import io.embernotch.progress.StoredJob;
 import io.embernotch.store.Changes;
 import io.embernotch.store.Entry;
 import java.util.ArrayList;
@@ -18,7 +24,7 @@
  * Fills a new steward's ledger from the store. What runs is let be: its attempts are open, and
  * unsure until a worker reports under one of this steward's tokens.
  */
-final class Takeover {
+public final class Takeover {
   private final Env env;
   private final Ledger ledger;
   private final Committer committer;
@@ -28,7 +34,7 @@
   private final long baseToken;
   private final double acquiredAt;
 
-  Takeover(Env env, Ledger ledger, Committer committer, Layout layout, Chains chains, Demand demand, long baseToken, double acquiredAt) {
+  public Takeover(Env env, Ledger ledger, Committer committer, Layout layout, Chains chains, Demand demand, long baseToken, double acquiredAt) {
     this.env = env;
     this.ledger = ledger;
     this.committer = committer;
@@ -39,7 +45,7 @@
     this.acquiredAt = acquiredAt;
   }
 
-  void read(Changes jobs, Changes runs, Changes parts) {
+  public void read(Changes jobs, Changes runs, Changes parts) {
     ledger.jobs.clear();
     ledger.ended.clear();
     ledger.machines.clear();
--- a/src/main/java/io/embernotch/steward/UserDesk.java
+++ b/src/main/java/io/embernotch/jobs/UserDesk.java
@@ -1,19 +1,22 @@
-package io.embernotch.steward;
+package io.embernotch.jobs;
 
 import io.embernotch.codec.JobCodec;
 import io.embernotch.codec.RunCodec;
+import io.embernotch.env.Env;
 import io.embernotch.http.Answer;
+import io.embernotch.ledger.Ledger;
 import io.embernotch.model.Job;
 import io.embernotch.model.Phase;
+import io.embernotch.progress.Committer;
 import io.embernotch.store.Entry;
 import io.embernotch.store.Pacer.Rank;
 import io.vertx.core.Promise;
 import java.util.function.BooleanSupplier;
 
 /** Answers what users ask the steward about their jobs. */
-final class UserDesk {
+public final class UserDesk {
   /** What the answers need of the steward. */
-  interface Host {
+  public interface Host {
     /** A job that the store holds and nobody has told the steward of. */
     void found(Entry job);
 
@@ -29,7 +32,7 @@
   private final BooleanSupplier live;
   private final Host host;
 
-  UserDesk(Env env, Ledger ledger, Committer committer, BooleanSupplier live, Host host) {
+  public UserDesk(Env env, Ledger ledger, Committer committer, BooleanSupplier live, Host host) {
     this.env = env;
     this.ledger = ledger;
     this.committer = committer;
@@ -37,7 +40,7 @@
     this.host = host;
   }
 
-  void poll(String ref, Promise<Answer> reply) {
+  public void poll(String ref, Promise<Answer> reply) {
     Ledger.Ended ended = ledger.ended.get(ref);
     if (ended != null) {
       reply.complete(Answer.of(200, JobCodec.status(ref, ended.phase(), ended.done(), 0)));
@@ -77,7 +80,7 @@
         .onFailure(e -> reply.complete(Answer.later("the state service does not answer")));
   }
 
-  void abort(String ref, Promise<Answer> reply) {
+  public void abort(String ref, Promise<Answer> reply) {
     Ledger.Ended ended = ledger.ended.get(ref);
     if (ended != null) {
       reply.complete(Answer.of(200, JobCodec.brief(ref, ended.phase())));
--- a/src/main/java/io/embernotch/steward/Election.java
+++ b/src/main/java/io/embernotch/leadership/Election.java
@@ -1,9 +1,10 @@
-package io.embernotch.steward;
+package io.embernotch.leadership;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.embernotch.actor.Clock;
 import io.embernotch.actor.Timers;
 import io.embernotch.codec.Json;
+import io.embernotch.codec.RunCodec;
 import io.embernotch.settings.Settings;
 import io.embernotch.store.Entry;
 import io.embernotch.store.LeaseKeeper;
@@ -21,7 +22,7 @@
  */
 public final class Election {
   private static final Logger LOG = LoggerFactory.getLogger(Election.class);
-  public static final String KEY = "steward";
+  private static final String KEY = RunCodec.STEWARD;
 
   /** What is told of leadership. */
   public interface Listener {
--- a/src/main/java/io/embernotch/steward/Peers.java
+++ b/src/main/java/io/embernotch/leadership/Peers.java
@@ -1,4 +1,4 @@
-package io.embernotch.steward;
+package io.embernotch.leadership;
 
 import io.embernotch.actor.Clock;
 import io.embernotch.settings.Settings;
@@ -10,7 +10,7 @@
 import java.util.TreeSet;
 
 /** Which of the other controllers have been heard from lately, and what they say of the store. */
-final class Peers {
+public final class Peers {
   private record Heard(double at, boolean stateOk) {}
 
   private final Clock clock;
@@ -20,7 +20,7 @@
   private int turn;
   private final Map<String, Double> renewedAt = new HashMap<>();
 
-  Peers(Settings settings, Clock clock) {
+  public Peers(Settings settings, Clock clock) {
     this.clock = clock;
     this.liveS = settings.workers().reportS();
     this.renewS = settings.workers().reportS();
@@ -29,16 +29,16 @@
     }
   }
 
-  void heard(String node, boolean stateOk) {
+  public void heard(String node, boolean stateOk) {
     heard.put(node, new Heard(clock.now(), stateOk));
   }
 
-  boolean isLive(String node) {
+  public boolean isLive(String node) {
     Heard h = heard.get(node);
     return h != null && clock.now() - h.at < liveS;
   }
 
-  Set<String> live() {
+  public Set<String> live() {
     Set<String> out = new TreeSet<>();
     for (String node : heard.keySet()) {
       if (isLive(node)) {
@@ -49,7 +49,7 @@
   }
 
   /** Some other controller that is served by the state service; null if none is known to be. */
-  String firstWithState() {
+  public String firstWithState() {
     for (String node : live()) {
       if (heard.get(node).stateOk) {
         return node;
@@ -59,13 +59,13 @@
   }
 
   /** Like {@link #firstWithState}, each in turn. */
-  String nextWithState() {
+  public String nextWithState() {
     List<String> served = live().stream().filter(n -> heard.get(n).stateOk).toList();
     return served.isEmpty() ? null : served.get(turn++ % served.size());
   }
 
   /** Nodes whose connection is worth renewing now: it may hang behind a cut that is over. */
-  List<String> newlySilent() {
+  public List<String> newlySilent() {
     List<String> out = new ArrayList<>();
     for (Map.Entry<String, Double> e : renewedAt.entrySet()) {
       if (!isLive(e.getKey()) && clock.now() - e.getValue() > renewS) {
--- a/src/main/java/io/embernotch/steward/Blame.java
+++ b/src/main/java/io/embernotch/ledger/Blame.java
@@ -1,5 +1,6 @@
-package io.embernotch.steward;
+package io.embernotch.ledger;
 
+import io.embernotch.env.Env;
 import io.embernotch.model.Attempt;
 import io.embernotch.model.Job;
 import io.embernotch.model.Machine;
@@ -8,18 +9,18 @@
 import org.slf4j.LoggerFactory;
 
 /** A task that fails is the machine's fault, unless its job fails wherever it goes. */
-final class Blame {
+public final class Blame {
   private static final Logger LOG = LoggerFactory.getLogger(Blame.class);
 
   private final Env env;
   private final Ledger ledger;
 
-  Blame(Env env, Ledger ledger) {
+  public Blame(Env env, Ledger ledger) {
     this.env = env;
     this.ledger = ledger;
   }
 
-  void failed(Attempt a, Machine m, double now) {
+  public void failed(Attempt a, Machine m, double now) {
     Job job = a.job;
     double report = env.settings().workers().reportS();
     job.errors++;
@@ -49,7 +50,7 @@
   }
 
   /** A task was done: neither its machine nor its job is at fault. */
-  void cleared(Job job, Machine m) {
+  public void cleared(Job job, Machine m) {
     m.errorStreak = 0;
     m.failedJobs.clear();
     job.errorMachines.clear();
--- a/src/main/java/io/embernotch/steward/Demand.java
+++ b/src/main/java/io/embernotch/ledger/Demand.java
@@ -1,4 +1,4 @@
-package io.embernotch.steward;
+package io.embernotch.ledger;
 
 import io.embernotch.model.Job;
 import io.embernotch.model.JobSpec;
@@ -25,7 +25,7 @@
  * cheaper is another one, while a task that finds no room waits for a boot at any size. For a
  * normal deviation the best number grows with the root of the logarithm of that ratio.
  */
-final class Demand {
+public final class Demand {
   /** Boot times over which the rate of a class is measured. */
   private static final double WINDOW_BOOTS = 4;
 
@@ -39,13 +39,13 @@
   private final Map<String, Kind> kinds = new LinkedHashMap<>();
 
   /** A job came at {@code at}, by the steady clock; older ones first. */
-  void seen(JobSpec spec, double at) {
+  public void seen(JobSpec spec, double at) {
     Kind k = kinds.computeIfAbsent(spec.jobClass(), c -> new Kind());
     k.latest = spec;
     k.arrivals.addLast(new Arrival(at, spec.tasks()));
   }
 
-  List<Headroom> headroom(
+  public List<Headroom> headroom(
       OperatorSettings operator, Collection<MachineType> types, Collection<Job> jobs, double now) {
     Map<String, Integer> placed = new HashMap<>();
     jobs.forEach(j -> placed.merge(j.spec.jobClass(), j.open.size(), Integer::sum));
--- a/src/main/java/io/embernotch/steward/Ledger.java
+++ b/src/main/java/io/embernotch/ledger/Ledger.java
@@ -1,4 +1,4 @@
-package io.embernotch.steward;
+package io.embernotch.ledger;
 
 import io.embernotch.model.Attempt;
 import io.embernotch.model.Job;
@@ -16,7 +16,7 @@
 public final class Ledger {
   /** A job that has ended, and whose every attempt is proven gone. */
   public record Ended(Phase phase, int tasks, int done, long atMs) {
-    static Ended of(Job job) {
+    public static Ended of(Job job) {
       return new Ended(job.end, job.spec.tasks(), job.done.cardinality(), job.endedMs);
     }
   }
@@ -30,7 +30,7 @@
   private Function<String, List<String>> images = n -> List.of();
 
   /** Where to learn which images a machine has that was rented before. */
-  void imagesOf(Function<String, List<String>> known) {
+  public void imagesOf(Function<String, List<String>> known) {
     images = known;
   }
 
--- a/src/main/java/io/embernotch/steward/Summary.java
+++ b/src/main/java/io/embernotch/ledger/Summary.java
@@ -1,4 +1,4 @@
-package io.embernotch.steward;
+package io.embernotch.ledger;
 
 import io.embernotch.model.Attempt;
 import io.embernotch.model.Job;
@@ -6,10 +6,10 @@
 import io.embernotch.model.Shape;
 
 /** One line on fleet and queue for the log. */
-final class Summary {
+public final class Summary {
   private Summary() {}
 
-  static String of(Ledger ledger) {
+  public static String of(Ledger ledger) {
     int[][] kinds = new int[2][5];
     for (Machine m : ledger.machines.values()) {
       int[] k = kinds[m.spot ? 1 : 0];
--- a/src/main/java/io/embernotch/steward/Lanes.java
+++ b/src/main/java/io/embernotch/machines/Lanes.java
@@ -1,4 +1,4 @@
-package io.embernotch.steward;
+package io.embernotch.machines;
 
 import io.embernotch.model.Machine;
 import java.util.EnumMap;
@@ -11,9 +11,9 @@
  * thousand probes and commands left at once; what did not find a connection was given up for most of a
  * report period, and live services were started behind all others.
  */
-final class Lanes {
+public final class Lanes {
   /** Whom a call is for, and which share of all calls may be under way when one more begins. */
-  enum Need {
+  public enum Need {
     LIVE(1),
     USUAL(0.5),
     /** Commands to and probes of machines that should be heard and are not. */
@@ -34,7 +34,7 @@
   private boolean letting;
 
   /** @param most calls under way at a time */
-  Lanes(int most) {
+  public Lanes(int most) {
     this.most = most;
     for (Need n : Need.values()) {
       waiting.put(n, new LinkedHashMap<>());
@@ -42,7 +42,7 @@
   }
 
   /** True if a call may begin now; it ends with {@link #leave}. Else {@code again} asks once there is room. */
-  boolean enter(Machine m, Need need, Runnable again) {
+  public boolean enter(Machine m, Need need, Runnable again) {
     if (hasRoom(need) && (letting || waiting.get(need).isEmpty())) {
       underWay++;
       return true;
@@ -51,7 +51,7 @@
     return false;
   }
 
-  void leave() {
+  public void leave() {
     underWay--;
     if (letting) {
       return;
@@ -69,7 +69,7 @@
   }
 
   /** True while a command to the machine waits for its turn. */
-  boolean waits(Machine m) {
+  public boolean waits(Machine m) {
     return waiting.get(Need.LIVE).containsKey(m) || waiting.get(Need.USUAL).containsKey(m);
   }
 
--- /dev/null
+++ b/src/main/java/io/embernotch/machines/Leases.java
@@ -0,0 +1,54 @@
+package io.embernotch.machines;
+
+import io.embernotch.actor.Clock;
+import io.embernotch.model.Machine;
+import io.embernotch.settings.Settings;
+
+/**
+ * Until when a worker may keep what it runs: its lease, counted from the latest moment at which anybody
+ * can have renewed it. All times are seconds of our steady clock.
+ */
+final class Leases {
+  private final Settings settings;
+  private final Clock clock;
+  private final Wards wards;
+  private final long epochBase;
+  private final double acquiredAt;
+
+  Leases(Settings settings, Clock clock, Wards wards, long epochBase) {
+    this.settings = settings;
+    this.clock = clock;
+    this.wards = wards;
+    this.epochBase = epochBase;
+    this.acquiredAt = clock.now();
+  }
+
+  /** Seconds after its last renewal at which a worker has killed everything, with drift and some to spare. */
+  private double lifeS() {
+    return settings.workers().leaseS() * (1 + 2 * Settings.DRIFT) + 0.5;
+  }
+
+  /** An earlier steward may have renewed a worker that has not seen our token until then. */
+  private double othersUntil(Machine m) {
+    return m.seenToken >= epochBase ? -1e9 : acquiredAt + settings.holdS() * (1 + Settings.DRIFT);
+  }
+
+  /**
+   * True once the machine's worker must have killed everything: nobody can have renewed its lease for
+   * longer than it lasts, neither an earlier steward nor a controller cut off with the machine's zone.
+   */
+  boolean over(Machine m) {
+    double now = clock.now();
+    // Without its zone, any controller may have.
+    double wardsUntil = m.zone == null ? now : wards.renewedUntil(m.zone, now);
+    return now > Math.max(m.renewedAt, Math.max(othersUntil(m), wardsUntil)) + lifeS();
+  }
+
+  /** What is on a machine that we never reach again is gone by this time, whoever else renews its worker. */
+  double goneBy(Machine m) {
+    if (m.zone == null) {
+      return Double.MAX_VALUE;
+    }
+    return Math.max(m.renewedAt, Math.max(othersUntil(m), wards.renewalEnds(m.zone))) + lifeS();
+  }
+}
--- a/src/main/java/io/embernotch/steward/Starts.java
+++ b/src/main/java/io/embernotch/machines/Starts.java
@@ -1,10 +1,13 @@
-package io.embernotch.steward;
+package io.embernotch.machines;
 
+import io.embernotch.env.Env;
+import io.embernotch.ledger.Ledger;
 import io.embernotch.model.Attempt;
 import io.embernotch.model.Job;
 import io.embernotch.model.Machine;
 import io.embernotch.model.Priority;
 import io.embernotch.plan.Plan;
+import io.embernotch.progress.Committer;
 import io.embernotch.store.Pacer.Rank;
 import java.util.ArrayDeque;
 import java.util.Set;
@@ -13,7 +16,7 @@
 import org.slf4j.LoggerFactory;
 
 /** Carries out what a plan starts: opens attempts, has them committed, and only then sends them. */
-final class Starts {
+public final class Starts {
   private static final Logger LOG = LoggerFactory.getLogger(Starts.class);
 
   private final Env env;
@@ -25,7 +28,7 @@
   private final ArrayDeque<Machine> toFlush = new ArrayDeque<>();
   private boolean liveStarted;
 
-  Starts(Env env, Ledger ledger, Committer committer, Workers workers, double acquiredAt, BooleanSupplier mayOrder) {
+  public Starts(Env env, Ledger ledger, Committer committer, Workers workers, double acquiredAt, BooleanSupplier mayOrder) {
     this.env = env;
     this.ledger = ledger;
     this.committer = committer;
@@ -34,7 +37,7 @@
     this.mayOrder = mayOrder;
   }
 
-  void begin(Plan.Start s, double now) {
+  public void begin(Plan.Start s, double now) {
     Job job = s.job();
     long number = job.nextAttempt++;
     boolean live = job.spec.priority() == Priority.PRODUCTION;
--- a/src/main/java/io/embernotch/steward/Stops.java
+++ b/src/main/java/io/embernotch/machines/Stops.java
@@ -1,5 +1,7 @@
-package io.embernotch.steward;
+package io.embernotch.machines;
 
+import io.embernotch.env.Env;
+import io.embernotch.ledger.Ledger;
 import io.embernotch.model.Attempt;
 import io.embernotch.model.Job;
 import io.embernotch.model.Machine;
@@ -9,7 +11,7 @@
 import java.util.function.Consumer;
 
 /** Has attempts end: one, a whole gang, or all that is on a machine. */
-final class Stops {
+public final class Stops {
   private final Env env;
   private final Ledger ledger;
   private final Workers workers;
@@ -17,7 +19,7 @@
   /** Before the store is read, orders wait. */
   private final BooleanSupplier mayOrder;
 
-  Stops(Env env, Ledger ledger, Workers workers, Consumer<Attempt> close, BooleanSupplier mayOrder) {
+  public Stops(Env env, Ledger ledger, Workers workers, Consumer<Attempt> close, BooleanSupplier mayOrder) {
     this.env = env;
     this.ledger = ledger;
     this.workers = workers;
@@ -26,7 +28,7 @@
   }
 
   /** Wants an attempt to end. One whose start has not left ends here and now. */
-  void want(Attempt a, double graceS) {
+  public void want(Attempt a, double graceS) {
     if (a.start == Attempt.Start.UNCOMMITTED || a.start == Attempt.Start.READY) {
       close.accept(a);
       return;
@@ -45,7 +47,7 @@
   }
 
   /** Stops what is left of a gang's attempt; the next one starts when all of it has ended. */
-  void breakGang(Job job, double graceS) {
+  public void breakGang(Job job, double graceS) {
     for (Attempt a : List.copyOf(job.open.values())) {
       if (!a.stopping) {
         want(a, graceS);
@@ -54,7 +56,7 @@
   }
 
   /** Stops an attempt, and with it the rest of its gang. */
-  void one(Attempt a, double graceS) {
+  public void one(Attempt a, double graceS) {
     if (a.job.spec.shape() == Shape.GANG) {
       breakGang(a.job, graceS);
     } else {
@@ -63,7 +65,7 @@
   }
 
   /** Empties a machine that the cloud takes back; true once one that is to hold nothing more is empty. */
-  boolean drained(Machine m) {
+  public boolean drained(Machine m) {
     if (m.recallAt >= 0) {
       for (Attempt a : List.copyOf(m.open.values())) {
         if (!a.stopping && a.job.end == null) {
--- a/src/main/java/io/embernotch/steward/Wards.java
+++ b/src/main/java/io/embernotch/machines/Wards.java
@@ -1,6 +1,8 @@
-package io.embernotch.steward;
+package io.embernotch.machines;
 
+import io.embernotch.env.Recent;
 import io.embernotch.peer.Frame;
+import io.embernotch.relay.Standby;
 import io.embernotch.settings.Settings;
 import java.util.HashMap;
 import java.util.Map;
@@ -14,7 +16,7 @@
  * was sent after we answered j, so up to {@code contactS} after that answer it renewed nothing by
  * itself but what n owns up to. All times are ours; held and late messages only make them earlier.
  */
-final class Wards {
+public final class Wards {
   private static final int REMEMBERED = 64;
 
   private static final class Ward {
@@ -29,7 +31,7 @@
   private final double acquiredAt;
   private final Map<String, Ward> wards = new HashMap<>();
 
-  Wards(Settings settings, double acquiredAt) {
+  public Wards(Settings settings, double acquiredAt) {
     this.settings = settings;
     this.acquiredAt = acquiredAt;
   }
@@ -42,17 +44,17 @@
    * Every other controller is known to be of a version that waits with cancellations. While one may not
    * be, nobody renews for longer than the former version counts on.
    */
-  boolean allNew() {
+  public boolean allNew() {
     return settings.members().stream().allMatch(m -> wards.containsKey(m.node()));
   }
 
   /** How long this steward renews workers without a proven lease. */
-  double ownHoldS() {
+  public double ownHoldS() {
     return allNew() ? settings.holdS() : settings.formerHoldS();
   }
 
   /** The zone of a controller; null if the settings do not know it. */
-  String zoneOf(String node) {
+  public String zoneOf(String node) {
     return settings.members().stream().filter(m -> m.node().equals(node)).map(Settings.Member::location).findFirst().orElse(null);
   }
 
@@ -60,7 +62,7 @@
    * A controller has written. {@code may} be given the right if our lease is proven, and no job whose
    * cancellation was told has tasks left in its zone. Returns the answer to send at once.
    */
-  Frame.Noted heard(Frame.Here h, long epoch, boolean may, double now) {
+  public Frame.Noted heard(Frame.Here h, long epoch, boolean may, double now) {
     Ward w = wards.computeIfAbsent(h.node(), n -> new Ward());
     if (h.ack() == 0 || w.answeredAt.isEmpty()) {
       // What its former process, or it under an earlier steward, has renewed, nobody owns up to.
@@ -84,7 +86,7 @@
   }
 
   /** No controller has renewed a worker of this zone by itself later than at this time, counted at {@code now}. */
-  double renewedUntil(String zone, double now) {
+  public double renewedUntil(String zone, double now) {
     double latest = -1e9;
     for (Settings.Member m : settings.members()) {
       if (m.location().equals(zone)) {
@@ -103,7 +105,7 @@
   }
 
   /** Renewals of this zone's workers that nobody else can stop end by this time. */
-  double renewalEnds(String zone) {
+  public double renewalEnds(String zone) {
     double latest = -1e9;
     for (Settings.Member m : settings.members()) {
       if (m.location().equals(zone)) {
--- a/src/main/java/io/embernotch/steward/Workers.java
+++ b/src/main/java/io/embernotch/machines/Workers.java
@@ -1,9 +1,11 @@
-package io.embernotch.steward;
+package io.embernotch.machines;
 
 import io.embernotch.codec.BadInput;
 import io.embernotch.codec.WorkerCodec;
+import io.embernotch.env.Env;
 import io.embernotch.http.CallFailed;
 import io.embernotch.http.Reply;
+import io.embernotch.ledger.Ledger;
 import io.embernotch.model.Attempt;
 import io.embernotch.model.Attempt.Start;
 import io.embernotch.model.Cause;
@@ -15,7 +17,6 @@
 import io.embernotch.model.TaskState;
 import io.embernotch.model.WorkerReport;
 import io.embernotch.settings.HostPort;
-import io.embernotch.settings.Settings;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -27,12 +28,12 @@
  * Talks to workers: sends orders, reads reports, and works out from them which attempts are there
  * and which are proven gone. What follows from that for jobs is the {@link Outcome}'s business.
  */
-final class Workers {
+public final class Workers {
   private static final Logger LOG = LoggerFactory.getLogger(Workers.class);
   private static final int EPOCH_BITS = 20;
 
   /** What is told of attempts. */
-  interface Outcome {
+  public interface Outcome {
     void running(Attempt a, Machine m);
 
     /** The attempt has exited on its machine; it is still open. */
@@ -60,41 +61,39 @@
   private final long epochBase;
   private final double callS;
   private final Set<String> deleted = new HashSet<>();
-  private final Wards wards;
-  private final double acquiredAt;
+  private final Leases leases;
   private final Lanes lanes;
 
-  Workers(Env env, Ledger ledger, long epoch, Wards wards, Outcome outcome) {
-    this.wards = wards;
-    this.acquiredAt = env.clock().now();
+  public Workers(Env env, Ledger ledger, long epoch, Wards wards, Outcome outcome) {
     this.env = env;
     this.ledger = ledger;
     this.outcome = outcome;
     this.epochBase = baseToken(epoch);
+    this.leases = new Leases(env.settings(), env.clock(), wards, epochBase);
     this.callS = env.settings().workers().reportS() * 2 / 3;
     this.lanes = new Lanes(env.settings().quota().directCalls());
   }
 
   /** Lowest token of a stewardship: the counter below it is raised machine by machine. */
-  static long baseToken(long epoch) {
+  public static long baseToken(long epoch) {
     return epoch << EPOCH_BITS;
   }
 
-  long base() {
+  public long base() {
     return epochBase;
   }
 
   /** True for machines that were deleted: lists lag, and packets may be late. */
-  boolean wasDeleted(String name) {
+  public boolean wasDeleted(String name) {
     return deleted.contains(name);
   }
 
-  void deleted(String name) {
+  public void deleted(String name) {
     deleted.add(name);
   }
 
   /** Takes a report that a worker sent, and returns the body of the 200; null if it must not get one. */
-  byte[] report(WorkerReport r, boolean trusted) {
+  public byte[] report(WorkerReport r, boolean trusted) {
     if (wasDeleted(r.machine())) {
       return null;
     }
@@ -120,12 +119,12 @@
   }
 
   /** Learns from a report that was answered without a token; false if it tells us nothing. */
-  boolean learn(WorkerReport r) {
+  public boolean learn(WorkerReport r) {
     return !wasDeleted(r.machine()) && absorb(r, ledger.machine(r.machine(), epochBase));
   }
 
   /** Learns from a report, whichever way it came. False if it shows us to be outranked. */
-  boolean absorb(WorkerReport r, Machine m) {
+  public boolean absorb(WorkerReport r, Machine m) {
     if (r.token() > m.token) {
       if (r.token() >>> EPOCH_BITS > epochBase >>> EPOCH_BITS) {
         outcome.outranked(r.token());
@@ -233,7 +232,7 @@
   }
 
   /** Sends what is due straight to the machine, unless something is already on the way. */
-  void flush(Machine m) {
+  public void flush(Machine m) {
     double now = env.clock().now();
     if (m.doInFlight || m.address == null || m.session == 0 || now - m.doFailedAt < callS) {
       return;
@@ -398,44 +397,25 @@
     }
   }
 
-  /** Seconds after its last renewal at which a worker has killed everything, with drift and some to spare. */
-  private double lifeS() {
-    return env.settings().workers().leaseS() * (1 + 2 * Settings.DRIFT) + 0.5;
+  /** See {@link Leases#over}. */
+  public boolean leaseOver(Machine m) {
+    return leases.over(m);
   }
 
-  /** An earlier steward may have renewed a worker that has not seen our token until then. */
-  private double othersUntil(Machine m) {
-    return m.seenToken >= epochBase ? -1e9 : acquiredAt + env.settings().holdS() * (1 + Settings.DRIFT);
-  }
-
-  /**
-   * True once the machine's worker must have killed everything: nobody can have renewed its lease for
-   * longer than it lasts, neither an earlier steward nor a controller cut off with the machine's zone.
-   */
-  boolean leaseOver(Machine m) {
-    double now = env.clock().now();
-    // Without its zone, any controller may have.
-    double wardsUntil = m.zone == null ? now : wards.renewedUntil(m.zone, now);
-    return now > Math.max(m.renewedAt, Math.max(othersUntil(m), wardsUntil)) + lifeS();
-  }
-
-  /** What is on a machine that we never reach again is gone by this time, whoever else renews its worker. */
-  double goneBy(Machine m) {
-    if (m.zone == null) {
-      return Double.MAX_VALUE;
-    }
-    return Math.max(m.renewedAt, Math.max(othersUntil(m), wards.renewalEnds(m.zone))) + lifeS();
+  /** See {@link Leases#goneBy}. */
+  public double goneBy(Machine m) {
+    return leases.goneBy(m);
   }
 
   /** Asks a silent machine for its state; the answer counts as news, but renews nothing. */
-  void probe(Machine m) {
+  public void probe(Machine m) {
     if (!m.probing && m.address != null && lanes.enter(m, Lanes.Need.SILENT, () -> probe(m))) {
       ask(m);
     }
   }
 
   /** Looks for a machine that has not found us; in vain once it has. */
-  void find(Machine m) {
+  public void find(Machine m) {
     if (!m.up() && !m.deleting && !m.probing && m.address != null
         && lanes.enter(m, Lanes.Need.FIND, () -> find(m))) {
       ask(m);
--- a/src/main/java/io/embernotch/steward/Committer.java
+++ b/src/main/java/io/embernotch/progress/Committer.java
@@ -1,4 +1,4 @@
-package io.embernotch.steward;
+package io.embernotch.progress;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.embernotch.actor.Clock;
@@ -6,6 +6,7 @@
 import io.embernotch.actor.Timers;
 import io.embernotch.actor.Work;
 import io.embernotch.codec.Json;
+import io.embernotch.codec.RunCodec;
 import io.embernotch.model.Job;
 import io.embernotch.settings.Settings;
 import io.embernotch.store.Commit;
@@ -32,7 +33,7 @@
  * of ours can be applied over a newer one. A transaction without an answer is unknown: its pieces
  * are read again before anything is written over them, and nobody is told of their success.
  */
-final class Committer {
+public final class Committer {
   private static final Logger LOG = LoggerFactory.getLogger(Committer.class);
   private static final int MAX_BYTES = 60 * 1024;
 
@@ -92,7 +93,7 @@
   private long transactions;
   private long changes;
 
-  Committer(
+  public Committer(
       Settings settings, Layout layout, StoreClient store, Clock clock, Timers timers, Work work, long epoch,
       Runnable deposed) {
     this.layout = layout;
@@ -109,27 +110,27 @@
     this.deposed = deposed;
   }
 
-  void close() {
+  public void close() {
     closed = true;
     turns++;
   }
 
   /** The store holds parts, which were only made since its limits are lowered. */
-  void limitsAreLowered() {
+  public void limitsAreLowered() {
     lowered = true;
   }
 
   /** Takes over what the store holds of a job's piece. */
-  void know(String key, long stamp) {
+  public void know(String key, long stamp) {
     stamps.put(key, stamp);
   }
 
-  boolean isDirty(Job job, int task) {
+  public boolean isDirty(Job job, int task) {
     String key = layout.of(job, task).key();
     return dirty.containsKey(key) || inFlight.containsKey(key);
   }
 
-  boolean isDirty(Job job) {
+  public boolean isDirty(Job job) {
     for (int task = 0; task < job.spec.tasks(); task += layout.size(job.spec.ref())) {
       if (isDirty(job, task)) {
         return true;
@@ -139,22 +140,22 @@
   }
 
   /** The piece with {@code task} has changed; it waits for company and for a quiet moment. */
-  void later(Job job, int task) {
+  public void later(Job job, int task) {
     mark(job, task, Rank.SPARE, clock.now() + lazyS, null);
   }
 
   /** The piece with {@code task} has changed; {@code durable} runs once that is committed. */
-  void now(Job job, int task, Rank rank, Runnable durable) {
+  public void now(Job job, int task, Rank rank, Runnable durable) {
     mark(job, task, rank, clock.now(), durable);
   }
 
   /** Like {@link #now}, before everything else of usual rank. */
-  void soon(Job job, int task) {
+  public void soon(Job job, int task) {
     mark(job, task, Rank.USUAL, clock.now() - overdueS, null);
   }
 
   /** From decision to commit, what was written since the last line, and what waits; null if nothing was. */
-  String line() {
+  public String line() {
     String delays = latencies.line();
     if (delays == null) {
       return null;
@@ -249,7 +250,7 @@
     order.sort(
         Comparator.comparing((Map.Entry<String, Dirty> e) -> e.getValue().rank)
             .thenComparingDouble(e -> e.getValue().due));
-    Txn txn = new Txn().when(Election.KEY, epoch);
+    Txn txn = new Txn().when(RunCodec.STEWARD, epoch);
     Map<String, Dirty> batch = new LinkedHashMap<>();
     List<Job> tooLarge = new ArrayList<>();
     int bytes = 0;
@@ -311,7 +312,7 @@
       next();
       return;
     }
-    if (commit.failed().contains(Election.KEY)) {
+    if (commit.failed().contains(RunCodec.STEWARD)) {
       closed = true;
       deposed.run();
       return;
--- a/src/main/java/io/embernotch/steward/JobWatch.java
+++ b/src/main/java/io/embernotch/progress/JobWatch.java
@@ -1,14 +1,16 @@
-package io.embernotch.steward;
+package io.embernotch.progress;
 
 import io.embernotch.codec.RunCodec;
+import io.embernotch.env.Env;
+import io.embernotch.model.Job;
 import io.embernotch.store.Entry;
 import io.embernotch.store.StoreFailure;
 
 /** Watches the store for new jobs: the backstop for messages about them that never came. */
-final class JobWatch {
+public final class JobWatch {
   /** Is told of each job, known or not. */
-  interface Sink {
-    void seen(StewardMessage.JobCreated job);
+  public interface Sink {
+    void seen(Job job, int piece);
 
     boolean over();
   }
@@ -16,12 +18,12 @@
   private final Env env;
   private final Sink sink;
 
-  JobWatch(Env env, Sink sink) {
+  public JobWatch(Env env, Sink sink) {
     this.env = env;
     this.sink = sink;
   }
 
-  void from(long epoch) {
+  public void from(long epoch) {
     if (sink.over()) {
       return;
     }
@@ -59,7 +61,7 @@
 
   private void tell(Entry e) {
     if (e.present()) {
-      sink.seen(new StewardMessage.JobCreated(RunCodec.readJob(e.value()), RunCodec.readPiece(e.value())));
+      sink.seen(RunCodec.readJob(e.value()), RunCodec.readPiece(e.value()));
     }
   }
 }
--- a/src/main/java/io/embernotch/steward/Layout.java
+++ b/src/main/java/io/embernotch/progress/Layout.java
@@ -1,4 +1,4 @@
-package io.embernotch.steward;
+package io.embernotch.progress;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.embernotch.codec.RunCodec;
@@ -11,9 +11,9 @@
  * fixed when it was accepted. It goes over to smaller parts, for good, once a piece does not fit the
  * state service any more; what the larger pieces say of other tasks stays valid.
  */
-final class Layout {
+public final class Layout {
   /** So many tasks of a job, kept under one key. */
-  record Piece(Job job, int size, int index, boolean part) {
+  public record Piece(Job job, int size, int index, boolean part) {
     String key() {
       String ref = job.spec.ref();
       return part ? RunCodec.partKey(ref, size, index) : RunCodec.key(ref, index);
@@ -29,32 +29,32 @@
   private final Map<String, Integer> parts = new HashMap<>();
 
   /** {@code usualSize}: tasks in a piece that fits the store under its lowest limits. */
-  Layout(int usualSize) {
+  public Layout(int usualSize) {
     this.usualSize = usualSize;
   }
 
-  void know(String ref, int size) {
+  public void know(String ref, int size) {
     sizes.put(ref, size);
   }
 
   /** The store holds parts of this size; the smallest ones count. */
-  void knowPart(String ref, int size) {
+  public void knowPart(String ref, int size) {
     parts.merge(ref, size, Math::min);
   }
 
-  int size(String ref) {
+  public int size(String ref) {
     Integer part = parts.get(ref);
     return part != null ? part : sizes.getOrDefault(ref, usualSize);
   }
 
-  Piece of(Job job, int task) {
+  public Piece of(Job job, int task) {
     String ref = job.spec.ref();
     int size = size(ref);
     return new Piece(job, size, task / size, parts.containsKey(ref));
   }
 
   /** Has the job go over to smaller parts; false if there are none smaller. */
-  boolean refine(String ref) {
+  public boolean refine(String ref) {
     int now = size(ref);
     if (now <= 1) {
       return false;
--- a/src/main/java/io/embernotch/steward/StoredJob.java
+++ b/src/main/java/io/embernotch/progress/StoredJob.java
@@ -1,4 +1,4 @@
-package io.embernotch.steward;
+package io.embernotch.progress;
 
 import io.embernotch.codec.RunCodec;
 import io.embernotch.model.Job;
@@ -10,10 +10,10 @@
 import java.util.List;
 
 /** A job put together from its entries in the store, whatever pieces and parts it is kept in. */
-final class StoredJob {
+public final class StoredJob {
   /** A part by its key. */
-  record Part(String ref, int size, int index, Entry entry) {
-    static Part of(Entry entry) {
+  public record Part(String ref, int size, int index, Entry entry) {
+    public static Part of(Entry entry) {
       String[] names = entry.key().substring(RunCodec.PART.length()).split("/");
       return new Part(names[0], Integer.parseInt(names[1]), Integer.parseInt(names[2]), entry);
     }
@@ -22,14 +22,14 @@
   private StoredJob() {}
 
   /** Smaller parts are newer than larger ones, and these than pieces. */
-  static void addParts(Job job, List<Part> parts) {
+  public static void addParts(Job job, List<Part> parts) {
     List<Part> order = new ArrayList<>(parts);
     order.sort(Comparator.comparingInt((Part p) -> -p.size()));
     order.forEach(p -> RunCodec.readPart(p.entry().value(), job, p.size(), p.index()));
   }
 
   /** Reads a job, its first piece and its parts; null if it was never accepted. Three reads at most. */
-  static Future<Job> read(StoreClient store, String ref) {
+  public static Future<Job> read(StoreClient store, String ref) {
     return store
         .get(RunCodec.JOB + ref)
         .compose(
--- /dev/null
+++ b/src/main/java/io/embernotch/relay/Questions.java
@@ -0,0 +1,51 @@
+package io.embernotch.relay;
+
+import io.embernotch.actor.Timers;
+import io.embernotch.http.Answer;
+import io.embernotch.peer.Frame;
+import io.embernotch.peer.PeerLink;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.LongFunction;
+
+/** What other controllers have been asked, until they answer or it is too late. */
+public final class Questions {
+  private final Timers timers;
+  private final PeerLink peers;
+  private final Map<Long, Promise<Answer>> asked = new HashMap<>();
+  private long next = 1;
+
+  public Questions(Timers timers, PeerLink peers) {
+    this.timers = timers;
+    this.peers = peers;
+  }
+
+  /**
+   * Asks a controller; the answer is 503 if none has come after {@code withinS} seconds.
+   *
+   * @param question makes the frame that carries the given number
+   */
+  public Future<Answer> ask(String node, LongFunction<Frame> question, double withinS) {
+    Promise<Answer> reply = Promise.promise();
+    long id = next++;
+    asked.put(id, reply);
+    peers.send(node, question.apply(id));
+    timers.after(withinS, () -> {
+      Promise<Answer> late = asked.remove(id);
+      if (late != null) {
+        late.tryComplete(Answer.later(node + " does not answer"));
+      }
+    });
+    return reply.future();
+  }
+
+  /** A controller has answered; what nobody waits for any more is dropped. */
+  public void told(Frame.Told f) {
+    Promise<Answer> p = asked.remove(f.id());
+    if (p != null) {
+      p.tryComplete(new Answer(f.status(), f.body(), f.retryAfterS()));
+    }
+  }
+}
--- a/src/main/java/io/embernotch/steward/Reception.java
+++ b/src/main/java/io/embernotch/relay/Reception.java
@@ -1,8 +1,10 @@
-package io.embernotch.steward;
+package io.embernotch.relay;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.embernotch.codec.Json;
 import io.embernotch.codec.WorkerCodec;
+import io.embernotch.env.Env;
+import io.embernotch.env.Recent;
 import io.embernotch.http.Answer;
 import io.embernotch.model.WorkerReport;
 import io.embernotch.peer.Frame;
@@ -27,14 +29,17 @@
  * <p>While no steward is known, workers are told to stay. The next one is handed what they last said,
  * so that it knows its machines before their next reports.
  */
-final class Reception {
+public final class Reception {
+  /** Workers give up after four seconds. */
+  public static final double PATIENCE_S = 3;
+
   private static final int MISDIRECTED = 421;
 
   /** Reports handed to a new steward in one turn: more would not fit the connection's queue. */
   private static final int SLICE = 48;
 
   /** What is needed of the controller. */
-  interface Host {
+  public interface Host {
     /** Asks another controller; 503 if it does not answer in time. */
     Future<Answer> ask(String node, LongFunction<Frame> question, double withinS);
 
@@ -72,10 +77,10 @@
   private double tryAt;
   private final Standby standby;
 
-  Reception(Env env, Host host) {
+  public Reception(Env env, Host host) {
     this.env = env;
     this.host = host;
-    this.withinS = EarlyReports.PATIENCE_S;
+    this.withinS = PATIENCE_S;
     this.patienceS = env.settings().workers().leaseS() / 4;
     this.last = new Recent<>(env.settings().quota().maxConnections());
     this.changedAt = env.clock().now();
@@ -83,7 +88,7 @@
   }
 
   /** Another steward is known, or none. {@code takesReports} tells of a version that is passed reports. */
-  void stewardIs(String node, long newEpoch, boolean takesReports) {
+  public void stewardIs(String node, long newEpoch, boolean takesReports) {
     boolean same = Objects.equals(node, steward) && newEpoch == epoch;
     if (same && takesReports == relays) {
       return;
@@ -105,20 +110,20 @@
   }
 
   /** Tells the steward that we are here; called a few times in a report period. */
-  void beat() {
+  public void beat() {
     if (steward != null && relays && !steward.equals(env.settings().node())) {
       host.send(steward, standby.here());
     }
   }
 
-  void noted(Frame.Noted n) {
+  public void noted(Frame.Noted n) {
     if (n.epoch() == epoch) {
       standby.noted(n);
     }
   }
 
   /** What workers said within a report period or so. */
-  List<WorkerReport> recent() {
+  public List<WorkerReport> recent() {
     List<WorkerReport> out = new ArrayList<>();
     double since = env.clock().now() - 1.5 * env.settings().workers().reportS();
     for (Last l : last.values()) {
@@ -143,7 +148,7 @@
   }
 
   /** A worker reports to this controller while another one, or none, is steward. */
-  Future<Answer> report(WorkerReport r) {
+  public Future<Answer> report(WorkerReport r) {
     double now = env.clock().now();
     last.put(r.machine(), new Last(r, now));
     Answer renewal = standby.renewal(r, steward);
@@ -191,7 +196,7 @@
   }
 
   /** A steward is known, here or elsewhere: those who wait are answered by it. */
-  void unpark(Function<WorkerReport, Future<Answer>> by) {
+  public void unpark(Function<WorkerReport, Future<Answer>> by) {
     List<Parked> all = List.copyOf(parked);
     parked.clear();
     all.forEach(p -> by.apply(p.report).onSuccess(p.reply::complete));
@@ -202,7 +207,7 @@
   }
 
   /** Names the steward to a worker, or nobody. */
-  static Answer misdirected(String steward) {
+  public static Answer misdirected(String steward) {
     ObjectNode o = Json.object();
     if (steward != null) {
       o.put("steward", steward);
--- a/src/main/java/io/embernotch/steward/Standby.java
+++ b/src/main/java/io/embernotch/relay/Standby.java
@@ -1,7 +1,10 @@
-package io.embernotch.steward;
+package io.embernotch.relay;
 
 import io.embernotch.codec.WorkerCodec;
+import io.embernotch.env.Env;
+import io.embernotch.env.Recent;
 import io.embernotch.http.Answer;
+import io.embernotch.machines.Wards;
 import io.embernotch.model.WorkerReport;
 import io.embernotch.peer.Frame;
 import io.embernotch.settings.Settings;
@@ -15,7 +18,7 @@
  * used only once the steward has not answered for {@link Settings#contactS}. {@link Wards} is the
  * steward's side, which knows until when such renewals may have gone on.
  */
-final class Standby {
+public final class Standby {
   private static final int REMEMBERED = 64;
 
   private final Env env;
@@ -29,7 +32,7 @@
   /** When each worker was last sent to look for the steward itself. */
   private final Map<String, Double> awayAt;
 
-  Standby(Env env) {
+  public Standby(Env env) {
     this.env = env;
     this.contactAt = env.clock().now();
     this.awayAt = new Recent<>(env.settings().quota().maxConnections());
@@ -37,13 +40,13 @@
     this.seq = env.clock().wallMs();
   }
 
-  Frame.Here here() {
+  public Frame.Here here() {
     double now = env.clock().now();
     sentAt.put(++seq, now);
     return new Frame.Here(env.settings().node(), seq, ack, renewedAt < 0 ? -1 : now - renewedAt);
   }
 
-  void noted(Frame.Noted n) {
+  public void noted(Frame.Noted n) {
     Double sent = sentAt.get(n.seq());
     if (sent == null) {
       return;
@@ -64,7 +67,7 @@
    * Now and then, with a fresh lease, a worker is sent to look for the steward itself: perhaps only we
    * are cut off, and it would get no orders here.
    */
-  Answer renewal(WorkerReport r, String steward) {
+  public Answer renewal(WorkerReport r, String steward) {
     double now = env.clock().now();
     Settings s = env.settings();
     boolean cutOff = now - contactAt > s.contactS() * (1 + Settings.DRIFT);
--- a/src/main/java/io/embernotch/steward/RestartDesk.java
+++ b/src/main/java/io/embernotch/rounds/RestartDesk.java
@@ -1,11 +1,16 @@
-package io.embernotch.steward;
+package io.embernotch.rounds;
 
+import io.embernotch.env.Env;
+import io.embernotch.ledger.Ledger;
+import io.embernotch.machines.Stops;
 import io.embernotch.model.Attempt;
 import io.embernotch.model.Job;
 import io.embernotch.model.JobSpec;
 import io.embernotch.model.Machine;
 import io.embernotch.model.Shape;
 import io.embernotch.model.TaskState;
+import io.embernotch.progress.Committer;
+import io.embernotch.store.Pacer.Rank;
 import io.embernotch.straggler.Restart;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -13,21 +18,29 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Takes proposals to restart slow tasks, checks them, and lets a few batches a second through. */
-final class RestartDesk {
+public final class RestartDesk {
+  private static final Logger LOG = LoggerFactory.getLogger(RestartDesk.class);
+
   private final Env env;
   private final Ledger ledger;
+  private final Committer committer;
+  private final Stops stops;
   private final Map<String, Deque<List<Restart>>> proposed = new HashMap<>();
   private final Map<String, Double> nextAt = new HashMap<>();
 
-  RestartDesk(Env env, Ledger ledger) {
+  public RestartDesk(Env env, Ledger ledger, Committer committer, Stops stops) {
     this.env = env;
     this.ledger = ledger;
+    this.committer = committer;
+    this.stops = stops;
   }
 
   /** A round's proposals, cut into batches that one commit can hold. A newer round replaces an older one. */
-  void propose(String from, List<Restart> restarts) {
+  public void propose(String from, List<Restart> restarts) {
     int batch = Math.max(1, env.settings().stateFloor().txnOps() - 1);
     Deque<List<Restart>> queue = new ArrayDeque<>();
     for (int i = 0; i < restarts.size(); i += batch) {
@@ -36,7 +49,24 @@
     proposed.put(from, queue);
   }
 
-  List<Restart> due() {
+  /** Commits what is due, and has it stopped where it runs; it starts anew where the round wished. */
+  public void carryOut() {
+    due().forEach(this::restart);
+  }
+
+  private void restart(Restart r) {
+    Job job = ledger.jobs.get(r.ref());
+    Attempt a = job.open.get(r.task());
+    LOG.info("restarting slow task {} on {} (gain {})", a, r.target(), String.format("%.4f", r.gain()));
+    job.wishes.put(r.task(), r.target());
+    committer.now(job, r.task(), Rank.USUAL, () -> {
+      if (Ledger.isOpen(a) && !a.stopping && job.end == null) {
+        stops.want(a, a.job.spec.checkpointS() > 0 ? a.job.spec.saveS() : 0);
+      }
+    });
+  }
+
+  private List<Restart> due() {
     double now = env.clock().now();
     List<Restart> out = new ArrayList<>();
     proposed.forEach(
--- a/src/main/java/io/embernotch/steward/Rounds.java
+++ b/src/main/java/io/embernotch/rounds/Rounds.java
@@ -1,5 +1,6 @@
-package io.embernotch.steward;
+package io.embernotch.rounds;
 
+import io.embernotch.env.Env;
 import io.embernotch.straggler.MachineView;
 import io.embernotch.straggler.PartKeeper;
 import io.embernotch.straggler.Restart;
@@ -11,7 +12,7 @@
 import org.slf4j.LoggerFactory;
 
 /** The paper's rounds over this controller's part of the machines. */
-final class Rounds {
+public final class Rounds {
   private static final Logger LOG = LoggerFactory.getLogger(Rounds.class);
 
   private final Env env;
@@ -19,14 +20,14 @@
   private final Round round;
   private final Consumer<List<Restart>> propose;
 
-  Rounds(Env env, PartKeeper part, Consumer<List<Restart>> propose) {
+  public Rounds(Env env, PartKeeper part, Consumer<List<Restart>> propose) {
     this.env = env;
     this.part = part;
     this.propose = propose;
     this.round = new Round(env.operator().flagRatio(), env.operator().beta(), env.operator().roundS());
   }
 
-  void start() {
+  public void start() {
     env.timers().after(env.operator().roundS(), this::run);
   }
 
--- a/src/main/java/io/embernotch/steward/StragglerFeed.java
+++ b/src/main/java/io/embernotch/rounds/StragglerFeed.java
@@ -1,5 +1,7 @@
-package io.embernotch.steward;
+package io.embernotch.rounds;
 
+import io.embernotch.env.Env;
+import io.embernotch.ledger.Ledger;
 import io.embernotch.model.Attempt;
 import io.embernotch.model.JobSpec;
 import io.embernotch.model.Machine;
@@ -16,7 +18,7 @@
 import java.util.function.BiConsumer;
 
 /** Streams starts, finishes and free room of each machine to the owner of its part. */
-final class StragglerFeed {
+public final class StragglerFeed {
   /** Views that have not changed are sent again after this many rounds, lest a lost one be missed. */
   private static final int REPEAT_ROUNDS = 4;
 
@@ -32,7 +34,7 @@
   }
 
   /** Finished runs that make up a machine's recent performance. */
-  static final int LATELY = 16;
+  public static final int LATELY = 16;
 
   private final Env env;
   private final Ledger ledger;
@@ -42,7 +44,7 @@
   private Set<String> lastControllers = Set.of();
   private long messages;
 
-  StragglerFeed(
+  public StragglerFeed(
       Env env, Ledger ledger, BiConsumer<String, MachineView> send, BiConsumer<String, String> forget) {
     this.env = env;
     this.ledger = ledger;
@@ -54,7 +56,7 @@
    * Sends what has changed, each machine at most once a round: a finished task changes its job's
    * mean and so the views of all machines that run the job, many times between two rounds.
    */
-  void flush(Set<String> controllers) {
+  public void flush(Set<String> controllers) {
     double now = env.clock().now();
     boolean moved = !controllers.equals(lastControllers);
     lastControllers = controllers;
@@ -82,7 +84,7 @@
   }
 
   /** Views sent so far. */
-  long sent() {
+  public long sent() {
     return messages;
   }
 
--- a/src/main/java/io/embernotch/steward/Controller.java
+++ b/src/main/java/io/embernotch/steward/Controller.java
@@ -5,14 +5,20 @@
 import io.embernotch.codec.JobCodec;
 import io.embernotch.codec.Json;
 import io.embernotch.codec.RunCodec;
+import io.embernotch.env.Env;
 import io.embernotch.http.Answer;
 import io.embernotch.http.Door;
+import io.embernotch.leadership.Election;
+import io.embernotch.leadership.Peers;
 import io.embernotch.model.Job;
 import io.embernotch.model.MachineType;
 import io.embernotch.model.Phase;
 import io.embernotch.model.WorkerReport;
 import io.embernotch.peer.Frame;
 import io.embernotch.peer.PeerLink;
+import io.embernotch.relay.Questions;
+import io.embernotch.relay.Reception;
+import io.embernotch.rounds.Rounds;
 import io.embernotch.settings.Settings;
 import io.embernotch.store.LeaseKeeper;
 import io.embernotch.store.Pacer;
@@ -20,10 +26,12 @@
 import io.embernotch.straggler.MachineView;
 import io.embernotch.straggler.PartKeeper;
 import io.embernotch.straggler.Restart;
+import io.embernotch.users.EndedCache;
+import io.embernotch.users.StoredStatus;
+import io.embernotch.users.Submissions;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import java.nio.charset.StandardCharsets;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -53,8 +61,7 @@
   private final ImageNews images = new ImageNews();
   private final Reception reception;
   private final EndedCache ended = new EndedCache();
-  private final Map<Long, Promise<Answer>> asked = new HashMap<>();
-  private long nextAsk = 1;
+  private final Questions questions;
   private Steward steward;
   private String stewardNode;
   private long stewardEpoch;
@@ -63,6 +70,7 @@
     this.env = env;
     this.settings = env.settings();
     this.peers = peers;
+    this.questions = new Questions(env.timers(), peers);
     this.keeper = keeper;
     this.alive = new Peers(settings, env.clock());
     this.election = new Election(settings, env.store(), keeper, env.clock(), env.timers(), this);
@@ -120,7 +128,7 @@
   @Override
   public Future<Answer> elsewhere(byte[] body, double withinS) {
     String node = alive.nextWithState();
-    return node == null ? null : askPeer(node, id -> new Frame.Submit(id, body), withinS);
+    return node == null ? null : questions.ask(node, id -> new Frame.Submit(id, body), withinS);
   }
 
   @Override
@@ -194,21 +202,7 @@
     if (stewardNode == null || !alive.isLive(stewardNode)) {
       return answer(Answer.later("no steward is known"));
     }
-    return askPeer(stewardNode, id -> new Frame.Ask(id, what, ref), withinS);
-  }
-
-  private Future<Answer> askPeer(String node, LongFunction<Frame> question, double withinS) {
-    Promise<Answer> reply = Promise.promise();
-    long id = nextAsk++;
-    asked.put(id, reply);
-    peers.send(node, question.apply(id));
-    env.timers().after(withinS, () -> {
-      Promise<Answer> late = asked.remove(id);
-      if (late != null) {
-        late.tryComplete(Answer.later(node + " does not answer"));
-      }
-    });
-    return reply.future();
+    return questions.ask(stewardNode, id -> new Frame.Ask(id, what, ref), withinS);
   }
 
   // ---- workers
@@ -229,7 +223,7 @@
 
   @Override
   public Future<Answer> ask(String node, LongFunction<Frame> question, double withinS) {
-    return askPeer(node, question, withinS);
+    return questions.ask(node, question, withinS);
   }
 
   @Override
@@ -367,10 +361,7 @@
           .passedOn(f.body())
           .onSuccess(a -> back.send(new Frame.Told(f.id(), a.status(), a.retryAfterS(), a.body())));
     } else if (frame instanceof Frame.Told f) {
-      Promise<Answer> p = asked.remove(f.id());
-      if (p != null) {
-        p.tryComplete(new Answer(f.status(), f.body(), f.retryAfterS()));
-      }
+      questions.told(f);
     } else if (frame instanceof Frame.View f) {
       part.put(f.epoch(), f.view());
     } else if (frame instanceof Frame.Images f) {
--- a/src/main/java/io/embernotch/steward/EarlyReports.java
+++ b/src/main/java/io/embernotch/steward/EarlyReports.java
@@ -3,6 +3,7 @@
 import io.embernotch.actor.Timers;
 import io.embernotch.codec.WorkerCodec;
 import io.embernotch.model.WorkerReport;
+import io.embernotch.relay.Reception;
 import java.util.ArrayDeque;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -19,9 +20,6 @@
   /** Reports taken in one turn, so that everything else gets its own. */
   private static final int SLICE = 32;
 
-  /** Workers give up after four seconds. */
-  static final double PATIENCE_S = 3;
-
   private final Map<String, WorkerReport> latest = new LinkedHashMap<>();
   private final Map<String, StewardMessage.Report> waiting = new LinkedHashMap<>();
 
@@ -33,7 +31,7 @@
       before.reply().tryComplete(WorkerCodec.stay());
     }
     timers.after(
-        PATIENCE_S,
+        Reception.PATIENCE_S,
         () -> {
           if (waiting.remove(machine, m)) {
             add(m.report());
--- /dev/null
+++ b/src/main/java/io/embernotch/steward/Minutes.java
@@ -0,0 +1,43 @@
+package io.embernotch.steward;
+
+import io.embernotch.env.Env;
+import io.embernotch.ledger.Ledger;
+import io.embernotch.ledger.Summary;
+import io.embernotch.progress.Committer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** What a steward says of itself in the log, every half lease of a worker. */
+final class Minutes {
+  private static final Logger LOG = LoggerFactory.getLogger(Minutes.class);
+
+  private final Env env;
+  private final Ledger ledger;
+  private final Planning planning;
+  private final Committer committer;
+  private double writtenAt = -1e9;
+
+  Minutes(Env env, Ledger ledger, Planning planning, Committer committer) {
+    this.env = env;
+    this.ledger = ledger;
+    this.planning = planning;
+    this.committer = committer;
+  }
+
+  void tick(double now) {
+    if (now - writtenAt <= env.settings().workers().leaseS() / 2) {
+      return;
+    }
+    writtenAt = now;
+    LOG.info("{}", Summary.of(ledger));
+    line("planned", planning.line());
+    env.work().log();
+    line("written", committer.line());
+  }
+
+  private static void line(String what, String text) {
+    if (text != null) {
+      LOG.info("{}: {}", what, text);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/embernotch/steward/Planning.java
@@ -0,0 +1,159 @@
+package io.embernotch.steward;
+
+import io.embernotch.actor.Latencies;
+import io.embernotch.env.Env;
+import io.embernotch.fleet.FleetKeeper;
+import io.embernotch.jobs.Chains;
+import io.embernotch.ledger.Demand;
+import io.embernotch.ledger.Ledger;
+import io.embernotch.machines.Starts;
+import io.embernotch.machines.Stops;
+import io.embernotch.model.Machine;
+import io.embernotch.model.Priority;
+import io.embernotch.plan.Plan;
+import io.embernotch.plan.Planner;
+import java.util.function.BooleanSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** When plans are made, and by whom each of their parts is carried out. */
+final class Planning {
+  private static final Logger LOG = LoggerFactory.getLogger(Planning.class);
+
+  private final Env env;
+  private final Ledger ledger;
+  private final Chains chains;
+  private final Demand demand;
+  private final FleetKeeper fleet;
+  private final Starts starts;
+  private final Stops stops;
+  private final double acquiredAt;
+  private final BooleanSupplier live;
+  private final Runnable ask;
+  private final Planner planner;
+  private final Latencies plans = new Latencies();
+  private double loadedAt = -1;
+  private boolean closed;
+  private boolean armed;
+  /** A job has been let go, and a plan is to be made in this turn. */
+  private boolean asked;
+  private double plannedAt = -1e9;
+  private double tookS;
+  private long planned;
+
+  /** {@code ask} has {@link #make} called in a turn of the steward's own. */
+  Planning(
+      Env env, Ledger ledger, Chains chains, Demand demand, FleetKeeper fleet, Starts starts, Stops stops,
+      double acquiredAt, BooleanSupplier live, Runnable ask) {
+    this.env = env;
+    this.ledger = ledger;
+    this.chains = chains;
+    this.demand = demand;
+    this.fleet = fleet;
+    this.starts = starts;
+    this.stops = stops;
+    this.acquiredAt = acquiredAt;
+    this.live = live;
+    this.ask = ask;
+    this.planner = new Planner(env.settings(), env.operator());
+  }
+
+  /** The store is read: from now on plans are made. */
+  void begin() {
+    loadedAt = env.clock().now();
+    env.timers().after(firstS(), this::soon);
+  }
+
+  void close() {
+    closed = true;
+  }
+
+  /** How many plans were made. */
+  long made() {
+    return planned;
+  }
+
+  /** How long plans took since the last line; null if none was made. */
+  String line() {
+    return plans.line();
+  }
+
+  /** Time goes by: a plan is due now and then even if nothing is known to have changed. */
+  void tick(double now) {
+    if (now - plannedAt > env.settings().workers().reportS() / 3) {
+      soon();
+    }
+  }
+
+  /** A plan in a turn of its own, whatever the pace of plans: few jobs are let go in a second. */
+  void now() {
+    if (!asked) {
+      asked = true;
+      ask.run();
+    }
+  }
+
+  /** A plan is made in a moment, at the pace that plans allow. */
+  void soon() {
+    if (!armed && loadedAt >= 0 && !closed) {
+      armed = true;
+      // However long a plan takes, most of the time stays for reports.
+      double spacing = Math.max(env.settings().workers().reportS() / 60, 4 * tookS);
+      double wait = Math.max(0.001, plannedAt + spacing - env.clock().now());
+      env.timers().after(wait, ask);
+    }
+  }
+
+  /** Makes a plan, and has it carried out. */
+  void make() {
+    armed = false;
+    asked = false;
+    double now = env.clock().now();
+    if (!live.getAsBoolean() || (!fleet.listedOnce() && now - acquiredAt < env.settings().workers().reportS() && ledger.machines.isEmpty())) {
+      return;
+    }
+    plannedAt = now;
+    planned++;
+    chains.inherit();
+    boolean liveFirst = liveWaits(now);
+    Plan plan =
+        liveFirst
+            ? planner.liveOnly(
+                now, ledger.jobs.values(), ledger.machines.values(), ledger.types, fleet::exhausted, fleet.expected())
+            : planner.plan(
+                now, ledger.jobs.values(), ledger.machines.values(), ledger.types, fleet::exhausted, fleet.expected(),
+                demand.headroom(env.operator(), ledger.types.values(), ledger.jobs.values(), now));
+    tookS = env.clock().now() - now;
+    plans.record(liveFirst ? "live plan" : "plan", tookS);
+    for (Plan.Stop s : plan.stops) {
+      LOG.info("stopping {}: {}", s.attempt(), s.why());
+      stops.one(s.attempt(), s.graceS());
+    }
+    for (Plan.Start s : plan.starts) {
+      starts.begin(s, now);
+    }
+    if (fleet.listedOnce()) {
+      plan.buys.forEach(fleet::rent);
+    }
+    if (fleet.answers()) {
+      for (Machine m : plan.returns) {
+        LOG.debug("machine {} is idle", m.name);
+        fleet.giveBack(m);
+      }
+    }
+  }
+
+  /**
+   * Right after a takeover live services have plans of their own. The first whole plan takes some 0.4 s on
+   * a starved core, knows few machines yet, and keeps the next one waiting for four times that.
+   */
+  private boolean liveWaits(double now) {
+    return now - loadedAt < firstS()
+        && ledger.jobs.values().stream().anyMatch(j -> j.spec.priority() == Priority.PRODUCTION && j.pendingCount() > 0);
+  }
+
+  /** So long after a takeover live services come before what else there is to do. */
+  private double firstS() {
+    return env.settings().workers().reportS() / 2;
+  }
+}
--- a/src/main/java/io/embernotch/steward/Steward.java
+++ b/src/main/java/io/embernotch/steward/Steward.java
@@ -2,27 +2,40 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.embernotch.actor.Actor;
-import io.embernotch.actor.Latencies;
 import io.embernotch.codec.Json;
 import io.embernotch.codec.RunCodec;
+import io.embernotch.env.Env;
+import io.embernotch.fleet.FleetKeeper;
 import io.embernotch.http.Answer;
+import io.embernotch.jobs.Cancels;
+import io.embernotch.jobs.Chains;
+import io.embernotch.jobs.Endings;
+import io.embernotch.jobs.Outcomes;
+import io.embernotch.jobs.Reading;
+import io.embernotch.jobs.Takeover;
+import io.embernotch.jobs.UserDesk;
+import io.embernotch.ledger.Demand;
+import io.embernotch.ledger.Ledger;
+import io.embernotch.ledger.Overview;
+import io.embernotch.machines.Starts;
+import io.embernotch.machines.Stops;
+import io.embernotch.machines.Wards;
+import io.embernotch.machines.Workers;
 import io.embernotch.model.Attempt;
 import io.embernotch.model.Cause;
 import io.embernotch.model.Job;
 import io.embernotch.model.Machine;
 import io.embernotch.model.MachineType;
 import io.embernotch.model.Phase;
-import io.embernotch.model.Priority;
-import io.embernotch.model.Shape;
 import io.embernotch.model.WorkerReport;
 import io.embernotch.peer.Frame;
-import io.embernotch.plan.Plan;
-import io.embernotch.plan.Planner;
-import io.embernotch.store.Changes;
+import io.embernotch.progress.Committer;
+import io.embernotch.progress.JobWatch;
+import io.embernotch.progress.Layout;
+import io.embernotch.rounds.RestartDesk;
+import io.embernotch.rounds.StragglerFeed;
 import io.embernotch.store.Entry;
-import io.embernotch.store.Pacer.Rank;
 import io.embernotch.straggler.MachineView;
-import io.embernotch.straggler.Restart;
 import io.vertx.core.Promise;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -70,9 +83,9 @@
   private final Workers workers;
   private final FleetKeeper fleet;
   private final StragglerFeed feed;
-  private final Planner planner;
+  private final Planning planning;
   private final RestartDesk restarts;
-  private final Blame blame;
+  private final Outcomes outcomes;
   private final ImageNews.Teller images;
   private final Demand demand = new Demand();
   private final Layout layout;
@@ -90,14 +103,7 @@
   private boolean loaded;
   private double loadedAt;
   private boolean stopped;
-  private boolean planArmed;
-  /** A job has been let go, and a plan is to be made in this turn. */
-  private boolean planAsked;
-  private double plannedAt = -1e9;
-  private double planTookS;
-  private long planned;
-  private final Latencies plans = new Latencies();
-  private double summedAt = -1e9;
+  private final Minutes minutes;
 
   Steward(Env env, Host host, long epoch, Collection<MachineType> types) {
     super(env.loop());
@@ -118,27 +124,37 @@
     this.wards = new Wards(env.settings(), acquiredAt);
     this.workers = new Workers(env, ledger, epoch, wards, this);
     this.cancels = new Cancels(env, ledger, committer, endings, workers);
-    this.stops = new Stops(env, ledger, workers, this::close, () -> loaded);
+    this.outcomes = new Outcomes(env, ledger, committer, endings, StragglerFeed.LATELY, cancels::check, this::changed);
+    this.stops = new Stops(env, ledger, workers, outcomes::close, () -> loaded);
+    outcomes.stopBy(stops);
     this.reports = new ReportQueue(env.timers(), m -> env.work().run("Report", () -> report(m)));
     this.starts = new Starts(env, ledger, committer, workers, acquiredAt, this::leads);
     this.fleet = new FleetKeeper(env, ledger, workers, epoch, this);
     this.feed =
         new StragglerFeed(
             env, ledger, (node, v) -> host.view(node, epoch, v), (node, m) -> host.forget(node, epoch, m));
-    this.planner = new Planner(env.settings(), env.operator());
-    this.restarts = new RestartDesk(env, ledger);
-    this.blame = new Blame(env, ledger);
+    this.planning =
+        new Planning(
+            env, ledger, chains, demand, fleet, starts, stops, acquiredAt, this::leads, () -> tell(new StewardMessage.MakePlan()));
+    this.restarts = new RestartDesk(env, ledger, committer, stops);
     this.images = new ImageNews.Teller(env.operator().roundS());
+    this.minutes = new Minutes(env, ledger, planning, committer);
     ledger.imagesOf(host::images);
   }
 
   void start() {
-    load();
+    Takeover takeover = new Takeover(env, ledger, committer, layout, chains, demand, workers.base(), acquiredAt);
+    new Reading(env, () -> stopped).read((jobs, runs, parts) -> {
+      takeover.read(jobs, runs, parts);
+      outcomes.takeOver();
+      begin(jobs.epoch());
+    });
     scheduleTick();
   }
 
   void stop() {
     stopped = true;
+    planning.close();
     committer.close();
     for (StewardMessage m : waiting) {
       refuse(m);
@@ -162,55 +178,18 @@
 
   // ---- taking over
 
-  private void load() {
-    if (stopped) {
-      return;
-    }
-    env.store()
-        .list(RunCodec.JOB)
-        .compose(
-            jobs ->
-                env.store()
-                    .list(RunCodec.RUN)
-                    .compose(runs -> env.store().list(RunCodec.PART).map(parts -> read(jobs, runs, parts))))
-        .onSuccess(
-            jobsEpoch -> {
-              if (!stopped) {
-                begin(jobsEpoch);
-              }
-            })
-        .onFailure(
-            e -> {
-              LOG.info("reading the store failed: {}", e.getMessage());
-              env.timers().after(env.settings().workers().reportS() / 10, this::load);
-            });
-  }
-
-  private long read(Changes jobs, Changes runs, Changes parts) {
-    new Takeover(env, ledger, committer, layout, chains, demand, workers.base(), acquiredAt).read(jobs, runs, parts);
-    endings.takeOver();
-    for (Job job : ledger.jobs.values()) {
-      if (job.end == Phase.CANCELLED) {
-        List.copyOf(job.open.values()).forEach(a -> stops.want(a, 0));
-      } else if (job.spec.shape() == Shape.GANG && job.open.size() < job.spec.tasks() && !job.open.isEmpty()) {
-        stops.breakGang(job, 0);
-      }
-    }
-    return jobs.epoch();
-  }
-
   private void begin(long jobsEpoch) {
     loaded = true;
     loadedAt = env.clock().now();
-    env.timers().after(firstS(), this::planSoon);
+    planning.begin();
     LOG.info(
         "took over {} jobs, {} ended, {} machines with tasks after {} ms",
         ledger.jobs.size(), ledger.ended.size(), ledger.machines.size(),
         Math.round((env.clock().now() - acquiredAt) * 1000));
     new JobWatch(env, new JobWatch.Sink() {
       @Override
-      public void seen(StewardMessage.JobCreated job) {
-        tell(job);
+      public void seen(Job job, int piece) {
+        tell(new StewardMessage.JobCreated(job, piece));
       }
 
       @Override
@@ -222,7 +201,7 @@
     waiting.clear();
     held.forEach(this::receive);
     early.drain(env.loop(), this::receive);
-    planSoon();
+    planning.soon();
   }
 
   // ---- messages
@@ -257,7 +236,7 @@
     } else if (message instanceof StewardMessage.Tick) {
       tick();
     } else if (message instanceof StewardMessage.MakePlan) {
-      makePlan();
+      planning.make();
     }
   }
 
@@ -271,7 +250,7 @@
 
   private void heard(WorkerReport report) {
     if (!stopped && workers.learn(report)) {
-      planSoon();
+      planning.soon();
     }
   }
 
@@ -286,7 +265,7 @@
     m.reply().complete(body);
     Machine now = ledger.machines.get(m.report().machine());
     if (now != null && now.open.size() != openBefore) {
-      planSoon();
+      planning.soon();
     }
   }
 
@@ -302,7 +281,7 @@
       demand.seen(job.spec, env.clock().now());
     }
     LOG.debug("job {}: {} x {} of {}", ref, job.spec.tasks(), job.spec.shape(), job.spec.team());
-    planSoon();
+    planning.soon();
   }
 
   private void ask(StewardMessage.Ask m) {
@@ -318,11 +297,7 @@
     @Override
     public void released(Job job) {
       demand.seen(job.spec, env.clock().now());
-      // In the turn of the commit's answer, whatever the pace of plans: few jobs are let go in a second.
-      if (!planAsked) {
-        planAsked = true;
-        tell(new StewardMessage.MakePlan());
-      }
+      planning.now();
     }
 
     @Override
@@ -344,7 +319,7 @@
       job.cancelling = true;
       List.copyOf(job.open.values()).forEach(a -> stops.want(a, 0));
       cancels.ask(job, reply);
-      planSoon();
+      planning.soon();
     }
 
     @Override
@@ -362,87 +337,12 @@
 
   @Override
   public void exited(Attempt a, Machine m, Cause cause, boolean saved) {
-    Job job = a.job;
-    double now = env.clock().now();
-    if (LOG.isDebugEnabled()) {
-      LOG.debug(
-          "{} exited: {}{}; {} s after its start, {} s of them running, {} s expected", a, cause,
-          saved ? ", saved" : "", Math.round(now - a.createdAt),
-          a.runningAt < 0 ? 0 : Math.round(now - a.runningAt), Math.round(job.spec.expectS()));
-    }
-    if (cause == Cause.DONE && job.spec.shape() != Shape.SERVICE) {
-      finished(a, m, now);
-    } else {
-      failed(a, m, cause, now);
-    }
-    close(a);
-  }
-
-  private void finished(Attempt a, Machine m, double now) {
-    Job job = a.job;
-    blame.cleared(job, m);
-    if (a.runningAt >= 0 && !job.restarted.get(a.task) && !job.done.get(a.task)) {
-      double ran = Math.max(0.1, now - a.runningAt);
-      job.finishedSumS += ran;
-      job.finishedCount++;
-      m.finished(job.meanS() / ran, StragglerFeed.LATELY);
-    }
-    if (job.end != null) {
-      return;
-    }
-    if (job.spec.shape() == Shape.GANG) {
-      // A gang completes together: when one task is done, every task is.
-      job.done.set(0, job.spec.tasks());
-    } else {
-      job.done.set(a.task);
-    }
-    if (job.remaining() == 0) {
-      endings.decide(job, Phase.DONE);
-      for (Attempt other : job.open.values()) {
-        other.stopping = false;
-        touched(other);
-      }
-    }
-  }
-
-  private void failed(Attempt a, Machine m, Cause cause, double now) {
-    Job job = a.job;
-    double report = env.settings().workers().reportS();
-    switch (cause) {
-      case ERROR -> blame.failed(a, m, now);
-      case NO_ROOM, BUSY -> m.avoidUntil = now + report;
-      case UNKNOWN -> job.backoffUntil = now + report / 3;
-      default -> { }
-    }
-    if (job.spec.shape() == Shape.GANG && job.end == null) {
-      stops.breakGang(job, a.stopping ? a.stopGraceS : 0);
-    }
+    outcomes.exited(a, m, cause, saved);
   }
 
   @Override
   public void gone(Attempt a, Machine m, String why) {
-    LOG.info("{} is gone: {}", a, why);
-    if (a.job.spec.shape() == Shape.GANG && a.job.end == null) {
-      stops.breakGang(a.job, 0);
-    }
-    close(a);
-  }
-
-  private void touched(Attempt a) {
-    Machine m = ledger.machines.get(a.machine);
-    if (m != null) {
-      m.touched();
-    }
-  }
-
-  private void close(Attempt a) {
-    ledger.close(a, env.clock().now());
-    if (a.start != Attempt.Start.UNCOMMITTED && a.start != Attempt.Start.READY) {
-      a.job.restarted.set(a.task);
-    }
-    committer.later(a.job, a.task);
-    cancels.check(a.job);
-    planSoon();
+    outcomes.gone(a, m, why);
   }
 
   @Override
@@ -452,7 +352,7 @@
 
   @Override
   public void changed() {
-    planSoon();
+    planning.soon();
   }
 
   @Override
@@ -479,7 +379,7 @@
     ledger.machines.remove(m.name);
     images.gone(m.name, epoch, host::tellAll);
     workers.deleted(m.name);
-    planSoon();
+    planning.soon();
   }
 
   @Override
@@ -522,111 +422,19 @@
     fleet.tick();
     cancels.checkAll();
     chains.lookUp();
-    for (Restart r : restarts.due()) {
-      restart(r);
-    }
+    restarts.carryOut();
     if (now - loadedAt > env.settings().workers().reportS()) {
       // Right after a takeover nothing may take time from live services that does not serve them.
       endings.retire();
       feed.flush(host.controllers());
       images.tell(ledger.machines.values(), epoch, now, host::tellAll);
     }
-    if (now - summedAt > env.settings().workers().leaseS() / 2) {
-      summedAt = now;
-      LOG.info("{}", Summary.of(ledger));
-      String planned = plans.line();
-      if (planned != null) {
-        LOG.info("planned: {}", planned);
-      }
-      env.work().log();
-      String commits = committer.line();
-      if (commits != null) {
-        LOG.info("written: {}", commits);
-      }
-    }
-    if (now - plannedAt > env.settings().workers().reportS() / 3) {
-      planSoon();
-    }
-  }
-
-  private void restart(Restart r) {
-    Job job = ledger.jobs.get(r.ref());
-    Attempt a = job.open.get(r.task());
-    LOG.info("restarting slow task {} on {} (gain {})", a, r.target(), String.format("%.4f", r.gain()));
-    job.wishes.put(r.task(), r.target());
-    committer.now(job, r.task(), Rank.USUAL, () -> {
-      if (Ledger.isOpen(a) && !a.stopping && job.end == null) {
-        stops.want(a, a.job.spec.checkpointS() > 0 ? a.job.spec.saveS() : 0);
-      }
-    });
-  }
-
-  // ---- planning
-
-  private void planSoon() {
-    if (!planArmed && loaded && !stopped) {
-      planArmed = true;
-      // However long a plan takes, most of the time stays for reports.
-      double spacing = Math.max(env.settings().workers().reportS() / 60, 4 * planTookS);
-      double wait = Math.max(0.001, plannedAt + spacing - env.clock().now());
-      env.timers().after(wait, () -> tell(new StewardMessage.MakePlan()));
-    }
-  }
-
-  private void makePlan() {
-    planArmed = false;
-    planAsked = false;
-    double now = env.clock().now();
-    if (!host.live() || (!fleet.listedOnce() && now - acquiredAt < env.settings().workers().reportS() && ledger.machines.isEmpty())) {
-      return;
-    }
-    plannedAt = now;
-    planned++;
-    chains.inherit();
-    boolean liveFirst = liveWaits(now);
-    Plan plan =
-        liveFirst
-            ? planner.liveOnly(
-                now, ledger.jobs.values(), ledger.machines.values(), ledger.types, fleet::exhausted, fleet.expected())
-            : planner.plan(
-                now, ledger.jobs.values(), ledger.machines.values(), ledger.types, fleet::exhausted, fleet.expected(),
-                demand.headroom(env.operator(), ledger.types.values(), ledger.jobs.values(), now));
-    planTookS = env.clock().now() - now;
-    plans.record(liveFirst ? "live plan" : "plan", planTookS);
-    for (Plan.Stop s : plan.stops) {
-      LOG.info("stopping {}: {}", s.attempt(), s.why());
-      stops.one(s.attempt(), s.graceS());
-    }
-    for (Plan.Start s : plan.starts) {
-      starts.begin(s, now);
-    }
-    if (fleet.listedOnce()) {
-      plan.buys.forEach(fleet::rent);
-    }
-    if (fleet.answers()) {
-      for (Machine m : plan.returns) {
-        LOG.debug("machine {} is idle", m.name);
-        fleet.giveBack(m);
-      }
-    }
-  }
-
-  /**
-   * Right after a takeover live services have plans of their own. The first whole plan takes some 0.4 s on
-   * a starved core, knows few machines yet, and keeps the next one waiting for four times that.
-   */
-  private boolean liveWaits(double now) {
-    return now - loadedAt < firstS()
-        && ledger.jobs.values().stream().anyMatch(j -> j.spec.priority() == Priority.PRODUCTION && j.pendingCount() > 0);
-  }
-
-  /** So long after a takeover live services come before what else there is to do. */
-  private double firstS() {
-    return env.settings().workers().reportS() / 2;
+    minutes.tick(now);
+    planning.tick(now);
   }
 
   private ObjectNode overview() {
-    return Overview.of(ledger, chains.waiting()).put("epoch", epoch).put("plans", planned).put("views", feed.sent());
+    return Overview.of(ledger, chains.waiting()).put("epoch", epoch).put("plans", planning.made()).put("views", feed.sent());
   }
 
   /** Malformed proposals of peers are dropped by the desk; this is for tests. */
--- a/src/main/java/io/embernotch/steward/TypesBook.java
+++ b/src/main/java/io/embernotch/steward/TypesBook.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.embernotch.codec.CloudCodec;
 import io.embernotch.codec.Json;
+import io.embernotch.env.Env;
 import io.embernotch.model.MachineType;
 import io.embernotch.store.Txn;
 import java.util.List;
--- a/src/main/java/io/embernotch/steward/Admission.java
+++ b/src/main/java/io/embernotch/users/Admission.java
@@ -1,4 +1,4 @@
-package io.embernotch.steward;
+package io.embernotch.users;
 
 import io.embernotch.model.JobSpec;
 import io.embernotch.model.MachineType;
@@ -8,11 +8,11 @@
 import java.util.Map;
 
 /** Tells jobs that can never run. Depends on nothing that changes, so a repeat gets the same answer. */
-final class Admission {
+public final class Admission {
   private Admission() {}
 
   /** Why the job can never run, or null. */
-  static String neverRuns(JobSpec job, Map<String, Settings.Team> teams, Collection<MachineType> types) {
+  public static String neverRuns(JobSpec job, Map<String, Settings.Team> teams, Collection<MachineType> types) {
     Settings.Team team = teams.get(job.team());
     if (team == null) {
       return "unknown team " + job.team();
--- a/src/main/java/io/embernotch/steward/Awaited.java
+++ b/src/main/java/io/embernotch/users/Awaited.java
@@ -1,6 +1,8 @@
-package io.embernotch.steward;
+package io.embernotch.users;
 
 import io.embernotch.codec.RunCodec;
+import io.embernotch.env.Env;
+import io.embernotch.env.Recent;
 import io.embernotch.model.JobSpec;
 import io.embernotch.model.Shape;
 import io.vertx.core.Future;
@@ -13,24 +15,24 @@
  * Checks the jobs that a submission names. That one was never accepted only the store can tell; that
  * it was, and whether it is a service, never changes, so it is read once.
  */
-final class Awaited {
+public final class Awaited {
   private static final int MOST = 20_000;
 
   private final Env env;
   /** Accepted jobs, and whether they are services. */
   private final Map<String, Boolean> accepted = new Recent<>(MOST);
 
-  Awaited(Env env) {
+  public Awaited(Env env) {
     this.env = env;
   }
 
   /** A job is in the store. */
-  void accepted(JobSpec spec) {
+  public void accepted(JobSpec spec) {
     accepted.put(spec.ref(), spec.shape() == Shape.SERVICE);
   }
 
   /** Why the job can never run, or null; fails if the store does not tell. */
-  Future<String> neverRuns(JobSpec job) {
+  public Future<String> neverRuns(JobSpec job) {
     List<Future<String>> all = new ArrayList<>();
     for (String ref : job.awaits()) {
       if (ref.equals(job.ref())) {
--- a/src/main/java/io/embernotch/steward/EndedCache.java
+++ b/src/main/java/io/embernotch/users/EndedCache.java
@@ -1,34 +1,35 @@
-package io.embernotch.steward;
+package io.embernotch.users;
 
 import io.embernotch.codec.JobCodec;
+import io.embernotch.env.Recent;
 import io.embernotch.http.Answer;
 import io.embernotch.model.Phase;
 import java.util.Map;
 
 /** Ends that are known to be in the store; they never change, so any node may repeat them. */
-final class EndedCache {
+public final class EndedCache {
   private static final int MOST = 10_000;
 
   private record End(Phase phase, int done) {}
 
   private final Map<String, End> ends = new Recent<>(MOST);
 
-  void put(String ref, Phase phase, int done) {
+  public void put(String ref, Phase phase, int done) {
     ends.put(ref, new End(phase, done));
   }
 
   /** The end of a job; null if none is known. */
-  Phase phase(String ref) {
+  public Phase phase(String ref) {
     End e = ends.get(ref);
     return e == null ? null : e.phase;
   }
 
-  Answer status(String ref) {
+  public Answer status(String ref) {
     End e = ends.get(ref);
     return e == null ? null : Answer.of(200, JobCodec.status(ref, e.phase, e.done, 0));
   }
 
-  Answer brief(String ref) {
+  public Answer brief(String ref) {
     End e = ends.get(ref);
     return e == null ? null : Answer.of(200, JobCodec.brief(ref, e.phase));
   }
--- a/src/main/java/io/embernotch/steward/StoredStatus.java
+++ b/src/main/java/io/embernotch/users/StoredStatus.java
@@ -1,9 +1,11 @@
-package io.embernotch.steward;
+package io.embernotch.users;
 
 import io.embernotch.codec.JobCodec;
+import io.embernotch.env.Env;
 import io.embernotch.http.Answer;
 import io.embernotch.model.Job;
 import io.embernotch.model.Phase;
+import io.embernotch.progress.StoredJob;
 import io.vertx.core.Future;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -19,20 +21,20 @@
  * <p>A job is cancelled as soon as one before it is, though its own end may not be written yet. So
  * what it awaits is read too, up to a number of jobs; beyond that the user is told to come back.
  */
-final class StoredStatus {
+public final class StoredStatus {
   /** So many jobs before one are read for one answer. */
   private static final int MOST_BEFORE = 8;
 
   private final Env env;
   private final EndedCache ended;
 
-  StoredStatus(Env env, EndedCache ended) {
+  public StoredStatus(Env env, EndedCache ended) {
     this.env = env;
     this.ended = ended;
   }
 
   /** The answer to a poll: 200, 404 or 503. */
-  Future<Answer> of(String ref) {
+  public Future<Answer> of(String ref) {
     return StoredJob.read(env.store(), ref)
         .compose(
             job -> {
--- a/src/main/java/io/embernotch/steward/Submissions.java
+++ b/src/main/java/io/embernotch/users/Submissions.java
@@ -1,10 +1,11 @@
-package io.embernotch.steward;
+package io.embernotch.users;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.embernotch.codec.BadInput;
 import io.embernotch.codec.JobCodec;
 import io.embernotch.codec.Json;
 import io.embernotch.codec.RunCodec;
+import io.embernotch.env.Env;
 import io.embernotch.http.Answer;
 import io.embernotch.model.Job;
 import io.embernotch.model.JobSpec;
@@ -26,9 +27,9 @@
  * come back. When they were queued instead, their users gave up and came again, and the copies in
  * the queue left no change for starts.
  */
-final class Submissions {
+public final class Submissions {
   /** What a submission needs of its controller. */
-  interface Host {
+  public interface Host {
     /** The job is in the store, by our own hand. */
     void accepted(Job job, ObjectNode value);
 
@@ -49,7 +50,7 @@
   /** After this time the user is told to come back. */
   private final double patienceS;
 
-  Submissions(Env env, Map<String, MachineType> types, int pieceSize, Host host) {
+  public Submissions(Env env, Map<String, MachineType> types, int pieceSize, Host host) {
     this.env = env;
     this.types = types;
     this.pieceSize = pieceSize;
@@ -60,12 +61,12 @@
   }
 
   /** A user's own submission. */
-  Future<Answer> submit(byte[] body) {
+  public Future<Answer> submit(byte[] body) {
     return take(body, true);
   }
 
   /** One that another controller was given; it is not passed on any further. */
-  Future<Answer> passedOn(byte[] body) {
+  public Future<Answer> passedOn(byte[] body) {
     return take(body, false);
   }
 
--- a/src/test/java/io/embernotch/steward/ChainGraphTest.java
+++ b/src/test/java/io/embernotch/jobs/ChainGraphTest.java
@@ -1,4 +1,4 @@
-package io.embernotch.steward;
+package io.embernotch.jobs;
 
 import static io.embernotch.testkit.World.after;
 import static io.embernotch.testkit.World.job;
@@ -6,6 +6,8 @@
 
 import io.embernotch.codec.JobCodec;
 import io.embernotch.codec.Json;
+import io.embernotch.env.Env;
+import io.embernotch.ledger.Ledger;
 import io.embernotch.model.Job;
 import io.embernotch.model.Phase;
 import io.embernotch.model.Priority;
--- a/src/test/java/io/embernotch/steward/LanesTest.java
+++ b/src/test/java/io/embernotch/machines/LanesTest.java
@@ -1,4 +1,4 @@
-package io.embernotch.steward;
+package io.embernotch.machines;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/src/test/java/io/embernotch/steward/WorkersTest.java
+++ b/src/test/java/io/embernotch/machines/WorkersTest.java
@@ -1,13 +1,15 @@
-package io.embernotch.steward;
+package io.embernotch.machines;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.embernotch.actor.Work;
 import io.embernotch.codec.JobCodec;
 import io.embernotch.codec.Json;
+import io.embernotch.env.Env;
 import io.embernotch.http.CallFailed;
 import io.embernotch.http.Caller;
 import io.embernotch.http.Reply;
+import io.embernotch.ledger.Ledger;
 import io.embernotch.model.Attempt;
 import io.embernotch.model.Cause;
 import io.embernotch.model.Job;
--- a/src/test/java/io/embernotch/steward/StandbyTest.java
+++ b/src/test/java/io/embernotch/relay/StandbyTest.java
@@ -1,9 +1,11 @@
-package io.embernotch.steward;
+package io.embernotch.relay;
 
 import static io.embernotch.testkit.World.job;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.embernotch.actor.Work;
+import io.embernotch.env.Env;
+import io.embernotch.machines.Wards;
 import io.embernotch.model.WorkerReport;
 import io.embernotch.peer.Frame;
 import io.embernotch.settings.OperatorSettings;
--- /dev/null
+++ b/src/test/java/io/embernotch/structure/StructureTest.java
@@ -0,0 +1,62 @@
+package io.embernotch.structure;
+
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.tngtech.archunit.core.importer.ImportOption.DoNotIncludeTests;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+/** Each part of the program has a package of its own, small enough to be read, and knows only those below it. */
+@AnalyzeClasses(packages = "io.embernotch", importOptions = DoNotIncludeTests.class)
+class StructureTest {
+  private static final Path SOURCES = Path.of("src/main/java/io/embernotch");
+  private static final int LONGEST = 450;
+
+  @ArchTest
+  static final ArchRule PACKAGES_ARE_ACYCLIC = slices().matching("io.embernotch.(*)..").should().beFreeOfCycles();
+
+  @Test
+  void noFileAndNoPackageIsTooLarge() {
+    Map<Path, Integer> lines = files().collect(Collectors.toMap(p -> p, StructureTest::lines));
+    assertThat(lines.entrySet()).filteredOn(e -> e.getValue() > LONGEST).isEmpty();
+    int all = lines.values().stream().mapToInt(n -> n).sum();
+    Map<Path, Integer> packages =
+        lines.entrySet().stream().collect(Collectors.groupingBy(e -> e.getKey().getParent(), Collectors.summingInt(Map.Entry::getValue)));
+    assertThat(packages).hasSizeGreaterThan(10);
+    assertThat(packages.entrySet()).filteredOn(e -> e.getValue() * 4 > all).isEmpty();
+  }
+
+  @Test
+  void everyPackageHasItsOwnerInTheArchitecture() throws IOException {
+    String page = Files.readString(Path.of("docs/ARCHITECTURE.md"));
+    List<String> names = files().map(p -> SOURCES.relativize(p.getParent()).toString()).distinct().filter(n -> !n.isEmpty()).toList();
+    assertThat(names).allSatisfy(name -> assertThat(page).contains("| `" + name + "` |"));
+  }
+
+  private static Stream<Path> files() {
+    try {
+      return Files.walk(SOURCES).filter(p -> p.toString().endsWith(".java")).toList().stream();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private static int lines(Path file) {
+    try (Stream<String> all = Files.lines(file)) {
+      return (int) all.count();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+}
--- a/src/test/java/io/embernotch/steward/SubmissionsTest.java
+++ b/src/test/java/io/embernotch/users/SubmissionsTest.java
@@ -1,4 +1,4 @@
-package io.embernotch.steward;
+package io.embernotch.users;
 
 import static io.embernotch.testkit.World.job;
 import static org.assertj.core.api.Assertions.assertThat;
