A loss that only a follower can see stops the steward; eight keys witness, not one

Change: a beat that tells of a loss is taken as one by a steward too; a probe conditions on the eight keys written last, and a stamp that differs is read again.

--- a/src/main/java/io/embernotch/era/Eras.java
+++ b/src/main/java/io/embernotch/era/Eras.java
@@ -164,6 +164,18 @@
     highest = Math.max(highest, epoch);
   }
 
+  /**
+   * A controller names a steward and its epoch. Without a steward, one far above what these contents can have
+   * reached tells that it has found data lost. A steward must not go on as if nothing were: a follower that alone
+   * had seen the one change that was gone once began an era without what the steward knew.
+   */
+  public void heard(String node, String steward, long epoch) {
+    seenEpoch(epoch);
+    if (steward == null && state == State.SOUND && known != null && epoch > floor() + env.store().seen() + LEAP / 2) {
+      lost(node + " says so");
+    }
+  }
+
   /** The steward's key names this era. */
   public void named(String era) {
     formerLeads = era != null && era.isEmpty();
@@ -199,9 +211,6 @@
   }
 
   private void lost(String why) {
-    if (known != null) {
-      highest = Math.max(highest, known.floor());
-    }
     highest = Math.max(highest, floor() + env.store().seen());
     env.store().newLife();
     claimed = null;
--- a/src/main/java/io/embernotch/steward/Controller.java
+++ b/src/main/java/io/embernotch/steward/Controller.java
@@ -415,7 +415,7 @@
 
   private void heard(Frame.Beat f) {
     alive.heard(f.node(), f.stateOk());
-    eras.seenEpoch(f.stewardEpoch());
+    eras.heard(f.node(), f.steward(), f.stewardEpoch());
     if (f.node().equals(f.steward()) && f.stewardEpoch() > stewardEpoch) {
       if (election.holding() && f.stewardEpoch() > election.epoch()) {
         election.deposed(f.node() + " is steward since epoch " + f.stewardEpoch());
--- a/src/main/java/io/embernotch/store/Lives.java
+++ b/src/main/java/io/embernotch/store/Lives.java
@@ -1,5 +1,8 @@
 package io.embernotch.store;
 
+import java.util.LinkedHashMap;
+import java.util.Map;
+
 /**
  * What tells one life of the state service's contents from another.
  *
@@ -15,10 +18,20 @@
   /** What a request may assume, fixed as it is sent. */
   record Mark(int life, long least) {}
 
+  /** So many keys are looked for in contents that may have been put back. */
+  private static final int WITNESSES = 8;
+
   private int life;
   private long seen;
-  private String lastKey;
-  private long lastStamp;
+  private final Map<String, Long> written =
+      new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+          return size() > WITNESSES;
+        }
+      };
   private String fence;
   private long fenceStamp;
 
@@ -45,20 +58,16 @@
     if (epoch <= m.least) {
       return false;
     }
-    if (epoch > lastStamp) {
-      lastKey = key;
-      lastStamp = epoch;
+    Long before = written.get(key);
+    if (before == null || before < epoch) {
+      written.put(key, epoch);
     }
     return saw(m, epoch);
   }
 
-  /** The key that was written last, as far as we know; null if none is known. */
-  String lastKey() {
-    return lastKey;
-  }
-
-  long lastStamp() {
-    return lastStamp;
+  /** Keys that were written lately, and the stamps that they have at least. */
+  Map<String, Long> written() {
+    return Map.copyOf(written);
   }
 
   /** The highest revision seen in this life. */
@@ -70,8 +79,7 @@
   void over() {
     life++;
     seen = 0;
-    lastKey = null;
-    lastStamp = 0;
+    written.clear();
   }
 
   void fence(String key, long stamp) {
--- a/src/main/java/io/embernotch/store/StoreClient.java
+++ b/src/main/java/io/embernotch/store/StoreClient.java
@@ -15,8 +15,10 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Function;
 import java.util.function.ToLongFunction;
@@ -221,25 +223,25 @@
   }
 
   /**
-   * Asks whether what was written last, as far as we know, is still there, along with our era. Contents that
-   * were put back may have reached the revisions that we have seen; the last key they can't hold.
+   * Asks whether what was written lately, as far as we know, is still there, along with our era. Contents that
+   * were put back may have reached the revisions that we have seen; the last keys they can't hold.
    *
    * @param key a key that tells whether anybody else may have written since: it is there at {@code stamp}
    * @return whether that key is as it was; it fails if data is lost
    */
   public Future<Boolean> stillThere(String key, long stamp) {
-    String last = lives.lastKey();
+    Map<String, Long> written = new HashMap<>(lives.written());
+    written.remove(key);
     Txn txn = new Txn().when(key, stamp);
-    if (last != null) {
-      txn.when(last, lives.lastStamp());
-    }
-    long stampThen = lives.lastStamp();
+    written.forEach(txn::when);
     return commit(txn)
         .compose(
-            c ->
-                c.applied() || c.failed().contains(key) || !c.failed().contains(last)
-                    ? Future.succeededFuture(!c.failed().contains(key))
-                    : atLeast(last, stampThen));
+            c -> {
+              if (c.applied() || c.failed().contains(key)) {
+                return Future.succeededFuture(c.applied());
+              }
+              return Future.all(c.failed().stream().map(k -> atLeast(k, written.get(k))).toList()).map(true);
+            });
   }
 
   /** A write of ours whose answer is under way may have raised the stamp; nothing lowers it but a loss. */
