An end that the store may hold already is not denied while its commit is unanswered

Change: once an end is decided a poll waits for its commit, a sixth of a report period at most, else 503; Dirty has a file of its own.

--- a/src/main/java/io/embernotch/jobs/UserDesk.java
+++ b/src/main/java/io/embernotch/jobs/UserDesk.java
@@ -55,9 +55,19 @@
       lookUp(ref, reply, () -> poll(ref, reply));
     } else if (job.end == null && job.held()) {
       reply.complete(Answer.of(200, JobCodec.waiting(ref, job.waitingFor.size())));
+    } else if (job.end != null && !job.endKept) {
+      // Its end may be in the store before we have the answer, and be told from there by another controller
+      // that we did not answer in time. So nothing older is told any more: a drawn run of losses once had
+      // a job done, then running, then done.
+      Answer later = Answer.later("its end is being written");
+      boolean waits = committer.whenWritten(job, 0, () -> {
+        if (!reply.future().isComplete()) {
+          poll(ref, reply);
+        }
+      });
+      env.timers().after(waits ? env.settings().workers().reportS() / 6 : 0, () -> reply.tryComplete(later));
     } else {
-      // An end is told only once it is in the store; until then the job is as it was.
-      Phase phase = job.endKept ? job.end : job.running() > 0 || job.end != null ? Phase.RUNNING : Phase.QUEUED;
+      Phase phase = job.endKept ? job.end : job.running() > 0 ? Phase.RUNNING : Phase.QUEUED;
       reply.complete(Answer.of(200, JobCodec.status(ref, phase, job.done.cardinality(), job.running())));
     }
   }
--- a/src/main/java/io/embernotch/progress/Committer.java
+++ b/src/main/java/io/embernotch/progress/Committer.java
@@ -8,6 +8,7 @@
 import io.embernotch.codec.Json;
 import io.embernotch.codec.RunCodec;
 import io.embernotch.model.Job;
+import io.embernotch.progress.Dirty.Waiter;
 import io.embernotch.settings.Settings;
 import io.embernotch.store.Commit;
 import io.embernotch.store.Entry;
@@ -16,7 +17,6 @@
 import io.embernotch.store.StoreFailure;
 import io.embernotch.store.Txn;
 import java.util.ArrayList;
-import java.util.BitSet;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -24,6 +24,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.IntStream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -36,33 +37,6 @@
 public final class Committer {
   private static final Logger LOG = LoggerFactory.getLogger(Committer.class);
 
-  private record Waiter(int task, Runnable durable) {}
-
-  /** A piece of a job that differs from what the store is known to hold. */
-  private static final class Dirty {
-    final Layout.Piece piece;
-    /** Its tasks that differ; what concerns the job as a whole goes with task 0. */
-    final BitSet tasks = new BitSet();
-    Rank rank;
-    double due;
-    /** When somebody first began to wait for it, below 0 if nobody does. */
-    double awaitedSince = -1;
-    List<Waiter> waiters = new ArrayList<>();
-    /** The store refused a transaction with it: it goes alone until that is explained. */
-    boolean suspect;
-
-    Dirty(Layout.Piece piece, Rank rank, double due) {
-      this.piece = piece;
-      this.rank = rank;
-      this.due = due;
-    }
-
-    void hurry(Rank to, double by) {
-      rank = to.compareTo(rank) < 0 ? to : rank;
-      due = Math.min(due, by);
-    }
-  }
-
   private final StoreClient store;
   private final Clock clock;
   private final Timers timers;
@@ -130,12 +104,8 @@
   }
 
   public boolean isDirty(Job job) {
-    for (int task = 0; task < job.spec.tasks(); task += layout.size(job.spec.ref())) {
-      if (isDirty(job, task)) {
-        return true;
-      }
-    }
-    return false;
+    int size = layout.size(job.spec.ref());
+    return IntStream.range(0, (job.spec.tasks() + size - 1) / size).anyMatch(k -> isDirty(job, k * size));
   }
 
   /** The piece with {@code task} has changed; it waits for company and for a quiet moment. */
@@ -148,6 +118,13 @@
     mark(job, task, rank, clock.now(), durable);
   }
 
+  /** Runs {@code then} once the piece with {@code task}, as it is now, is in the store; false if it is. */
+  public boolean whenWritten(Job job, int task, Runnable then) {
+    String key = layout.of(job, task).key();
+    Dirty d = dirty.getOrDefault(key, inFlight.get(key));
+    return d != null && d.waiters.add(new Waiter(task, then));
+  }
+
   /** Like {@link #now}, before everything else of usual rank. */
   public void soon(Job job, int task) {
     mark(job, task, Rank.USUAL, clock.now() - overdueS, null);
@@ -306,7 +283,7 @@
         if (d.awaitedSince >= 0) {
           latencies.record(d.rank == Rank.FIRST ? "urgent commit" : "commit", clock.now() - d.awaitedSince);
         }
-        d.waiters.forEach(w -> w.durable.run());
+        d.waiters.forEach(w -> w.durable().run());
       }
       next();
       return;
@@ -398,7 +375,7 @@
         part.tasks.set(task);
         part.awaitedSince = d.awaitedSince;
       }
-      d.waiters.forEach(w -> dirty.get(layout.of(job, w.task).key()).waiters.add(w));
+      d.waiters.forEach(w -> dirty.get(layout.of(job, w.task()).key()).waiters.add(w));
     }
     return true;
   }
--- a/src/test/java/io/embernotch/steward/RulesTest.java
+++ b/src/test/java/io/embernotch/steward/RulesTest.java
@@ -269,6 +269,21 @@
     assertThat(world.poll(0, "not-a-job").status()).isEqualTo(404);
   }
 
+  @Test
+  void anEndThatOthersMayReadInTheStoreIsNotDeniedByAStewardWithoutItsAnswer() {
+    Node steward = world.settle(8);
+    run(job("j-18", "array", 1), "j-18", 1);
+    world.commitFate = Fate.HELD;
+    world.finish("j-18");
+    world.pass(3);
+    world.releaseHeld();
+    assertThat(world.endInStore("j-18")).isEqualTo("done");
+    assertThat(world.phase(steward.index, "j-18")).isEqualTo("status 503");
+    world.commitFate = Fate.ARRIVES;
+    world.pass(3);
+    assertThat(world.phase(steward.index, "j-18")).isEqualTo("done");
+  }
+
   @Test
   void withoutAStewardAnAcceptedJobIsStillKnown() {
     Node old = world.settle(8);
