A claim that a loss overtakes is not acted on; another's era ends a stewardship at once

Cause, found by reading the change once more: a claim that was under way as data was lost could be confirmed and acted on in contents that are no more; a steward learned of another's era only by its lease; an unreadable pointer made a claim throw. Change: each is looked at where it happens.

--- a/src/main/java/io/embernotch/era/Eras.java
+++ b/src/main/java/io/embernotch/era/Eras.java
@@ -65,8 +65,9 @@
   /** The highest epoch that anybody here has seen. */
   private long highest;
   private long lostMark;
-  /** What the pointer was when it was last read. */
-  private Entry pointer = new Entry(EraCodec.POINTER, null, 0);
+  /** Stamp of the pointer when it was last read, 0 if it was absent; what it named, null if nothing that can be read. */
+  private long pointerStamp;
+  private Era pointed;
   /** The era that a claim under way begins; null if it goes on with the present one. */
   private Era claimed;
   private boolean formerLeads;
@@ -198,8 +199,6 @@
     }
   }
 
-  // ---- signs of a loss
-
   @Override
   public void fell(long seen, long now) {
     lost("its revision fell from " + seen + " to " + now);
@@ -261,14 +260,14 @@
   }
 
   private void seen(Entry entry) {
-    pointer = entry;
-    Era there;
+    Era there = null;
     try {
       there = entry.present() ? EraCodec.read(entry.value(), entry.stamp()) : null;
     } catch (BadInput e) {
-      there = null;
       LOG.warn("the era's key is unreadable: {}", e.getMessage());
     }
+    pointerStamp = entry.stamp();
+    pointed = there;
     boolean same = known != null && there != null && there.name().equals(known.name()) && there.stamp() == known.stamp();
     Copy kept = state == State.UNREAD && there == null ? source.kept() : null;
     if (kept != null) {
@@ -395,14 +394,14 @@
     if (claimed == null) {
       return new Claim(name(), floor(), 0);
     }
-    txn.unfenced().when(EraCodec.POINTER, pointer.stamp());
+    txn.unfenced().when(EraCodec.POINTER, pointerStamp);
     if (state == State.LOST) {
       // Lost again since they were written, the blocks would be missing: contents that hold the last hold all.
       Restore.Prepared p = restore.prepared();
       txn.when(EraCodec.block(p.name(), p.blocks() - 1), p.lastStamp());
     }
-    if (pointer.present()) {
-      txn.drop(EraCodec.fence(EraCodec.read(pointer.value(), pointer.stamp())));
+    if (pointed != null) {
+      txn.drop(EraCodec.fence(pointed));
     }
     txn.write(EraCodec.POINTER, EraCodec.write(claimed)).write(EraCodec.fence(claimed), EraCodec.write(claimed));
     return new Claim(claimed.name(), claimed.floor(), state == State.LOST ? restore.othersMayLeadS() : 0);
@@ -411,9 +410,8 @@
   /** The names that came before an era that is begun now, whatever is there besides what we knew. */
   private List<String> before() {
     List<String> out = new ArrayList<>(known == null ? List.of() : known.line());
-    if (pointer.present()) {
-      Era there = EraCodec.read(pointer.value(), pointer.stamp());
-      there.line().stream().filter(n -> !out.contains(n)).forEach(out::add);
+    if (pointed != null) {
+      pointed.line().stream().filter(n -> !out.contains(n)).forEach(out::add);
     }
     return out;
   }
@@ -431,7 +429,8 @@
       LOG.info("restored: {} blocks, complete {}", begun.blocks(), with.complete());
       restore.over();
     }
-    pointer = new Entry(EraCodec.POINTER, EraCodec.write(begun), stamp);
+    pointerStamp = stamp;
+    pointed = begun;
     settle(begun, with);
   }
 
--- a/src/main/java/io/embernotch/leadership/Election.java
+++ b/src/main/java/io/embernotch/leadership/Election.java
@@ -329,6 +329,11 @@
     if (state != State.HOLDING || permit != granted) {
       return;
     }
+    if (terms.beginsAnew()) {
+      // Data was lost while the claim was under way: it stands in contents that are no more.
+      lose("the claim was of contents that are lost");
+      return;
+    }
     LOG.info("steward since epoch {}", epoch);
     listener.stewardIs(node, epoch, true);
     listener.acquired(epoch, stamp);
--- a/src/main/java/io/embernotch/steward/Controller.java
+++ b/src/main/java/io/embernotch/steward/Controller.java
@@ -106,8 +106,6 @@
     }
   }
 
-  // ---- users
-
   @Override
   public Answer ready() {
     if (types.isEmpty()) {
@@ -150,6 +148,10 @@
 
   @Override
   public void settled(Base base) {
+    if (steward != null) {
+      // An era of our own is settled before its stewardship begins: this one is another's.
+      election.deposed("another era has begun");
+    }
     submissions.renew();
     if (base.since() > 0) {
       typesBook.keep();
@@ -227,8 +229,6 @@
     return questions.ask(stewardNode, id -> new Frame.Ask(id, what, ref), withinS);
   }
 
-  // ---- workers
-
   @Override
   public Future<Answer> report(WorkerReport report) {
     return steward == null ? reception.report(report) : own(report);
