--- a/src/test/java/io/embernotch/era/LossAtScaleTest.java
+++ b/src/test/java/io/embernotch/era/LossAtScaleTest.java
@@ -62,7 +62,7 @@
   }
 
   @Test
-  void putBackByTenSecondsWhileWorkEndsAndStarts() {
+  void putBackToBeforeWorkThatEndedAndWorkThatStarted() {
     Held then = world.state.held();
     for (int i = 0; i < 20; i++) {
       assertThat(world.abort(i % 3, "j-1" + i).status()).isEqualTo(200);
--- a/src/test/java/io/embernotch/era/LossHuntTest.java
+++ b/src/test/java/io/embernotch/era/LossHuntTest.java
@@ -78,7 +78,7 @@
     }
   }
 
-  /** Plays one seed; returns what went wrong. The kinds of losses may be bounded. */
+  /** Plays one seed; returns what went wrong. */
   private static List<String> play(long seed) {
     SplittableRandom random = new SplittableRandom(seed);
     World world = new World(3, 10);
--- a/src/test/java/io/embernotch/snapshot/SnapshotTest.java
+++ b/src/test/java/io/embernotch/snapshot/SnapshotTest.java
@@ -22,6 +22,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -61,7 +62,7 @@
       } catch (IOException | IllegalArgumentException e) {
         found++;
       }
-      byte[] shorter = java.util.Arrays.copyOf(whole, i);
+      byte[] shorter = Arrays.copyOf(whole, i);
       try {
         assertThat(Snapshot.read(new ByteArrayInputStream(shorter)).copy()).isEqualTo(c);
       } catch (IOException | IllegalArgumentException e) {
@@ -93,7 +94,7 @@
     assertThat(snapshots.newest().copy()).isEqualTo(copy(5, 5));
     Path newest = snapshots.list().get(0);
     byte[] b = Files.readAllBytes(newest);
-    Files.write(newest, java.util.Arrays.copyOf(b, b.length / 2));
+    Files.write(newest, Arrays.copyOf(b, b.length / 2));
     // One that a crash left unfinished is none.
     Files.write(dir.resolve("0000000000000009-000000000000009.unfinished"), b);
     assertThat(snapshots.newest().copy()).isEqualTo(copy(4, 4));
