Workers take turns at too few sockets; nothing leaves after its time; peers reconnect soon

From 0.6 of the sockets on a worker's connection is closed with its answer, so none depends on having come first. A call whose time has passed while the process stood still is not sent when it wakes. A peer that is back at once is reached after a 32nd of the time between two tries.

--- a/src/main/java/io/embernotch/app/ClientCommand.java
+++ b/src/main/java/io/embernotch/app/ClientCommand.java
@@ -1,5 +1,6 @@
 package io.embernotch.app;
 
+import io.embernotch.actor.SystemClock;
 import io.embernotch.actor.VertxTimers;
 import io.embernotch.http.CallFailed;
 import io.embernotch.http.Reply;
@@ -50,7 +51,7 @@
                 .setFileSystemOptions(
                     new FileSystemOptions().setClassPathResolvingEnabled(false).setFileCachingEnabled(false)));
     try {
-      VertxCaller caller = new VertxCaller(vertx, new VertxTimers(vertx, vertx.getOrCreateContext()), 1, 1, TIMEOUT_S, TIMEOUT_S);
+      VertxCaller caller = new VertxCaller(vertx, new SystemClock(), new VertxTimers(vertx, vertx.getOrCreateContext()), 1, 1, TIMEOUT_S, TIMEOUT_S);
       Reply reply =
           caller.call(method, address, path, body, TIMEOUT_S).toCompletionStage().toCompletableFuture().get();
       String text = new String(reply.body(), StandardCharsets.UTF_8);
--- a/src/main/java/io/embernotch/app/Server.java
+++ b/src/main/java/io/embernotch/app/Server.java
@@ -50,11 +50,11 @@
     Work work = Work.read();
     Timers timers = work.around("timer", new VertxTimers(vertx, loop));
     double report = settings.workers().reportS();
-    VertxCaller store = new VertxCaller(vertx, timers, 8, 1, report / 3, KEEP_S);
-    VertxCaller cloud = new VertxCaller(vertx, timers, 4, 1, report / 3, KEEP_S);
+    VertxCaller store = new VertxCaller(vertx, clock, timers, 8, 1, report / 3, KEEP_S);
+    VertxCaller cloud = new VertxCaller(vertx, clock, timers, 4, 1, report / 3, KEEP_S);
     // Each worker has a connection to us already: ours to them are few at a time, and short-lived.
     int direct = settings.quota().directCalls();
-    VertxCaller workers = new VertxCaller(vertx, timers, 1, direct, report / 3, report / 3);
+    VertxCaller workers = new VertxCaller(vertx, clock, timers, 1, direct, report / 3, report / 3);
     VertxPeerLink peers = new VertxPeerLink(vertx, timers, settings);
     Env env =
         new Env(
@@ -87,7 +87,7 @@
   private static LeaseKeeper keeper(Vertx vertx, Context lease, Env env) {
     Settings settings = env.settings();
     VertxTimers timers = new VertxTimers(vertx, lease);
-    VertxCaller caller = new VertxCaller(vertx, timers, 1, 1, settings.workers().reportS() / 3, KEEP_S);
+    VertxCaller caller = new VertxCaller(vertx, env.clock(), timers, 1, 1, settings.workers().reportS() / 3, KEEP_S);
     return new LeaseKeeper(
         caller, settings.state(), env.clock(), timers, task -> lease.runOnContext(v -> task.run()), env.loop(),
         settings.stewardLeaseS(env.operator()), Settings.DRIFT, settings.contactS());
@@ -113,7 +113,7 @@
   /** A deployment is given a loop of its own while there is one. */
   private static Future<?> front(Vertx vertx, Context loop, Env env, Controller controller) {
     Settings settings = env.settings();
-    return new HttpFront(controller, env.loop(), env.clock(), new VertxTimers(vertx, loop), settings.workers().leaseS())
+    return new HttpFront(controller, env.loop(), env.clock(), new VertxTimers(vertx, loop), settings)
         .listen(vertx, settings.clientListen());
   }
 }
--- a/src/main/java/io/embernotch/http/HttpFront.java
+++ b/src/main/java/io/embernotch/http/HttpFront.java
@@ -7,6 +7,7 @@
 import io.embernotch.codec.WorkerCodec;
 import io.embernotch.model.WorkerReport;
 import io.embernotch.settings.HostPort;
+import io.embernotch.settings.Settings;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -26,6 +27,10 @@
  * steward a thousand workers connect to a process with a fifth of a core, and while connections,
  * requests and JSON shared a loop with leadership, the lease ran out behind them.
  *
+ * <p>A worker's connection is closed with the answer while there are too many. A controller that is left alone
+ * may have more workers than sockets; those that come later would find none, and lose what they run, live
+ * services too. So all of them take turns, and none depends on having come first.
+ *
  * <p>What nobody waits for any more when the core comes to it is dropped there: users and workers
  * come again, and answering the gone would keep the core from those who wait.
  */
@@ -50,6 +55,9 @@
   private final Timers timers;
   private final double logEveryS;
   private final Latencies latencies = new Latencies();
+  private final int crowd;
+  private final int backlog;
+  private int connections;
   private HttpServer server;
   private Context front;
   private Answer lastReady = Answer.later("starting");
@@ -58,21 +66,27 @@
    * @param core runs what is asked of the door
    * @param timers those of the loop that {@link #listen} is called on
    */
-  public HttpFront(Door door, Executor core, Clock clock, Timers timers, double logEveryS) {
+  public HttpFront(Door door, Executor core, Clock clock, Timers timers, Settings settings) {
     this.door = door;
     this.core = core;
     this.clock = clock;
     this.timers = timers;
-    this.logEveryS = logEveryS;
+    this.logEveryS = settings.workers().leaseS();
+    this.crowd = settings.quota().crowd();
+    this.backlog = settings.quota().maxConnections();
   }
 
   /** Listens on the loop of the context it is called on. */
   public Future<Void> listen(Vertx vertx, HostPort at) {
     front = vertx.getOrCreateContext();
     HttpServerOptions options = new HttpServerOptions();
-    options.setTcpNoDelay(true).setReuseAddress(true).setAcceptBacklog(1024);
+    options.setTcpNoDelay(true).setReuseAddress(true).setAcceptBacklog(backlog);
     server = vertx.createHttpServer(options);
     server.requestHandler(this::handle);
+    server.connectionHandler(c -> {
+      connections++;
+      c.closeHandler(v -> connections--);
+    });
     server.exceptionHandler(e -> LOG.debug("connection failed: {}", e.getMessage()));
     timers.after(logEveryS, this::logLatencies);
     return server.listen(at.port(), at.host()).mapEmpty();
@@ -132,7 +146,14 @@
                     LOG.error("{} {} failed", request.method(), request.path(), r.cause());
                   }
                   latencies.record(kind(request.path()), clock.now() - since);
-                  write(request.response(), r.succeeded() ? r.result() : Answer.error(500, "internal error"));
+                  boolean parts = connections > crowd && request.path().equals("/hello");
+                  if (parts) {
+                    request.response().putHeader("connection", "close");
+                  }
+                  Future<Void> written = write(request.response(), r.succeeded() ? r.result() : Answer.error(500, "internal error"));
+                  if (parts) {
+                    written.onComplete(v -> request.connection().close());
+                  }
                 });
       }
     }
@@ -226,14 +247,14 @@
     return Future.succeededFuture(Answer.error(405, "use " + right));
   }
 
-  private static void write(HttpServerResponse response, Answer answer) {
+  private static Future<Void> write(HttpServerResponse response, Answer answer) {
     if (response.ended() || response.closed()) {
-      return;
+      return Future.succeededFuture();
     }
     response.setStatusCode(answer.status()).putHeader("content-type", "application/json");
     if (answer.retryAfterS() > 0) {
       response.putHeader("retry-after", Integer.toString(answer.retryAfterS()));
     }
-    response.end(Buffer.buffer(answer.body()));
+    return response.end(Buffer.buffer(answer.body()));
   }
 }
--- a/src/main/java/io/embernotch/http/VertxCaller.java
+++ b/src/main/java/io/embernotch/http/VertxCaller.java
@@ -1,5 +1,6 @@
 package io.embernotch.http;
 
+import io.embernotch.actor.Clock;
 import io.embernotch.actor.Timers;
 import io.embernotch.settings.HostPort;
 import io.vertx.core.Future;
@@ -22,6 +23,7 @@
 /** Calls over Vert.x's client, each with a time limit of its own. */
 public final class VertxCaller implements Caller {
   private final HttpClient client;
+  private final Clock clock;
   private final Timers timers;
   private final int most;
   /** Hosts with a connection, or one being made, that which was called longest ago first. */
@@ -37,7 +39,8 @@
    * @param keepS idle connections are closed after this time
    */
   public VertxCaller(
-      Vertx vertx, Timers timers, int connectionsPerHost, int most, double connectS, double keepS) {
+      Vertx vertx, Clock clock, Timers timers, int connectionsPerHost, int most, double connectS, double keepS) {
+    this.clock = clock;
     this.timers = timers;
     this.most = most;
     HttpClientOptions options = new HttpClientOptions();
@@ -66,7 +69,7 @@
     }
     Host called = known;
     called.calls++;
-    Call call = new Call();
+    Call call = new Call(clock.now() + timeoutS);
     call.promise.future().onComplete(r -> {
       called.calls--;
       forget(host, called);
@@ -114,18 +117,25 @@
   }
 
   /** One call under way; the first of answer, failure and time limit settles it. */
-  private static final class Call {
+  private final class Call {
     final Promise<Reply> promise = Promise.promise();
     Runnable cancelTimer;
     HttpClientRequest request;
     boolean settled;
+    final double until;
+
+    Call(double until) {
+      this.until = until;
+    }
 
     void send(HttpClientRequest req, byte[] body) {
-      if (settled) {
-        // Given up while it waited for a connection: nothing has left yet, and nothing may. Without
-        // a handler the library logs the reset as an error of its own.
+      if (settled || clock.now() >= until) {
+        // Given up while it waited for a connection, or about to be: a process that stood still may find the
+        // connection before the timer. Nothing has left yet, and nothing may. Without a handler the library
+        // logs the reset as an error of its own.
         req.exceptionHandler(e -> {});
         req.reset();
+        fail("not sent in time");
         return;
       }
       request = req;
--- a/src/main/java/io/embernotch/peer/VertxPeerLink.java
+++ b/src/main/java/io/embernotch/peer/VertxPeerLink.java
@@ -21,6 +21,9 @@
 public final class VertxPeerLink implements PeerLink {
   private static final Logger LOG = LoggerFactory.getLogger(VertxPeerLink.class);
 
+  /** A process may be back at once: the first try comes after this share of the time between two. */
+  private static final double SOON = 1.0 / 32;
+
   private final Timers timers;
   private final NetClient client;
   private final double retryS;
@@ -118,6 +121,7 @@
     final HostPort address;
     NetSocket socket;
     Outbox outbox;
+    double waitS = SOON * retryS;
 
     Outgoing(HostPort address) {
       this.address = address;
@@ -130,13 +134,19 @@
               s -> {
                 socket = s;
                 outbox = attach(s);
+                waitS = SOON * retryS;
                 s.closeHandler(
                     v -> {
                       socket = null;
-                      timers.after(retryS, this::connect);
+                      again();
                     });
               })
-          .onFailure(e -> timers.after(retryS, this::connect));
+          .onFailure(e -> again());
+    }
+
+    private void again() {
+      timers.after(waitS, this::connect);
+      waitS = Math.min(retryS, 2 * waitS);
     }
   }
 }
--- a/src/main/java/io/embernotch/settings/Settings.java
+++ b/src/main/java/io/embernotch/settings/Settings.java
@@ -49,6 +49,19 @@
     public int directCalls() {
       return Math.max(8, maxConnections / 5);
     }
+
+    /**
+     * Connections taken at a time from which on workers' are closed with each answer: what is left beside our
+     * own calls must do for users, health checks and other controllers, however many workers there are.
+     */
+    public int crowd() {
+      return (maxConnections - directCalls()) * 3 / 4;
+    }
+
+    /** More machines than a fleet has whose workers share this many connections; for what is remembered of each. */
+    public int machines() {
+      return 4 * maxConnections;
+    }
   }
 
   /**
--- a/src/test/java/io/embernotch/http/HttpFrontTest.java
+++ b/src/test/java/io/embernotch/http/HttpFrontTest.java
@@ -5,7 +5,10 @@
 import io.embernotch.actor.VertxTimers;
 import io.embernotch.model.WorkerReport;
 import io.embernotch.settings.HostPort;
+import io.embernotch.settings.Settings;
+import io.embernotch.settings.SettingsReader;
 import io.embernotch.testkit.FakeTime;
+import io.embernotch.testkit.World;
 import io.vertx.core.Context;
 import io.vertx.core.Deployable;
 import io.vertx.core.Future;
@@ -13,6 +16,8 @@
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpMethod;
 import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -22,6 +27,7 @@
 
 /** The front before a core that is busy: its tasks are run by the test, and the time that they see is the test's. */
 class HttpFrontTest implements Door {
+  private final Settings settings = SettingsReader.parse(World.toml(0).replace("max_connections = 1000", "max_connections = 12"));
   private final Vertx vertx = Vertx.vertx();
   private final FakeTime time = new FakeTime();
   private final BlockingQueue<Runnable> core = new LinkedBlockingQueue<>();
@@ -40,7 +46,7 @@
   }
 
   private Future<?> front(Context loop) {
-    return new HttpFront(this, core::add, time, new VertxTimers(vertx, loop), 3600).listen(vertx, new HostPort("127.0.0.1", port));
+    return new HttpFront(this, core::add, time, new VertxTimers(vertx, loop), settings).listen(vertx, new HostPort("127.0.0.1", port));
   }
 
   @AfterEach
@@ -84,6 +90,25 @@
     assertThat(await(busy)).isEqualTo(200);
   }
 
+  /** With fewer connections than workers, those that came first kept theirs, and the others lost what they ran. */
+  @Test
+  void inACrowdWorkersTakeTurns() throws Exception {
+    String report = "{\"hearth\":\"n-1\",\"address\":\"10.0.0.9:9\",\"flavor\":\"g8\",\"room\":\"z1\",\"loaner\":false,"
+        + "\"tenure\":1,\"tick\":1,\"baton\":0,\"recall_s\":null,\"shards\":[]}";
+    // A client that nobody holds any more closes its connections.
+    List<HttpClient> crowd = new ArrayList<>();
+    for (int i = 0; i < 12; i++) {
+      HttpClient one = vertx.createHttpClient();
+      crowd.add(one);
+      Future<Boolean> parts =
+          one.request(HttpMethod.POST, port, "127.0.0.1", "/hello").compose(r -> r.send(report)).map(r -> "close".equals(r.getHeader("connection")));
+      runNext();
+      // Three quarters of what is left beside eight calls of our own.
+      assertThat(await(parts)).isEqualTo(i >= 3);
+    }
+    assertThat(reported).isEqualTo(crowd.size());
+  }
+
   @Test
   void aMalformedReportIsRefusedWithoutTheCore() throws Exception {
     assertThat(await(ask(HttpMethod.POST, "/hello", "{\"hearth\":"))).isEqualTo(400);
--- a/src/test/java/io/embernotch/http/VertxCallerTest.java
+++ b/src/test/java/io/embernotch/http/VertxCallerTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.embernotch.actor.SystemClock;
 import io.embernotch.actor.VertxTimers;
 import io.embernotch.settings.HostPort;
 import io.vertx.core.Context;
@@ -51,7 +52,7 @@
   /** Commands to further machines failed for most of a report period, while idle connections were kept. */
   @Test
   void anIdleConnectionMakesWayForAnotherHostAndABusyOneDoesNot() throws Exception {
-    VertxCaller caller = new VertxCaller(vertx, new VertxTimers(vertx, loop), 1, 1, 5, 60);
+    VertxCaller caller = new VertxCaller(vertx, new SystemClock(), new VertxTimers(vertx, loop), 1, 1, 5, 60);
     for (String host : new String[] {"127.0.0.1", "127.0.0.2", "127.0.0.1", "127.0.0.3"}) {
       assertThat(get(call(caller, host, "/", 8)).status()).isEqualTo(200);
     }
