A machine is judged by several jobs; a job that fails everywhere is tried one task at a time

Jobs that succeed elsewhere count a half or all, unknown ones a third, those that fail everywhere nothing; polls tell where such a job failed. What must not start yet after a loss has a field of its own, which a failure no longer shortens.

--- a/src/main/java/io/embernotch/codec/JobCodec.java
+++ b/src/main/java/io/embernotch/codec/JobCodec.java
@@ -9,6 +9,7 @@
 import io.embernotch.model.Shape;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -16,6 +17,7 @@
 
 /** Jobs as users write them, and the answers users get. */
 public final class JobCodec {
+  private static final int MOST_NAMED = 3;
   public static final int MAX_TASKS = 100_000;
   private static final Pattern REF = Pattern.compile("j-[0-9A-Za-z_-]{1,64}");
 
@@ -119,6 +121,14 @@
         .getBytes(StandardCharsets.UTF_8);
   }
 
+  /** The same for a job that fails wherever it goes, and on which machines it has; the last few are named. */
+  public static byte[] failing(String ref, Phase phase, int done, int running, Collection<String> machines) {
+    ObjectNode o = Json.object().put("ref", ref).put("phase", phase(phase)).put("done", done).put("running", running);
+    ArrayNode on = o.putObject("failing").put("machines", machines.size()).putArray("last");
+    machines.stream().skip(Math.max(0, machines.size() - MOST_NAMED)).forEach(on::add);
+    return Json.bytes(o);
+  }
+
   /** What a poll is answered for a job that waits for so many others. */
   public static byte[] waiting(String ref, int others) {
     return ("{\"ref\":\"" + ref + "\",\"phase\":\"queued\",\"done\":0,\"running\":0,\"awaited\":" + others + "}")
--- a/src/main/java/io/embernotch/jobs/Outcomes.java
+++ b/src/main/java/io/embernotch/jobs/Outcomes.java
@@ -83,22 +83,23 @@
 
   private void finished(Attempt a, Machine m, double now) {
     Job job = a.job;
-    blame.cleared(job, m);
     if (a.runningAt >= 0 && !job.restarted.get(a.task) && !job.done.get(a.task)) {
       double ran = Math.max(0.1, now - a.runningAt);
       job.finishedSumS += ran;
       job.finishedCount++;
       m.finished(job.meanS() / ran, remembered);
     }
-    if (job.end != null) {
-      return;
-    }
-    if (job.spec.shape() == Shape.GANG) {
+    boolean ended = job.end != null;
+    if (!ended && job.spec.shape() == Shape.GANG) {
       // A gang completes together: when one task is done, every task is.
       job.done.set(0, job.spec.tasks());
-    } else {
+    } else if (!ended) {
       job.done.set(a.task);
     }
+    blame.cleared(job, m);
+    if (ended) {
+      return;
+    }
     if (job.remaining() == 0) {
       endings.decide(job, Phase.DONE);
       for (Attempt other : job.open.values()) {
--- a/src/main/java/io/embernotch/jobs/Takeover.java
+++ b/src/main/java/io/embernotch/jobs/Takeover.java
@@ -108,7 +108,7 @@
    */
   public void waitIfUnsure(Job job) {
     if (job.again && !base.complete()) {
-      job.backoffUntil = acquiredAt + Leases.longestS(env.settings());
+      job.notBefore = acquiredAt + Leases.longestS(env.settings());
     }
   }
 
--- a/src/main/java/io/embernotch/jobs/UserDesk.java
+++ b/src/main/java/io/embernotch/jobs/UserDesk.java
@@ -68,7 +68,13 @@
       env.timers().after(waits ? env.settings().workers().reportS() / 6 : 0, () -> reply.tryComplete(later));
     } else {
       Phase phase = job.endKept ? job.end : job.running() > 0 ? Phase.RUNNING : Phase.QUEUED;
-      reply.complete(Answer.of(200, JobCodec.status(ref, phase, job.done.cardinality(), job.running())));
+      int done = job.done.cardinality();
+      reply.complete(
+          Answer.of(
+              200,
+              job.fails() && !job.endKept
+                  ? JobCodec.failing(ref, phase, done, job.running(), job.errorMachines)
+                  : JobCodec.status(ref, phase, done, job.running())));
     }
   }
 
--- a/src/main/java/io/embernotch/ledger/Blame.java
+++ b/src/main/java/io/embernotch/ledger/Blame.java
@@ -4,13 +4,32 @@
 import io.embernotch.model.Attempt;
 import io.embernotch.model.Job;
 import io.embernotch.model.Machine;
-import java.util.Set;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** A task that fails is the machine's fault, unless its job fails wherever it goes. */
+/**
+ * Who is at fault when tasks fail: a machine that fails whatever it starts, or a job that was submitted with a
+ * mistake and fails wherever it goes. A job that failed on several machines and nowhere succeeded is at fault,
+ * and its failures speak against no machine. A machine is at fault once several jobs speak against it, those that
+ * succeed elsewhere more than those of which nothing is known yet.
+ *
+ * <p>A single job once was enough to have a machine returned that it had failed on three times, so a gang with a
+ * mistake cost a machine and a boot with each of its first tries.
+ */
 public final class Blame {
   private static final Logger LOG = LoggerFactory.getLogger(Blame.class);
+  private static final double EPS = 1e-6;
+
+  /** What a job's failures count that succeeds elsewhere, and one's of which that is not known; 1 is enough. */
+  private static final double SOUND = 0.5;
+
+  private static final double UNKNOWN = 1.0 / 3;
+
+  /** As often must a job that succeeds elsewhere fail on a machine to be enough by itself. */
+  private static final int OFTEN = 3;
 
   private final Env env;
   private final Ledger ledger;
@@ -23,37 +42,83 @@
   public void failed(Attempt a, Machine m, double now) {
     Job job = a.job;
     double report = env.settings().workers().reportS();
-    job.errors++;
-    if (job.done.isEmpty()) {
+    m.failures.merge(job.spec.ref(), 1, Integer::sum);
+    if (!succeeds(job)) {
       job.errorMachines.add(m.name);
     }
-    if (job.errorMachines.size() >= 3) {
-      job.backoffUntil = now + Math.min(env.settings().workers().leaseS(), report * (1 << Math.min(5, job.errors - 3)));
-      for (String name : job.errorMachines) {
-        Machine other = ledger.machines.get(name);
-        if (other != null && other.failedJobs.equals(Set.of(job.spec.ref()))) {
-          other.errorStreak = 0;
-          other.avoidUntil = 0;
-          other.cordoned = false;
-          other.failedJobs.clear();
-        }
-      }
+    if (job.fails()) {
+      // Tried again with one task at a time, so what that costs is bounded however large the job is.
+      int again = job.errorMachines.size() - Job.MANY_MACHINES;
+      job.backoffUntil = now + Math.min(env.settings().workers().leaseS(), report * (1 << Math.min(5, again)));
+      excuse(job);
       return;
     }
     m.errorStreak++;
-    m.failedJobs.add(job.spec.ref());
     m.avoidUntil = now + report * (1 << Math.min(4, m.errorStreak));
-    if ((m.failedJobs.size() >= 2 || m.errorStreak >= 3) && !m.cordoned) {
-      LOG.info("machine {} fails what it starts", m.name);
-      m.cordoned = true;
-    }
+    judge(m);
   }
 
-  /** A task was done: neither its machine nor its job is at fault. */
+  /** A task was done: neither its machine nor its job is at fault. What failed the job elsewhere is. */
   public void cleared(Job job, Machine m) {
     m.errorStreak = 0;
-    m.failedJobs.clear();
+    m.failures.clear();
+    if (job.errorMachines.isEmpty()) {
+      return;
+    }
+    List<Machine> failedOn = machines(job);
     job.errorMachines.clear();
     job.backoffUntil = 0;
+    failedOn.forEach(this::judge);
+  }
+
+  private List<Machine> machines(Job job) {
+    return job.errorMachines.stream().map(ledger.machines::get).filter(Objects::nonNull).toList();
+  }
+
+  private static boolean succeeds(Job job) {
+    return !job.done.isEmpty();
+  }
+
+  /** How much speaks against a machine; from 1 on it is enough. */
+  private double against(Machine m) {
+    double sum = EPS;
+    for (Map.Entry<String, Integer> e : m.failures.entrySet()) {
+      Job job = ledger.jobs.get(e.getKey());
+      if (job != null && !job.fails()) {
+        sum += !succeeds(job) ? UNKNOWN : e.getValue() >= OFTEN ? 1 : SOUND;
+      }
+    }
+    return sum;
+  }
+
+  private void judge(Machine m) {
+    if (m.cordoned || against(m) < 1) {
+      return;
+    }
+    LOG.info("machine {} fails what it starts: {}", m.name, m.failures.keySet());
+    m.cordoned = true;
+    for (String ref : m.failures.keySet()) {
+      Job job = ledger.jobs.get(ref);
+      // That it failed here is not its fault.
+      if (job != null && job.errorMachines.remove(m.name) && !job.fails()) {
+        job.backoffUntil = 0;
+      }
+    }
+  }
+
+  /** The machines that this job failed on are as good as without it. */
+  private void excuse(Job job) {
+    if (!job.toldFailing) {
+      job.toldFailing = true;
+      LOG.info("job {} fails wherever it goes: {}", job.spec.ref(), job.errorMachines);
+    }
+    for (Machine m : machines(job)) {
+      double left = against(m);
+      m.cordoned &= left >= 1;
+      if (left <= EPS) {
+        m.errorStreak = 0;
+        m.avoidUntil = 0;
+      }
+    }
   }
 }
--- a/src/main/java/io/embernotch/model/Machine.java
+++ b/src/main/java/io/embernotch/model/Machine.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
@@ -48,8 +48,8 @@
   public double deleteRetryAt;
   public boolean failed;
   public int errorStreak;
-  /** Jobs whose tasks failed here since the last success. */
-  public final Set<String> failedJobs = new HashSet<>();
+  /** Jobs whose tasks failed here since the last success, and how many. */
+  public final Map<String, Integer> failures = new HashMap<>();
   public double avoidUntil;
   /** Empty since this time. */
   public double idleSince;
--- /dev/null
+++ b/src/test/java/io/embernotch/ledger/BlameTest.java
@@ -0,0 +1,96 @@
+package io.embernotch.ledger;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.embernotch.actor.Work;
+import io.embernotch.codec.JobCodec;
+import io.embernotch.codec.Json;
+import io.embernotch.env.Env;
+import io.embernotch.model.Job;
+import io.embernotch.model.Machine;
+import io.embernotch.settings.OperatorSettings;
+import io.embernotch.settings.SettingsReader;
+import io.embernotch.testkit.FakeTime;
+import io.embernotch.testkit.World;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** Jobs with a mistake, sick machines, and both at once. */
+class BlameTest {
+  private final FakeTime time = new FakeTime();
+  private final Ledger ledger = new Ledger();
+  private final Blame blame =
+      new Blame(
+          new Env(SettingsReader.parse(World.toml(0)), OperatorSettings.DEFAULTS, time, time, time, Work.NONE, null, null, null, null, null),
+          ledger);
+
+  private Job job(int i) {
+    return ledger.jobs.computeIfAbsent("j-" + i, ref -> new Job(JobCodec.read(Json.parseObject(World.job(ref, "array", 40).getBytes())), 0));
+  }
+
+  private Machine machine(int i) {
+    return ledger.machine("n-" + i, 0);
+  }
+
+  private void fail(int job, int machine) {
+    Machine m = machine(machine);
+    m.zone = "z1";
+    blame.failed(ledger.open(job(job), job(job).open.size(), 1, m, time.now()), m, time.now());
+  }
+
+  private void succeed(int job, int machine) {
+    job(job).done.set(39);
+    blame.cleared(job(job), machine(machine));
+  }
+
+  /** A gang with a mistake had each machine returned on which its tasks failed three times. */
+  @Test
+  void jobsWithAMistakeHaveNoMachineReturnedHoweverOftenTheyFail() {
+    for (int job = 1; job <= 12; job++) {
+      for (int task = 0; task < 12; task++) {
+        fail(job, task / 3 + job);
+      }
+      assertThat(job(job).fails()).isTrue();
+    }
+    assertThat(ledger.machines.values()).noneMatch(m -> m.cordoned || m.avoidUntil > time.now());
+  }
+
+  @Test
+  void aSickMachineIsFoundAmongJobsWithAMistake() {
+    IntStream.range(1, 4).forEach(m -> fail(1, m));
+    fail(2, 1);
+    fail(3, 1);
+    assertThat(machine(1).cordoned).isFalse();
+    fail(4, 1);
+    assertThat(machine(1).cordoned).isTrue();
+    assertThat(machine(2).cordoned).isFalse();
+    assertThat(job(4).errorMachines).isEmpty();
+  }
+
+  /** Among many sick machines a sound job fails on several as well; once it succeeds, they are known. */
+  @Test
+  void aSoundJobThatFailedOnManySickMachinesSpeaksAgainstThemOnceItSucceeds() {
+    for (int m = 1; m <= 5; m++) {
+      for (int task = 0; task < 3; task++) {
+        fail(1, m);
+      }
+    }
+    assertThat(job(1).fails()).isTrue();
+    assertThat(job(1).backoffUntil).isGreaterThan(time.now());
+    succeed(1, 9);
+    assertThat(job(1).fails()).isFalse();
+    assertThat(job(1).backoffUntil).isZero();
+    assertThat(IntStream.range(1, 6)).allMatch(m -> machine(m).cordoned);
+    assertThat(machine(9).cordoned).isFalse();
+  }
+
+  @Test
+  void aMachineThatSucceedsIsClearedOfAll() {
+    fail(1, 1);
+    fail(2, 1);
+    succeed(3, 1);
+    fail(4, 1);
+    fail(5, 1);
+    assertThat(machine(1).cordoned).isFalse();
+  }
+}
--- a/src/test/java/io/embernotch/steward/RulesTest.java
+++ b/src/test/java/io/embernotch/steward/RulesTest.java
@@ -324,6 +324,10 @@
     world.submit(0, job("j-22", "array", 4));
     world.pass(25);
     assertThat(world.running("j-22")).hasSize(4);
+    // One job's word against it is enough once the job has succeeded elsewhere.
+    assertThat(world.deleted).doesNotContain(bad);
+    world.finish("j-22");
+    world.pass(6);
     assertThat(world.deleted).contains(bad);
   }
 
