Guests give way to guaranteed work where no machine is to be had, and have none dear rented

Guests and idle work rent only cheap machines while there are any, and no room is kept for them. Plans look at as many of an array's tasks as there is room for: with 40,000 pending a plan took 50 ms, 2 to 3 s after a takeover, and 5,106 tasks were killed by their lease.

--- a/src/main/java/io/embernotch/ledger/Demand.java
+++ b/src/main/java/io/embernotch/ledger/Demand.java
@@ -14,6 +14,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /**
  * What has been asked for lately, from which the room to keep free follows. While a machine boots,
@@ -36,8 +37,14 @@
     final Deque<Arrival> arrivals = new ArrayDeque<>();
   }
 
+  private final Predicate<JobSpec> patient;
   private final Map<String, Kind> kinds = new LinkedHashMap<>();
 
+  /** @param patient no room is kept for such jobs: one of a guest's arrays had machines rented for the next one like it */
+  public Demand(Predicate<JobSpec> patient) {
+    this.patient = patient;
+  }
+
   /** A job came at {@code at}, by the steady clock; older ones first. */
   public void seen(JobSpec spec, double at) {
     Kind k = kinds.computeIfAbsent(spec.jobClass(), c -> new Kind());
@@ -56,7 +63,7 @@
       while (!k.arrivals.isEmpty() && now - k.arrivals.peekFirst().at > window) {
         k.arrivals.removeFirst();
       }
-      if (k.arrivals.isEmpty() || boot <= 0) {
+      if (k.arrivals.isEmpty() || boot <= 0 || patient.test(k.latest)) {
         continue;
       }
       double squares = k.arrivals.stream().mapToDouble(a -> (double) a.tasks * a.tasks).sum();
--- a/src/main/java/io/embernotch/model/Job.java
+++ b/src/main/java/io/embernotch/model/Job.java
@@ -3,13 +3,19 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.PrimitiveIterator;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.IntStream;
 
 /** A job and its progress, owned by the steward. */
 public final class Job {
+  /** A job that has failed on so many machines and succeeded nowhere is itself at fault. */
+  public static final int MANY_MACHINES = 3;
+
   public final JobSpec spec;
   public final long submittedMs;
   /** DONE or CANCELLED once that is decided, else null. */
@@ -38,11 +44,14 @@
   public final BitSet done = new BitSet();
   public final Map<Integer, Attempt> open = new TreeMap<>();
   public long nextAttempt = 1;
+  /** Nothing of it may start before this time: tasks of it may run of which nothing is known. */
+  public double notBefore;
   /** Nothing of this job starts before this time: it fails everywhere, or was refused. */
   public double backoffUntil;
-  public int errors;
-  /** Machines on which its tasks failed before any succeeded. */
-  public final Set<String> errorMachines = new HashSet<>();
+  /** Machines on which its tasks failed before any succeeded, in that order. */
+  public final Set<String> errorMachines = new LinkedHashSet<>();
+  /** The log says that it fails. */
+  public boolean toldFailing;
   /** Tasks that have run before: their last run does not tell how long a whole one takes. */
   public final BitSet restarted = new BitSet();
   /** The gang's present attempt lost a task: the rest must end before the next one. */
@@ -61,6 +70,11 @@
     this.rank = spec.priority();
   }
 
+  /** It fails wherever it goes, most likely by a mistake in its submission. */
+  public boolean fails() {
+    return errorMachines.size() >= MANY_MACHINES;
+  }
+
   /** It waits for other jobs: nothing of it may start, and it takes part in nothing. */
   public boolean held() {
     return !waitingFor.isEmpty();
@@ -75,15 +89,22 @@
     return finishedCount == 0 ? 0 : finishedSumS / finishedCount;
   }
 
-  /** Up to {@code most} tasks that neither are done nor have an open attempt. */
-  public List<Integer> pending(int most) {
-    List<Integer> out = new ArrayList<>();
-    for (int t = done.nextClearBit(0); t < spec.tasks() && out.size() < most; t = done.nextClearBit(t + 1)) {
-      if (!open.containsKey(t)) {
-        out.add(t);
-      }
+  /** Tasks that neither are done nor have an open attempt, in their order. */
+  public PrimitiveIterator.OfInt pending() {
+    return IntStream.iterate(pendingFrom(0), t -> t < spec.tasks(), t -> pendingFrom(t + 1)).iterator();
+  }
+
+  /** The first of them; the number of tasks if there is none. */
+  public int firstPending() {
+    return pendingFrom(0);
+  }
+
+  private int pendingFrom(int from) {
+    int task = done.nextClearBit(from);
+    while (open.containsKey(task)) {
+      task = done.nextClearBit(task + 1);
     }
-    return out;
+    return task;
   }
 
   public int pendingCount() {
--- a/src/main/java/io/embernotch/model/Load.java
+++ b/src/main/java/io/embernotch/model/Load.java
@@ -23,7 +23,8 @@
   /** Images that are being fetched. */
   public final Set<String> fetching;
 
-  Load(Collection<Attempt> open) {
+  /** What these attempts take together. */
+  public Load(Collection<Attempt> open) {
     double c = 0;
     double g = 0;
     double m = 0;
--- a/src/main/java/io/embernotch/plan/Planner.java
+++ b/src/main/java/io/embernotch/plan/Planner.java
@@ -10,10 +10,12 @@
 import io.embernotch.settings.OperatorSettings;
 import io.embernotch.settings.Settings;
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.PrimitiveIterator;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 
@@ -96,7 +98,7 @@
     slots = Slots.of(machines, this::usable, now);
     expected.forEach(e -> slots.add(e, types.get(e.type())));
     market = new Market(types, pools, slots, mostNew);
-    preemption = new Preemption(slots, plan, now);
+    preemption = new Preemption(settings, slots, plan, now);
     queueing = new Queueing(jobs, types);
     List<Job> order = inOrder(jobs);
     int live = 0;
@@ -111,7 +113,7 @@
   }
 
   private void place(Job job) {
-    if (job.backoffUntil > now) {
+    if (Math.max(job.backoffUntil, job.notBefore) > now) {
       return;
     }
     if (job.spec.shape() == Shape.GANG) {
@@ -147,32 +149,40 @@
 
   private void placeTasks(Job job) {
     JobSpec spec = job.spec;
-    List<Integer> tasks = job.pending(Math.min(job.pendingCount(), usage.room(spec)));
-    if (tasks.isEmpty()) {
+    // One task is enough to see whether a job that fails everywhere still does.
+    int most = job.fails() ? Math.min(1, job.pendingCount()) : job.pendingCount();
+    int wanted = Math.min(most, usage.room(spec));
+    if (wanted <= 0) {
       return;
     }
+    // Not all of a hundred thousand tasks are looked at when there is room for a few.
+    PrimitiveIterator.OfInt tasks = job.pending();
     Zones zones = Zones.of(job);
     if (spec.oneZone() && zones.only == null) {
-      zones.only = bestZone(spec, tasks.size());
+      zones.only = bestZone(spec, wanted);
     }
     List<Plan.Placement> placements = new ArrayList<>();
-    grantWishes(job, tasks, zones, placements);
-    int[] next = new int[1];
+    BitSet granted = grantWishes(job, wanted, zones, placements);
+    wanted -= placements.size();
+    int[] placed = new int[1];
     Taken start =
         (slot, n) -> {
           slot.fetches(spec.image());
-          for (int i = 0; i < n; i++) {
-            placements.add(new Plan.Placement(tasks.get(next[0]++), slot.machine));
+          for (int i = 0; i < n; placed[0]++, i++) {
+            int task = tasks.nextInt();
+            while (granted.get(task)) {
+              task = tasks.nextInt();
+            }
+            placements.add(new Plan.Placement(task, slot.machine));
           }
         };
     int claimed = 0;
-    if (spec.priority() == Priority.PRODUCTION && spec.shape() == Shape.SERVICE && job.restarted.get(tasks.get(0))) {
-      claimed = bringBack(spec, tasks.size(), zones, start);
+    if (spec.priority() == Priority.PRODUCTION && spec.shape() == Shape.SERVICE && job.restarted.get(job.firstPending())) {
+      claimed = bringBack(spec, wanted, zones, start);
     }
-    fill(spec, Room.NOW, tasks.size() - next[0] - claimed, zones, start);
-    int placed = next[0];
-    claimed += claimLater(spec, tasks.size() - placed - claimed, zones, true);
-    usage.take(spec, placed + claimed);
+    fill(spec, Room.NOW, wanted - placed[0] - claimed, zones, start);
+    claimed += claimLater(job, wanted - placed[0] - claimed, zones);
+    usage.take(spec, placed[0] + claimed);
     if (!placements.isEmpty()) {
       plan.starts.add(new Plan.Start(job, placements));
     }
@@ -191,12 +201,14 @@
     return claimed;
   }
 
-  /** Tasks that the straggler rounds have sent to a machine go there if they still can. */
-  private void grantWishes(Job job, List<Integer> tasks, Zones zones, List<Plan.Placement> placements) {
+  /** Tasks that the straggler rounds have sent to a machine go there if they still can; tells which. */
+  private BitSet grantWishes(Job job, int wanted, Zones zones, List<Plan.Placement> placements) {
+    BitSet granted = new BitSet();
     if (job.wishes.isEmpty()) {
-      return;
+      return granted;
     }
-    for (Integer task : List.copyOf(tasks)) {
+    for (PrimitiveIterator.OfInt tasks = job.pending(); tasks.hasNext() && placements.size() < wanted; ) {
+      int task = tasks.nextInt();
       String wish = job.wishes.get(task);
       if (wish == null) {
         continue;
@@ -205,18 +217,27 @@
         if (s.machine.name.equals(wish)) {
           take(s, job.spec, 1, zones);
           usage.take(job.spec, 1);
-          tasks.remove(task);
+          granted.set(task);
           placements.add(new Plan.Placement(task, s.machine));
           break;
         }
       }
     }
+    return granted;
   }
 
   private interface Taken {
     void by(Slot slot, int tasks);
   }
 
+  /**
+   * Nothing of this was promised to anybody: it takes what there is and what is cheap. A guest's array of
+   * thousands of tasks once had every machine of the cloud rented, and then there was none for the others.
+   */
+  public static boolean patient(Settings settings, JobSpec spec) {
+    return spec.priority() == Priority.LOW || (spec.priority() != Priority.PRODUCTION && settings.guest(spec.team()));
+  }
+
   /** Gives up to {@code wanted} tasks such room, best slots first; tells how many got it. */
   private int fill(JobSpec spec, Room room, int wanted, Zones zones, Taken taken) {
     return fill(spec, room, wanted, zones, s -> score(spec, s, zones), taken);
@@ -250,20 +271,26 @@
   }
 
   /** Claims room that will be there: freed, made by stopping others, booting, or rented. */
-  private int claimLater(JobSpec spec, int wanted, Zones zones, boolean mayStop) {
+  private int claimLater(Job job, int wanted, Zones zones) {
+    JobSpec spec = job.spec;
     Taken nothing = (s, n) -> {};
     int done = fill(spec, Room.FREEING, wanted, zones, nothing);
-    if (mayStop && done < wanted && spec.priority() == Priority.PRODUCTION) {
+    if (done < wanted && spec.priority() == Priority.PRODUCTION) {
       done += preemption.makeRoom(spec, wanted - done, zones, s -> true);
     }
-    return done + claimNew(queueing.waiting(spec), wanted - done, zones);
+    done += claimNew(queueing.waiting(spec), wanted - done, zones);
+    if (done < wanted && settings.zones().stream().noneMatch(z -> zones.room(z) > 0 && market.canBuy(spec, z))) {
+      done += preemption.giveGuarantee(job, wanted - done, zones);
+    }
+    return done;
   }
 
   private int claimNew(JobSpec spec, int wanted, Zones zones) {
     Taken nothing = (s, n) -> {};
     int done = fill(spec, Room.COMING, wanted, zones, nothing);
     done += fill(spec, Room.NEW, wanted - done, zones, nothing);
-    boolean ordinaryToo = queueing.worthOrdinary(spec);
+    boolean cheapOnly = patient(settings, spec) && spec.spot() && (slots.anySpot() || market.spotToBeHad(spec));
+    boolean ordinaryToo = !cheapOnly && queueing.worthOrdinary(spec);
     while (done < wanted) {
       Slot s = market.buy(spec, zones, ordinaryToo);
       if (s == null) {
@@ -363,7 +390,7 @@
     }
     Zones zones = new Zones(spec, first);
     int now = fill(spec, Room.NOW, spec.tasks(), zones, (s, n) -> {});
-    claimLater(spec, spec.tasks() - now, zones, true);
+    claimLater(job, spec.tasks() - now, zones);
   }
 
   private boolean startGang(Job job, String zone) {
--- a/src/main/java/io/embernotch/plan/Preemption.java
+++ b/src/main/java/io/embernotch/plan/Preemption.java
@@ -1,8 +1,12 @@
 package io.embernotch.plan;
 
 import io.embernotch.model.Attempt;
+import io.embernotch.model.Job;
 import io.embernotch.model.JobSpec;
+import io.embernotch.model.Load;
+import io.embernotch.model.Priority;
 import io.embernotch.model.Shape;
+import io.embernotch.settings.Settings;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
@@ -10,18 +14,38 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
 
 /**
- * For live services only. Gangs of high priority once had arrays stopped as well, but guaranteed
- * arrays come before them in the order and took the room back, twenty times a second.
+ * Who is stopped for whom. Live services have any work of lower priority stopped. What is within its team's
+ * guarantee and finds no machine to be had has work stopped that others run beyond theirs: all of teams
+ * without any guarantee, else what is of lower priority. A guest's array that had filled every machine once
+ * kept guaranteed gangs waiting for minutes, since single places came free and whole machines never did.
+ *
+ * <p>Gangs of high priority once had any arrays stopped as well, but guaranteed arrays come before them in
+ * the order and took the room back, twenty times a second. What is guaranteed is never stopped for them now,
+ * and what is not comes behind them.
  */
 final class Preemption {
+  private static final double EPS = 1e-6;
+
+  /** Looking through all machines costs time, so a few jobs a plan may; there are several plans a second. */
+  private static final int MOST_LOOKS = 8;
+
+  /** The best of so many times the machines that are needed will do. */
+  private static final int ENOUGH = 2;
+
+  private final Settings settings;
   private final Slots slots;
   private final Plan plan;
   private final double now;
   private final Set<Attempt> stopped = Collections.newSetFromMap(new IdentityHashMap<>());
+  private int looks;
+  /** Machines that run what is beyond a guarantee; null until somebody asks. */
+  private List<Slot> lenders;
 
-  Preemption(Slots slots, Plan plan, double now) {
+  Preemption(Settings settings, Slots slots, Plan plan, double now) {
+    this.settings = settings;
     this.slots = slots;
     this.plan = plan;
     this.now = now;
@@ -29,38 +53,77 @@
 
   /** Stops work of lower priority where that destroys least, for up to {@code wanted} tasks. */
   int makeRoom(JobSpec spec, int wanted, Zones zones, Predicate<Slot> allowed) {
+    // A live service does not wait for others to save; they fall back to their last checkpoint.
+    return makeRoom(
+        spec, wanted, zones, slots.all(), s -> s.least != null && s.least.compareTo(spec.priority()) < 0 && allowed.test(s),
+        a -> a.job.spec.priority().compareTo(spec.priority()) < 0, a -> 0);
+  }
+
+  /** Stops what others run beyond their guarantees, for up to {@code wanted} tasks of a job within its team's. */
+  int giveGuarantee(Job job, int wanted, Zones zones) {
+    if (!job.guaranteed || ++looks > MOST_LOOKS) {
+      return 0;
+    }
+    if (lenders == null) {
+      lenders = slots.all().stream().filter(s -> s.kind == Slot.Kind.READY && runsBeyond(s)).toList();
+    }
+    return makeRoom(
+        job.spec, wanted, zones, lenders, s -> true, a -> beyond(a.job, job),
+        a -> a.job.spec.checkpointS() > 0 ? a.job.spec.saveS() : 0);
+  }
+
+  private static boolean runsBeyond(Slot s) {
+    for (Attempt a : s.machine.open.values()) {
+      if (!a.job.guaranteed && a.job.spec.priority() != Priority.PRODUCTION) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private boolean beyond(Job other, Job job) {
+    if (other.guaranteed || other.spec.priority() == Priority.PRODUCTION || other.spec.team().equals(job.spec.team())) {
+      return false;
+    }
+    return settings.guest(other.spec.team()) || other.spec.priority().compareTo(job.spec.priority()) < 0;
+  }
+
+  private int makeRoom(
+      JobSpec spec, int wanted, Zones zones, List<Slot> from, Predicate<Slot> allowed, Predicate<Attempt> may,
+      ToDoubleFunction<Attempt> graceS) {
     if (wanted <= 0) {
       return 0;
     }
     List<Slot> hosts = new ArrayList<>();
-    for (Slot s : slots.all()) {
-      if (s.kind != Slot.Kind.READY
-          || s.least == null
-          || s.least.compareTo(spec.priority()) >= 0
-          || !s.allows(spec)
-          || !allowed.test(s)
-          || zones.room(s.zone) == 0) {
+    for (Slot s : from) {
+      if (s.kind != Slot.Kind.READY || !allowed.test(s) || !s.allows(spec) || zones.room(s.zone) == 0) {
         continue;
       }
-      List<Attempt> victims = victims(spec, s);
+      List<Attempt> victims = victims(spec, s, may);
       if (victims != null) {
+        if (from == lenders && hosts.size() > ENOUGH * wanted) {
+          break;
+        }
         s.score = s.fetchS(spec) + victims.stream().mapToDouble(this::lost).sum() / victims.size();
         hosts.add(s);
       }
     }
+    if (spec.shape() == Shape.GANG && hosts.stream().mapToInt(s -> most(spec, s, may)).sum() < wanted) {
+      // All of it starts or none does: half of its room would be stopped for nothing.
+      return 0;
+    }
     hosts.sort(Comparator.comparingDouble(s -> s.score));
     int made = 0;
     for (Slot s : hosts) {
       while (made < wanted && zones.room(s.zone) > 0) {
-        List<Attempt> victims = victims(spec, s);
+        List<Attempt> victims = victims(spec, s, may);
         if (victims == null) {
           break;
         }
         for (Attempt a : victims) {
           stopped.add(a);
           s.willFree(a.job.spec);
-          // A live service does not wait for others to save; they fall back to their last checkpoint.
-          plan.stops.add(new Plan.Stop(a, 0, "room for " + spec.ref()));
+          plan.stops.add(new Plan.Stop(a, graceS.applyAsDouble(a), "room for " + spec.ref()));
         }
         s.take(spec, 1);
         s.claimed = true;
@@ -78,31 +141,51 @@
     return a.job.spec.checkpointS() > 0 ? Math.min(ran, a.job.spec.checkpointS() / 2) : ran;
   }
 
-  /** What must go for one such task, or null if there is not enough of lower priority. */
-  private List<Attempt> victims(JobSpec spec, Slot s) {
-    List<Attempt> lower = new ArrayList<>();
+  /** What must go for one such task, and nothing besides; null if what may go is not enough. */
+  private List<Attempt> victims(JobSpec spec, Slot s, Predicate<Attempt> may) {
+    List<Attempt> out = new ArrayList<>();
+    double cpus = s.cpus + s.freeingCpus - spec.cpus();
+    double gpus = s.gpus + s.freeingGpus - spec.gpus();
+    double mem = s.mem + s.freeingMem - spec.memGb();
     for (Attempt a : s.machine.open.values()) {
-      if (!a.stopping && !stopped.contains(a) && a.job.spec.priority().compareTo(spec.priority()) < 0) {
-        lower.add(a);
+      if (!a.stopping && !stopped.contains(a) && may.test(a)) {
+        out.add(a);
+        cpus += a.job.spec.cpus();
+        gpus += a.job.spec.gpus();
+        mem += a.job.spec.memGb();
       }
     }
-    lower.sort(
+    if (out.isEmpty() || lacks(cpus, gpus, mem)) {
+      return null;
+    }
+    // What is worth most is spared first; tiny tasks beside large ones mostly need not go.
+    out.sort(
         Comparator.comparing((Attempt a) -> a.job.spec.priority())
             .thenComparing(a -> a.job.spec.shape() == Shape.GANG)
             .thenComparingDouble(this::lost));
-    double cpus = s.cpus + s.freeingCpus;
-    double gpus = s.gpus + s.freeingGpus;
-    double mem = s.mem + s.freeingMem;
-    List<Attempt> out = new ArrayList<>();
-    for (Attempt a : lower) {
-      if (!out.isEmpty() && cpus >= spec.cpus() && gpus >= spec.gpus() && mem >= spec.memGb()) {
-        break;
+    for (int i = out.size() - 1; i >= 0; i--) {
+      JobSpec j = out.get(i).job.spec;
+      if (!lacks(cpus - j.cpus(), gpus - j.gpus(), mem - j.memGb())) {
+        cpus -= j.cpus();
+        gpus -= j.gpus();
+        mem -= j.memGb();
+        out.remove(i);
       }
-      out.add(a);
-      cpus += a.job.spec.cpus();
-      gpus += a.job.spec.gpus();
-      mem += a.job.spec.memGb();
     }
-    return !out.isEmpty() && cpus >= spec.cpus() && gpus >= spec.gpus() && mem >= spec.memGb() ? out : null;
+    return out.isEmpty() ? null : out;
+  }
+
+  /** How many such tasks there is room for once all that may go is gone. */
+  private int most(JobSpec spec, Slot s, Predicate<Attempt> may) {
+    double share = Double.MAX_VALUE;
+    Load there = new Load(s.machine.open.values().stream().filter(a -> !a.stopping && !stopped.contains(a) && may.test(a)).toList());
+    share = Math.min(share, spec.cpus() <= 0 ? share : (s.cpus + s.freeingCpus + there.cpus) / spec.cpus());
+    share = Math.min(share, spec.gpus() <= 0 ? share : (s.gpus + s.freeingGpus + there.gpus) / spec.gpus());
+    share = Math.min(share, spec.memGb() <= 0 ? share : (s.mem + s.freeingMem + there.memGb) / spec.memGb());
+    return (int) Math.floor(share + EPS);
+  }
+
+  private static boolean lacks(double cpus, double gpus, double mem) {
+    return cpus < -EPS || gpus < -EPS || mem < -EPS;
   }
 }
--- a/src/main/java/io/embernotch/plan/Slots.java
+++ b/src/main/java/io/embernotch/plan/Slots.java
@@ -36,11 +36,18 @@
   private final List<Slot> bare = new ArrayList<>();
   private final List<Slot> coming = new ArrayList<>();
   private final List<Slot> fresh = new ArrayList<>();
+  private boolean anySpot;
   private final Map<String, Integer> inZone = new HashMap<>();
 
+  /** There is a machine at the cheap price, up or coming. */
+  boolean anySpot() {
+    return anySpot;
+  }
+
   void add(Slot s) {
     all.add(s);
     inZone.merge(s.zone, 1, Integer::sum);
+    anySpot |= s.spot;
     if (!s.full()) {
       if (!s.gpusTaken()) {
         open(s).add(s);
--- a/src/main/java/io/embernotch/settings/Settings.java
+++ b/src/main/java/io/embernotch/settings/Settings.java
@@ -26,7 +26,18 @@
   public record Member(String node, String location, HostPort address) {}
 
   /** What a team is guaranteed and what it may use at most; 0 means none. */
-  public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {}
+  public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {
+    /** Nothing is guaranteed to it. */
+    public boolean guest() {
+      return cpus <= 0 && gpus <= 0;
+    }
+  }
+
+  /** A team that nothing is guaranteed to, or one that the settings do not know. */
+  public boolean guest(String team) {
+    Team t = teams.get(team);
+    return t == null || t.guest();
+  }
 
   /** One aim; fields that its kind does not use are 0 or null. */
   public record Objective(String kind, String jobClass, double withinS, double share) {}
--- a/src/main/java/io/embernotch/steward/Steward.java
+++ b/src/main/java/io/embernotch/steward/Steward.java
@@ -32,6 +32,7 @@
 import io.embernotch.model.MachineType;
 import io.embernotch.model.WorkerReport;
 import io.embernotch.peer.Frame;
+import io.embernotch.plan.Planner;
 import io.embernotch.progress.Committer;
 import io.embernotch.progress.JobWatch;
 import io.embernotch.progress.Layout;
@@ -66,7 +67,7 @@
   private final RestartDesk restarts;
   private final Outcomes outcomes;
   private final ImageNews.Teller images;
-  private final Demand demand = new Demand();
+  private final Demand demand;
   private final Layout layout;
   private final Chains chains;
   private final Endings endings;
@@ -94,6 +95,7 @@
     this.host = host;
     this.epoch = epoch;
     this.stamp = stamp;
+    this.demand = new Demand(spec -> Planner.patient(env.settings(), spec));
     this.acquiredAt = env.clock().now();
     this.base = base;
     this.begunWith = begunWith;
--- a/src/test/java/io/embernotch/plan/PlannerTest.java
+++ b/src/test/java/io/embernotch/plan/PlannerTest.java
@@ -23,7 +23,10 @@
   private static final MachineType G8 =
       new MachineType("g8", 48, 8, 288, 100, 1, 12, 4, 60, List.of("z1", "z2"));
 
-  private final Planner planner = new Planner(SettingsReader.parse(World.toml(0)), OperatorSettings.DEFAULTS);
+  /** A team without a guarantee. */
+  private static final String GUESTS = "[[cluster.teams]]\nname = 'guests'\ngpus = 0.0\ngpus_max = 0.0\n";
+
+  private final Planner planner = new Planner(SettingsReader.parse(World.toml(0) + GUESTS), OperatorSettings.DEFAULTS);
   private final List<Job> jobs = new ArrayList<>();
   private final List<Machine> machines = new ArrayList<>();
   private boolean full;
@@ -63,6 +66,78 @@
     return job(ref, "group", 1).replace("standard", "high").replace("\"cards\":1.0", "\"cards\":8.0").replace("\"owner\":\"red\"", "\"owner\":\"blue\"");
   }
 
+  private Job guests(String ref, int tasks, Machine m) {
+    Job array = add(job(ref, "array", tasks).replace("\"owner\":\"red\"", "\"owner\":\"guests\""));
+    for (int i = 0; i < tasks; i++) {
+      run(array, i, m);
+    }
+    return array;
+  }
+
+  /** A guest's array on every machine kept gangs within their team's guarantee waiting for minutes. */
+  @Test
+  void whatIsGuaranteedHasGuestsStoppedOnceNoMachineIsToBeHad() {
+    Machine m = machine("n-1", false);
+    Job array = guests("j-1", 8, m);
+    Job tiny = add(job("j-2", "array", 1).replace("\"owner\":\"red\"", "\"owner\":\"guests\"").replace("\"cards\":1.0", "\"cards\":0.0").replace("standard", "idle"));
+    run(tiny, 0, m);
+    add(gang("j-3").replace("\"cores\":4.0", "\"cores\":8.0"));
+    assertThat(plan().stops).isEmpty();
+    full = true;
+    Plan plan = plan();
+    // What need not go stays, and what can save may.
+    assertThat(plan.stops).hasSize(8).allMatch(s -> s.attempt().job == array && s.graceS() > 0);
+    array.open.values().forEach(a -> a.stopping = true);
+    m.touched();
+    assertThat(plan().stops).isEmpty();
+  }
+
+  /** A guest's array had every ordinary machine rented, which left none for gangs within their guarantee. */
+  @Test
+  void guestsHaveNoDearMachinesRentedWhileThereAreCheapOnes() {
+    spotFull = true;
+    Job array = add(job("j-1", "array", 50_000).replace("\"owner\":\"red\"", "\"owner\":\"guests\""));
+    machine("n-1", true);
+    Plan plan = plan();
+    assertThat(plan.starts.get(0).placements()).hasSize(8);
+    assertThat(plan.buys).isEmpty();
+    machines.clear();
+    // Where there are none at all, they would else wait for ever.
+    assertThat(plan().buys).isNotEmpty();
+    array.cancelling = true;
+    add(job("j-2", "array", 50));
+    machine("n-2", true);
+    assertThat(plan().buys).isNotEmpty();
+  }
+
+  @Test
+  void aGangThatGuestsCannotMakeRoomForStopsNothingAndNeitherDoesWhatIsNotGuaranteed() {
+    full = true;
+    Machine m = machine("n-1", false);
+    guests("j-1", 4, m);
+    Job array = add(job("j-4", "array", 4));
+    for (int i = 0; i < 4; i++) {
+      run(array, i, m);
+    }
+    Job two = add(gang("j-2").replace("\"shards\":1", "\"shards\":2").replace("\"cards\":8.0", "\"cards\":4.0"));
+    assertThat(plan().stops).isEmpty();
+    jobs.remove(two);
+    add(gang("j-3").replace("\"owner\":\"blue\"", "\"owner\":\"guests\""));
+    assertThat(plan().stops).isEmpty();
+  }
+
+  @Test
+  void whatIsGuaranteedIsNotStoppedForOthers() {
+    full = true;
+    Machine m = machine("n-1", false);
+    Job array = add(job("j-1", "array", 8));
+    for (int i = 0; i < 8; i++) {
+      run(array, i, m);
+    }
+    add(gang("j-2"));
+    assertThat(plan().stops).isEmpty();
+  }
+
   /** After a takeover live services waited for a plan of everything, and four times as long for the next. */
   @Test
   void aPlanForLiveServicesPlacesThemAsTheWholePlanDoesAndTouchesNothingElse() {
