What waited in the buffers of a process that stood still is given up

After standing still for longer than anybody waits the front closes what it had open and what had waited to be accepted. HttpFrontTest fails without.

--- a/src/main/java/io/embernotch/http/HttpFront.java
+++ b/src/main/java/io/embernotch/http/HttpFront.java
@@ -13,10 +13,14 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
@@ -57,7 +61,9 @@
   private final Latencies latencies = new Latencies();
   private final int crowd;
   private final int backlog;
-  private int connections;
+  private final Set<HttpConnection> connections = new HashSet<>();
+  private double turnAt;
+  private double staleUntil = -1e9;
   private HttpServer server;
   private Context front;
   private Answer lastReady = Answer.later("starting");
@@ -83,15 +89,45 @@
     options.setTcpNoDelay(true).setReuseAddress(true).setAcceptBacklog(backlog);
     server = vertx.createHttpServer(options);
     server.requestHandler(this::handle);
-    server.connectionHandler(c -> {
-      connections++;
-      c.closeHandler(v -> connections--);
-    });
+    server.connectionHandler(this::opened);
+    turnAt = clock.now();
+    tick();
     server.exceptionHandler(e -> LOG.debug("connection failed: {}", e.getMessage()));
     timers.after(logEveryS, this::logLatencies);
     return server.listen(at.port(), at.host()).mapEmpty();
   }
 
+  private void opened(HttpConnection connection) {
+    if (stale()) {
+      connection.close();
+      return;
+    }
+    connections.add(connection);
+    connection.closeHandler(v -> connections.remove(connection));
+  }
+
+  private void tick() {
+    stale();
+    timers.after(READY_S, this::tick);
+  }
+
+  /**
+   * After a process has stood still for longer than anybody waits, what lies in its buffers is told to nobody:
+   * reports that were as old as that once made a thousand tasks and machines that were gone look alive to a new
+   * steward. All that was sent so far is given up, and so is what connects in the next moment, which is what
+   * has waited to be accepted. True within that moment.
+   */
+  private boolean stale() {
+    double now = clock.now();
+    if (now - turnAt > SUBMIT_S) {
+      LOG.info("stood still for {} s, {} connections are closed", Math.round(now - turnAt), connections.size());
+      staleUntil = now + READY_S;
+      List.copyOf(connections).forEach(HttpConnection::close);
+    }
+    turnAt = now;
+    return now < staleUntil;
+  }
+
   private void logLatencies() {
     String line = latencies.line();
     if (line != null) {
@@ -108,6 +144,10 @@
   }
 
   private void handle(HttpServerRequest request) {
+    if (stale()) {
+      request.connection().close();
+      return;
+    }
     request.exceptionHandler(e -> LOG.debug("request failed: {}", e.getMessage()));
     Gather gather = new Gather(request);
     request.handler(gather::add);
@@ -146,7 +186,7 @@
                     LOG.error("{} {} failed", request.method(), request.path(), r.cause());
                   }
                   latencies.record(kind(request.path()), clock.now() - since);
-                  boolean parts = connections > crowd && request.path().equals("/hello");
+                  boolean parts = connections.size() > crowd && request.path().equals("/hello");
                   if (parts) {
                     request.response().putHeader("connection", "close");
                   }
--- a/src/test/java/io/embernotch/http/HttpFrontTest.java
+++ b/src/test/java/io/embernotch/http/HttpFrontTest.java
@@ -90,6 +90,22 @@
     assertThat(await(busy)).isEqualTo(200);
   }
 
+  /** Reports that had waited in the buffers of a process that stood still were taken for fresh. */
+  @Test
+  void whatCameWhileTheProcessStoodStillIsGivenUp() throws Exception {
+    Future<Integer> before = ask(HttpMethod.GET, "/api/jobs/j-1", "");
+    runNext();
+    assertThat(await(before)).isEqualTo(200);
+    time.pass(30);
+    Future<Integer> late = ask(HttpMethod.GET, "/api/jobs/j-1", "");
+    assertThat(late.toCompletionStage().toCompletableFuture()).failsWithin(20, TimeUnit.SECONDS);
+    assertThat(core).isEmpty();
+    time.pass(1);
+    Future<Integer> after = ask(HttpMethod.GET, "/api/jobs/j-1", "");
+    runNext();
+    assertThat(await(after)).isEqualTo(200);
+  }
+
   /** With fewer connections than workers, those that came first kept theirs, and the others lost what they ran. */
   @Test
   void inACrowdWorkersTakeTurns() throws Exception {
