--- a/src/main/java/io/embernotch/http/HttpFront.java
+++ b/src/main/java/io/embernotch/http/HttpFront.java
@@ -119,12 +119,13 @@
    */
   private boolean stale() {
     double now = clock.now();
-    if (now - turnAt > SUBMIT_S) {
-      LOG.info("stood still for {} s, {} connections are closed", Math.round(now - turnAt), connections.size());
+    double stood = now - turnAt;
+    turnAt = now;
+    if (stood > SUBMIT_S) {
+      LOG.info("stood still for {} s, {} connections are closed", Math.round(stood), connections.size());
       staleUntil = now + READY_S;
       List.copyOf(connections).forEach(HttpConnection::close);
     }
-    turnAt = now;
     return now < staleUntil;
   }
 
