A gang that waits gathers whole machines, and its team's quota

Need: the largest jobs must begin within four minutes; places that came free one by one were followed at once by smaller tasks, so whole machines never did, and a gang over its team's free quota was overtaken by the team's small jobs for as long as they came. Change: after a worker's lease some machines take nothing new but what ends before they are empty, a quarter of those up at the most. Measured: in a test on a full fleet a gang of three begins within 240 s.

--- /dev/null
+++ b/src/main/java/io/embernotch/plan/Gathering.java
@@ -0,0 +1,163 @@
+package io.embernotch.plan;
+
+import io.embernotch.model.Attempt;
+import io.embernotch.model.Job;
+import io.embernotch.model.JobSpec;
+import io.embernotch.model.Shape;
+import io.embernotch.settings.Settings;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Room for gangs that wait and find neither enough free machines nor any to be had. Places that come free one by one are
+ * followed at once by what is smaller, so without this a gang of whole machines may wait for as long as small tasks
+ * do not run out. Some machines therefore take nothing new but what will have ended before they are empty. How many
+ * grows with what the gang has waited, and all gangs together hold a bounded share of the machines, so that the house is
+ * not emptied for one of them.
+ */
+final class Gathering {
+  /** Workers' leases that a gang waits before room is gathered for it, and until it is for all of its tasks. */
+  private static final double FIRST_LEASES = 1;
+
+  private static final double WHOLE_LEASES = 2;
+
+  /** Largest share of the machines that are up that is held so. */
+  private static final double MOST_SHARE = 0.25;
+
+  /** Owners' estimates are often wrong by half. */
+  private static final double DOUBT = 1.5;
+
+  /** What a task takes; machines are looked through once for each. */
+  private record Size(double cpus, double gpus, double memGb) {}
+
+  private record Host(Slot slot, double emptyInS) {}
+
+  private final Slots slots;
+  private final Settings settings;
+  private final Market market;
+  private final double now;
+  private final long wallMs;
+  private final Map<Size, List<Host>> hosts = new HashMap<>();
+  private int left;
+
+  Gathering(Slots slots, Settings settings, Market market, double now, long wallMs) {
+    this.slots = slots;
+    this.settings = settings;
+    this.market = market;
+    this.now = now;
+    this.wallMs = wallMs;
+  }
+
+  /** Whether a job has waited for so long that room, and its team's quota, are held for it. */
+  boolean aged(Job job) {
+    return waitedLeases(job) > FIRST_LEASES;
+  }
+
+  private double waitedLeases(Job job) {
+    return (wallMs - job.sinceMs) / 1000.0 / settings.workers().leaseS();
+  }
+
+  /** Holds machines for the gangs among these jobs that need it, in this order. */
+  void hold(List<Job> order) {
+    left = (int) (MOST_SHARE * slots.all().stream().filter(s -> s.kind == Slot.Kind.READY).count());
+    for (Job job : order) {
+      boolean waits = job.spec.shape() == Shape.GANG && job.open.isEmpty() && !job.fails() && aged(job);
+      if (waits && left > 0 && settings.zones().stream().noneMatch(z -> market.canBuy(job.spec, z))) {
+        gather(job);
+      }
+    }
+  }
+
+  private void gather(Job job) {
+    JobSpec spec = job.spec;
+    double grown = Math.min(1, (waitedLeases(job) - FIRST_LEASES) / (WHOLE_LEASES - FIRST_LEASES));
+    int wanted = Math.min(left, (int) Math.ceil(grown * spec.tasks()));
+    List<Host> best = List.of();
+    if (spec.oneZone()) {
+      for (String zone : settings.zones()) {
+        List<Host> there = soonest(spec, wanted, new Zones(spec, zone));
+        if (there.size() > best.size() || (there.size() == best.size() && lastS(there) < lastS(best))) {
+          best = there;
+        }
+      }
+    } else {
+      best = soonest(spec, wanted, new Zones(spec, null));
+    }
+    for (Host h : best) {
+      h.slot.heldFor = spec.ref();
+      h.slot.heldS = h.emptyInS;
+      left--;
+    }
+  }
+
+  private static double lastS(List<Host> hosts) {
+    return hosts.isEmpty() ? 0 : hosts.get(hosts.size() - 1).emptyInS;
+  }
+
+  /** The machines that will have room for one such task first. */
+  private List<Host> soonest(JobSpec spec, int wanted, Zones zones) {
+    List<Host> out = new ArrayList<>();
+    for (Host h : hosts.computeIfAbsent(new Size(spec.cpus(), spec.gpus(), spec.memGb()), z -> inOrder(spec))) {
+      if (out.size() < wanted && h.slot.heldFor == null && h.slot.allows(spec) && zones.room(h.slot.zone) > 0) {
+        zones.put(h.slot.zone, 1);
+        out.add(h);
+      }
+    }
+    return out;
+  }
+
+  private List<Host> inOrder(JobSpec spec) {
+    List<Host> out = new ArrayList<>();
+    for (Slot s : slots.all()) {
+      if (s.kind == Slot.Kind.READY && s.type.fits(spec)) {
+        double emptyInS = emptyInS(s, spec);
+        if (emptyInS < Double.MAX_VALUE) {
+          out.add(new Host(s, emptyInS));
+        }
+      }
+    }
+    out.sort(Comparator.comparingDouble(Host::emptyInS));
+    return out;
+  }
+
+  /** Seconds until there is room for one such task. */
+  private double emptyInS(Slot s, JobSpec spec) {
+    List<Attempt> there = new ArrayList<>(s.machine.open.values());
+    there.sort(Comparator.comparingDouble(this::leftS));
+    double cpus = s.cpus - spec.cpus();
+    double gpus = s.gpus - spec.gpus();
+    double mem = s.mem - spec.memGb();
+    double at = 0;
+    for (Attempt a : there) {
+      if (!Preemption.lacks(cpus, gpus, mem)) {
+        break;
+      }
+      at = leftS(a);
+      cpus += a.job.spec.cpus();
+      gpus += a.job.spec.gpus();
+      mem += a.job.spec.memGb();
+    }
+    return Preemption.lacks(cpus, gpus, mem) ? Double.MAX_VALUE : at;
+  }
+
+  /** Seconds that a task still has to run; a service has no end. */
+  private double leftS(Attempt a) {
+    if (a.stopping) {
+      return a.job.spec.saveS();
+    }
+    if (a.job.spec.shape() == Shape.SERVICE) {
+      return Double.MAX_VALUE;
+    }
+    return Math.max(1, DOUBT * Math.max(a.job.spec.expectS(), a.job.meanS()) - (now - a.createdAt));
+  }
+
+  /** Whether a task of this job may go to a machine that is held for another: it will have ended before it is empty. */
+  static boolean lets(Slot s, JobSpec spec) {
+    return s.heldFor == null
+        || s.heldFor.equals(spec.ref())
+        || (spec.shape() == Shape.ARRAY && spec.expectS() > 0 && DOUBT * spec.expectS() <= s.heldS);
+  }
+}
--- a/src/main/java/io/embernotch/plan/Planner.java
+++ b/src/main/java/io/embernotch/plan/Planner.java
@@ -28,9 +28,6 @@
  * else a machine is rented for them. What is claimed is not given to anybody behind.
  */
 public final class Planner {
-  /** How full a machine is counts for this many seconds of fetching. */
-  private static final double PACK_S = 8;
-
   private final Settings settings;
   private final OperatorSettings operator;
   private final int mostNew;
@@ -41,6 +38,7 @@
   private Market market;
   private Preemption preemption;
   private Queueing queueing;
+  private Gathering gathering;
   private Plan plan;
   /** Slots that may be filled at present. */
   private Predicate<Slot> only = s -> true;
@@ -54,6 +52,7 @@
 
   public Plan plan(
       double atTime,
+      long wallMs,
       Collection<Job> jobs,
       Collection<Machine> machines,
       Map<String, MachineType> types,
@@ -63,6 +62,8 @@
     List<Job> order = placeLive(atTime, jobs, machines, types, pools, expected);
     // Room for the next live service goes before all other work, or that would fill it.
     headroom.stream().filter(h -> h.like().priority() == Priority.PRODUCTION).forEach(this::keepFree);
+    gathering = new Gathering(slots, settings, market, now, wallMs);
+    gathering.hold(order);
     order.forEach(this::place);
     headroom.stream().filter(h -> h.like().priority() != Priority.PRODUCTION).forEach(this::keepFree);
     market.collect(plan);
@@ -240,7 +241,7 @@
 
   /** Gives up to {@code wanted} tasks such room, best slots first; tells how many got it. */
   private int fill(JobSpec spec, Room room, int wanted, Zones zones, Taken taken) {
-    return fill(spec, room, wanted, zones, s -> score(spec, s, zones), taken);
+    return fill(spec, room, wanted, zones, s -> Scores.of(spec, s, zones), taken);
   }
 
   private int fill(
@@ -315,30 +316,6 @@
     return !s.spot && !s.paidFor(spec);
   }
 
-  /** Seconds of delay, with what else speaks against a machine put in seconds as well. */
-  private static double score(JobSpec spec, Slot s, Zones zones) {
-    double score = s.fetchS(spec) - PACK_S * s.used();
-    if (spec.spot() && !s.spot) {
-      // Room beside a service is paid for already, and not lost to a reclaim; any other ordinary machine is dearer than spot.
-      score += s.paidFor(spec) ? -PACK_S : PACK_S / 2;
-    }
-    if (spec.gpus() <= 0 && s.type.gpus() > 0) {
-      // What needs no GPU goes where GPUs are taken, and leaves alone what they need to be of use.
-      score += PACK_S * (s.gpus / s.type.gpus() - (s.gpusTaken() ? 1 : 0));
-    }
-    if (spec.spread()) {
-      score += PACK_S * zones.in(s.zone) / Math.max(1, spec.tasks());
-    }
-    if (s.machine != null && s.machine.errorStreak > 0) {
-      score += 10 * PACK_S;
-    }
-    double performance = s.machine == null ? 0 : s.machine.performance();
-    if (performance > 0 && performance < 1) {
-      score += (1 / Math.max(0.1, performance) - 1) * spec.expectS() / 2;
-    }
-    return score;
-  }
-
   /** The zone where most tasks could start at once, then where most could start later. */
   private String bestZone(JobSpec spec, int wanted) {
     String best = null;
@@ -370,7 +347,14 @@
   /** All tasks start or none: what can't start now holds its claims until the rest is there. */
   private void placeGang(Job job) {
     JobSpec spec = job.spec;
-    if (!job.open.isEmpty() || usage.room(spec) < spec.tasks()) {
+    if (!job.open.isEmpty()) {
+      return;
+    }
+    if (usage.room(spec) < spec.tasks()) {
+      if (gathering.aged(job)) {
+        // Else its team's smaller jobs would use up the limit for as long as they come.
+        usage.take(spec, spec.tasks());
+      }
       return;
     }
     usage.take(spec, spec.tasks());
@@ -396,7 +380,7 @@
   private boolean startGang(Job job, String zone) {
     JobSpec spec = job.spec;
     Zones zones = new Zones(spec, zone);
-    List<Slot> hosts = slots.candidates(Room.NOW, spec, s -> zones.room(s.zone) > 0, s -> score(spec, s, zones));
+    List<Slot> hosts = slots.candidates(Room.NOW, spec, s -> zones.room(s.zone) > 0, s -> Scores.of(spec, s, zones));
     Zones probe = new Zones(spec, zone);
     int there = 0;
     for (Slot s : hosts) {
@@ -425,7 +409,7 @@
   private void keepFree(Fleet.Headroom h) {
     Zones anywhere = Zones.anywhere();
     // Nobody knows the next job's image, so machines that have many are kept, and young ones returned.
-    ToDoubleFunction<Slot> score = s -> -PACK_S * s.used() - (s.machine == null ? 0 : s.machine.images.size());
+    ToDoubleFunction<Slot> score = s -> -Scores.PACK_S * s.used() - (s.machine == null ? 0 : s.machine.images.size());
     int now = fill(h.like(), Room.NOW, h.count(), anywhere, score, (s, n) -> {});
     if (h.like().shape() == Shape.GANG) {
       now += fill(h.like(), Room.FREEING, h.count() - now, anywhere, score, (s, n) -> {});
--- a/src/main/java/io/embernotch/plan/Preemption.java
+++ b/src/main/java/io/embernotch/plan/Preemption.java
@@ -185,7 +185,7 @@
     return (int) Math.floor(share + EPS);
   }
 
-  private static boolean lacks(double cpus, double gpus, double mem) {
+  static boolean lacks(double cpus, double gpus, double mem) {
     return cpus < -EPS || gpus < -EPS || mem < -EPS;
   }
 }
--- a/src/main/java/io/embernotch/plan/Slot.java
+++ b/src/main/java/io/embernotch/plan/Slot.java
@@ -35,6 +35,9 @@
   boolean pinned;
   /** Least priority of what runs there and is not being stopped; null if nothing is. */
   Priority least;
+  /** The gang that this machine is held for until it has room for one of its tasks, and in how many seconds; or null. */
+  String heldFor;
+  double heldS;
   /** How well it suits the job that is being placed: less is better. */
   double score;
   private Set<String> fetching = Set.of();
--- a/src/main/java/io/embernotch/plan/Slots.java
+++ b/src/main/java/io/embernotch/plan/Slots.java
@@ -128,7 +128,7 @@
   private static void add(
       List<Slot> from, List<Slot> out, Room room, JobSpec spec, Predicate<Slot> allowed, ToDoubleFunction<Slot> score) {
     for (Slot s : from) {
-      if (s.count(spec, room == Room.FREEING) > 0 && s.allows(spec) && allowed.test(s)) {
+      if (s.count(spec, room == Room.FREEING) > 0 && s.allows(spec) && Gathering.lets(s, spec) && allowed.test(s)) {
         s.score = score.applyAsDouble(s);
         out.add(s);
       }
--- a/src/main/java/io/embernotch/steward/Planning.java
+++ b/src/main/java/io/embernotch/steward/Planning.java
@@ -121,8 +121,8 @@
             ? planner.liveOnly(
                 now, ledger.jobs.values(), ledger.machines.values(), ledger.types, fleet::exhausted, fleet.expected())
             : planner.plan(
-                now, ledger.jobs.values(), ledger.machines.values(), ledger.types, fleet::exhausted, fleet.expected(),
-                demand.headroom(env.operator(), ledger.types.values(), ledger.jobs.values(), now));
+                now, env.clock().wallMs(), ledger.jobs.values(), ledger.machines.values(), ledger.types, fleet::exhausted,
+                fleet.expected(), demand.headroom(env.operator(), ledger.types.values(), ledger.jobs.values(), now));
     tookS = env.clock().now() - now;
     plans.record(liveFirst ? "live plan" : "plan", tookS);
     for (Plan.Stop s : plan.stops) {
--- a/src/test/java/io/embernotch/plan/PlannerTest.java
+++ b/src/test/java/io/embernotch/plan/PlannerTest.java
@@ -15,6 +15,7 @@
 import io.embernotch.settings.SettingsReader;
 import io.embernotch.testkit.World;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -30,10 +31,11 @@
   private final List<Job> jobs = new ArrayList<>();
   private final List<Machine> machines = new ArrayList<>();
   private boolean full;
+  private long wallMs;
   private boolean spotFull;
 
   private Plan plan() {
-    return planner.plan(1000, jobs, machines, Map.of("g8", G8), (t, z, s) -> full || s && spotFull, List.of(), List.of());
+    return planner.plan(1000, wallMs, jobs, machines, Map.of("g8", G8), (t, z, s) -> full || s && spotFull, List.of(), List.of());
   }
 
   private Job add(String json) {
@@ -54,6 +56,49 @@
     return m;
   }
 
+  private static final String WHOLE = job("j-9", "group", 3).replace("\"cards\":1.0", "\"cards\":8.0").replace("\"loaner\":true", "\"loaner\":false");
+
+  /** Seconds until a gang of whole machines begins on a full fleet whose small tasks, always enough, last 20 s each. */
+  private int gangBeginsAfter(int mostS) {
+    full = true;
+    Job small = add(job("j-1", "array", 100_000).replace("red", "blue"));
+    for (int i = 0; i < 8; i++) {
+      machine("n-" + i, false);
+    }
+    Job gang = add(WHOLE);
+    Map<Attempt, Integer> ends = new HashMap<>();
+    for (int s = 0; s < mostS; s++) {
+      wallMs = 1000L * s;
+      for (Map.Entry<Attempt, Integer> e : Map.copyOf(ends).entrySet()) {
+        if (e.getValue() <= s) {
+          Attempt a = e.getKey();
+          ends.remove(a);
+          small.done.set(a.task);
+          small.open.remove(a.task);
+          Machine m = machines.stream().filter(x -> x.name.equals(a.machine)).findFirst().orElseThrow();
+          m.open.remove(Machine.taskKey("j-1", a.task));
+          m.touched();
+        }
+      }
+      for (Plan.Start start : plan().starts) {
+        if (start.job() == gang) {
+          return s;
+        }
+        for (Plan.Placement p : start.placements()) {
+          run(small, p.task(), p.machine());
+          ends.put(small.open.get(p.task()), s + 15 + (p.task() * 7) % 11);
+        }
+      }
+    }
+    return mostS;
+  }
+
+  /** Small tasks took each place as it came free, and a whole machine never did. */
+  @Test
+  void aGangThatWaitsGathersWholeMachines() {
+    assertThat(gangBeginsAfter(400)).isLessThan(240);
+  }
+
   private void run(Job j, int task, Machine m) {
     Attempt a = new Attempt(j, task, 1, m.name, m.zone, 0);
     a.start = Attempt.Start.HELD;
