Polls are answered in turn, not by chance; a value that can't be read stops nobody

Cause: polls over what a node can ask were refused by chance; one value that could not be read had every new steward read the store again for good, and ended the watch for new jobs. Change: the longer without an answer the sooner a job's turn; unreadable values are skipped, said, and their jobs stay known.

--- a/src/main/java/io/embernotch/jobs/Takeover.java
+++ b/src/main/java/io/embernotch/jobs/Takeover.java
@@ -21,12 +21,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Stream;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Fills a new steward's ledger from the store. What runs is let be: its attempts are open, and
  * unsure until a worker reports under one of this steward's tokens.
  */
 public final class Takeover {
+  private static final Logger LOG = LoggerFactory.getLogger(Takeover.class);
+
   private final Env env;
   private final Ledger ledger;
   private final Committer committer;
@@ -56,19 +60,24 @@
     ledger.ended.putAll(base.allEnded());
     Map<String, Job> all = new LinkedHashMap<>();
     Map<String, Integer> sizes = new HashMap<>();
+    ledger.unreadable.clear();
     for (Entry e : jobs.events()) {
-      Job job = RunCodec.readJob(e.value());
-      all.put(job.spec.ref(), job);
-      sizes.put(job.spec.ref(), RunCodec.readPiece(e.value()));
-      if (e.stamp() <= base.since()) {
-        job.again = true;
+      String ref = e.key().substring(RunCodec.JOB.length());
+      if (!readable(e, () -> {
+        Job job = RunCodec.readJob(e.value());
+        sizes.put(ref, RunCodec.readPiece(e.value()));
+        all.put(ref, job);
+        job.again |= e.stamp() <= base.since();
+      })) {
+        ledger.unreadable.add(ref);
       }
     }
     for (Entry e : runs.events()) {
       String ref = e.key().split("/")[1];
       Job job = all.get(ref);
-      if (job != null) {
-        RunCodec.readRun(e.value(), job, sizes.get(ref), RunCodec.pieceOf(e.key()));
+      if (job != null && !readable(e, () -> RunCodec.readRun(e.value(), job, sizes.get(ref), RunCodec.pieceOf(e.key())))) {
+        // What runs of it is not known, so it waits until nothing can.
+        job.notBefore = acquiredAt + Leases.longestS(env.settings());
       }
     }
     Map<String, List<StoredPart>> partsOf = new HashMap<>();
@@ -97,6 +106,17 @@
         .forEach(j -> demand.seen(j.spec, acquiredAt - Math.max(0, env.clock().wallMs() - j.sinceMs) / 1000.0));
   }
 
+  /** One value that can't be read keeps no other from being taken over; a new steward once tried again for good. */
+  private static boolean readable(Entry e, Runnable read) {
+    try {
+      read.run();
+      return true;
+    } catch (RuntimeException bad) {
+      LOG.error("the value of {} can't be read: {}", e.key(), bad.toString());
+      return false;
+    }
+  }
+
   /** Something of the job may yet be written. */
   private static boolean isLeft(Job job) {
     return job != null && (job.end == null || !job.open.isEmpty());
--- a/src/main/java/io/embernotch/jobs/UserDesk.java
+++ b/src/main/java/io/embernotch/jobs/UserDesk.java
@@ -51,7 +51,9 @@
       return;
     }
     Job job = ledger.jobs.get(ref);
-    if (job == null) {
+    if (job == null && ledger.unreadable.contains(ref)) {
+      reply.complete(Answer.of(200, JobCodec.status(ref, Phase.QUEUED, 0, 0)));
+    } else if (job == null) {
       lookUp(ref, reply, () -> poll(ref, reply));
     } else if (job.end == null && job.held()) {
       reply.complete(Answer.of(200, JobCodec.waiting(ref, job.waitingFor.size())));
--- a/src/main/java/io/embernotch/ledger/Ledger.java
+++ b/src/main/java/io/embernotch/ledger/Ledger.java
@@ -6,9 +6,11 @@
 import io.embernotch.model.MachineType;
 import io.embernotch.model.Phase;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Function;
 
@@ -24,6 +26,8 @@
   /** Jobs that have not ended, or still have open attempts. */
   public final Map<String, Job> jobs = new LinkedHashMap<>();
   public final Map<String, Ended> ended = new HashMap<>();
+  /** Jobs that were accepted and whose description can't be read: they stay known, and can't run. */
+  public final Set<String> unreadable = new HashSet<>();
   public final Map<String, Machine> machines = new TreeMap<>();
   public final Map<String, MachineType> types = new LinkedHashMap<>();
 
--- a/src/main/java/io/embernotch/progress/JobWatch.java
+++ b/src/main/java/io/embernotch/progress/JobWatch.java
@@ -5,9 +5,13 @@
 import io.embernotch.model.Job;
 import io.embernotch.store.Entry;
 import io.embernotch.store.StoreFailure;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Watches the store for new jobs: the backstop for messages about them that never came. */
 public final class JobWatch {
+  private static final Logger LOG = LoggerFactory.getLogger(JobWatch.class);
+
   /** Is told of each job, known or not. */
   public interface Sink {
     void seen(Job job, int piece);
@@ -61,7 +65,15 @@
 
   private void tell(Entry e) {
     if (e.present()) {
-      sink.seen(RunCodec.readJob(e.value()), RunCodec.readPiece(e.value()));
+      Job job;
+      try {
+        job = RunCodec.readJob(e.value());
+      } catch (RuntimeException bad) {
+        // The next steward marks it; the watch goes on.
+        LOG.error("the value of {} can't be read: {}", e.key(), bad.toString());
+        return;
+      }
+      sink.seen(job, RunCodec.readPiece(e.value()));
     }
   }
 }
--- a/src/main/java/io/embernotch/settings/Settings.java
+++ b/src/main/java/io/embernotch/settings/Settings.java
@@ -69,6 +69,11 @@
       return (maxConnections - directCalls()) * 3 / 4;
     }
 
+    /** More jobs than users ask a node about, for what is remembered of each. */
+    public int polled() {
+      return 32 * maxConnections;
+    }
+
     /** More machines than a fleet has whose workers share this many connections; for what is remembered of each. */
     public int machines() {
       return 4 * maxConnections;
--- a/src/main/java/io/embernotch/steward/Inquiries.java
+++ b/src/main/java/io/embernotch/steward/Inquiries.java
@@ -5,9 +5,8 @@
 import io.embernotch.era.Eras;
 import io.embernotch.http.Answer;
 import io.embernotch.peer.Frame;
-import io.embernotch.store.Pacer;
-import io.embernotch.store.Pacer.Rank;
 import io.embernotch.users.EndedCache;
+import io.embernotch.users.PollTurns;
 import io.embernotch.users.StoredStatus;
 import io.vertx.core.Future;
 import java.util.function.Predicate;
@@ -29,7 +28,7 @@
   private final Predicate<String> accepted;
   private final ToSteward steward;
   /** A flood of polls costs other nodes and the state service nothing, and workers little. */
-  private final Pacer polls;
+  private final PollTurns turns;
 
   Inquiries(Env env, EndedCache ended, Eras eras, Predicate<String> accepted, ToSteward steward) {
     this.env = env;
@@ -38,8 +37,7 @@
     this.stored = new StoredStatus(env, ended, eras::base);
     this.accepted = accepted;
     this.steward = steward;
-    double perS = env.settings().quota().maxConnections() / env.settings().workers().reportS();
-    this.polls = new Pacer(env.clock(), env.timers(), Math.max(1, perS), 1);
+    this.turns = new PollTurns(env.clock(), env.timers(), env.settings());
   }
 
   public Future<Answer> poll(String ref) {
@@ -50,11 +48,14 @@
     if (known != null) {
       return answer(known);
     }
-    if (polls.credit() < 1) {
+    if (!turns.admit(ref)) {
       return answer(Answer.later("too many polls"));
     }
-    polls.pass(1, Rank.URGENT, () -> {});
-    return status(ref);
+    return status(ref).onSuccess(a -> {
+      if (a.status() != 503) {
+        turns.told(ref);
+      }
+    });
   }
 
   private Future<Answer> status(String ref) {
--- a/src/test/java/io/embernotch/steward/LivesHuntTest.java
+++ b/src/test/java/io/embernotch/steward/LivesHuntTest.java
@@ -29,7 +29,7 @@
     int next = 1;
     for (int step = 0; step < 40; step++) {
       int node = random.nextInt(3);
-      switch (random.nextInt(12)) {
+      switch (random.nextInt(15)) {
         case 0, 1, 2 -> told.submit(node, "j-" + next++, random.nextInt(3) == 0 ? "standing" : "array", 1 + random.nextInt(4));
         case 3 -> some(told, random).forEach(world::finish);
         case 4 -> some(told, random).forEach(ref -> told.cancel(node, ref));
@@ -46,6 +46,13 @@
             all.get(random.nextInt(all.size())).back(random.nextBoolean());
           }
         }
+        case 10 -> alone(world, random);
+        case 11 -> {
+          for (FakeWorker w : world.workers.values()) {
+            w.deaf = random.nextInt(4) == 0;
+          }
+        }
+        case 12 -> copies(world, random);
         default -> back(world, random);
       }
       world.pass(random.nextDouble(4));
@@ -56,6 +63,8 @@
     world.commitFate = Fate.ARRIVES;
     world.directFate = Fate.ARRIVES;
     world.holdFrames = false;
+    world.nodes.forEach(n -> n.noState = n.noPeers = false);
+    world.workers.values().forEach(w -> w.deaf = false);
     world.releaseHeld();
     world.repeatAll();
     world.pass(80);
@@ -69,6 +78,23 @@
     return told.accepted.isEmpty() ? List.of() : List.of(told.accepted.get(random.nextInt(told.accepted.size())));
   }
 
+  /** One loses the state service and the others, but not its workers; or has them again. */
+  private static void alone(World world, SplittableRandom random) {
+    int which = random.nextInt(6);
+    world.nodes.forEach(n -> n.noState = n.noPeers = n.index == which);
+  }
+
+  /** Copies of any age of what some machine has said reach any controller. */
+  private static void copies(World world, SplittableRandom random) {
+    List<String> names = List.copyOf(world.workers.keySet());
+    if (!names.isEmpty()) {
+      List<byte[]> said = world.reportsOf(names.get(random.nextInt(names.size())));
+      for (int i = 0; i < 5 && !said.isEmpty(); i++) {
+        world.late(world.nodes.get(random.nextInt(3)), said.get(random.nextInt(said.size())));
+      }
+    }
+  }
+
   /** One, or all of them, end and are back after up to half a second. */
   private static void back(World world, SplittableRandom random) {
     int which = random.nextInt(5);
--- a/src/test/java/io/embernotch/steward/UpgradeTest.java
+++ b/src/test/java/io/embernotch/steward/UpgradeTest.java
@@ -40,6 +40,28 @@
     assertThat(world.broken()).isEmpty();
   }
 
+  /** One such value kept every new steward reading the store over and over, and all jobs waiting. */
+  @Test
+  void aValueThatCannotBeReadKeepsNoOtherJobWaitingAndItsOwnStaysKnown() {
+    left("j-1", 3, null);
+    left("j-2", 3, "{\"next\":\"x\",\"open\":7}");
+    world.state.plant("job/j-3", "{\"at\":900000,\"piece\":85,\"job\":{\"ref\":\"j-3\",\"shards\":\"many\"}}");
+    world.settle(4);
+    world.pass(12);
+    assertThat(world.running("j-1")).hasSize(3);
+    assertThat(world.phase(0, "j-3")).isEqualTo("queued");
+    assertThat(world.phase(1, "j-2")).isEqualTo("queued");
+    // What may run of it is over once no worker can have been renewed for it.
+    assertThat(world.running("j-2")).isEmpty();
+    world.pass(120);
+    assertThat(world.running("j-2")).hasSize(3);
+    // The watch for new jobs goes on behind it.
+    world.state.plant("job/j-4", "{\"at\":900000,\"piece\":85,\"job\":[]}");
+    left("j-5", 2, null);
+    world.pass(20);
+    assertThat(world.running("j-5")).hasSize(2);
+  }
+
   @Test
   void whatTheFormerVersionWroteIsReadAsItMeantIt() {
     // 40 tasks, of which 0, 1 and 9 are done; and two that have ended, one before ends had a time.
--- a/src/test/java/io/embernotch/testkit/Told.java
+++ b/src/test/java/io/embernotch/testkit/Told.java
@@ -7,7 +7,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
 /** What users were told, and whether that was ever taken back. */
 public final class Told {
@@ -53,6 +55,24 @@
     }
   }
 
+  /**
+   * The addition to the rules: once all troubles are over, each job that was accepted is answered for within 75 s of
+   * polls, five seconds apart, at any controller; what has not ended runs or has its place in the queue.
+   */
+  public void answered() {
+    Set<String> left = new TreeSet<>(accepted);
+    for (int s = 0; s < 75 && !left.isEmpty(); s += 5) {
+      int round = s / 5;
+      left.removeIf(ref -> {
+        Answer a = world.poll((round + ref.hashCode() % 3 + 3) % 3, ref);
+        hear(ref, a);
+        return a.status() == 200;
+      });
+      world.pass(left.isEmpty() ? 0 : 5);
+    }
+    left.forEach(ref -> wrong.add(ref + " has no answer for 75 s"));
+  }
+
   /** Tasks of jobs that were told to have ended are on no machine. */
   private void nothingRunsAfterItsEnd() {
     ends.forEach((ref, end) -> {
@@ -64,6 +84,7 @@
 
   /** Once all has settled: repeats are known, what ended is gone, somebody leads, and no rule was broken. */
   public void atTheEnd() {
+    answered();
     for (int i = 0; i < accepted.size(); i++) {
       String ref = accepted.get(i);
       ask(i % 3, ref);
