A controller that is alone with its workers sends those away that another steward reached

Need: a controller that has lost the store and the others must not keep its workers. Cause: it renewed, or held for seconds, workers that already showed a later steward's token; copies of old reports counted as recent when handed to a new steward. Change: such workers get 421 at once, and only newer reports are remembered.

--- a/src/main/java/io/embernotch/relay/Reception.java
+++ b/src/main/java/io/embernotch/relay/Reception.java
@@ -6,6 +6,7 @@
 import io.embernotch.env.Env;
 import io.embernotch.env.Recent;
 import io.embernotch.http.Answer;
+import io.embernotch.machines.Tokens;
 import io.embernotch.model.WorkerReport;
 import io.embernotch.peer.Frame;
 import io.vertx.core.Future;
@@ -70,6 +71,8 @@
   private final Set<Parked> parked = new LinkedHashSet<>();
   private String steward;
   private long epoch;
+  /** The latest stewardship that was ever known here. */
+  private long newest;
   private boolean relays;
   private double changedAt;
   /** The first report passed on since the steward last answered one; below 0 if there is none. */
@@ -99,6 +102,7 @@
     }
     steward = node;
     epoch = newEpoch;
+    newest = Math.max(newest, newEpoch);
     relays = takesReports;
     if (node != null && takesReports && !node.equals(env.settings().node())) {
       Set<String> waiting = parked.stream().map(p -> p.report.machine()).collect(Collectors.toSet());
@@ -150,7 +154,15 @@
   /** A worker reports to this controller while another one, or none, is steward. */
   public Future<Answer> report(WorkerReport r) {
     double now = env.clock().now();
-    last.put(r.machine(), new Last(r, now));
+    Last before = last.get(r.machine());
+    if (before == null || r.newerThan(before.report.session(), before.report.seq())) {
+      // A copy of an older one is no sign of life, and must not be handed to the next steward as one.
+      last.put(r.machine(), new Last(r, now));
+    }
+    if (Tokens.epochOf(r.token()) > newest && host.badlyPlaced()) {
+      // A steward that we know nothing of has reached this worker, and serves it elsewhere.
+      return Future.succeededFuture(misdirected(null));
+    }
     Answer renewal = standby.renewal(r, steward);
     if (renewal != null) {
       return Future.succeededFuture(renewal);
--- /dev/null
+++ b/src/test/java/io/embernotch/relay/AloneTest.java
@@ -0,0 +1,98 @@
+package io.embernotch.relay;
+
+import static io.embernotch.testkit.World.job;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.embernotch.testkit.FakeWorker;
+import io.embernotch.testkit.World;
+import io.embernotch.testkit.World.Node;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** A controller that loses the state service and the other controllers, but not its workers. */
+class AloneTest {
+  private final World world = new World(3, 100);
+
+  private Map<String, FakeWorker> service() {
+    world.settle(3);
+    for (int i = 0; i < 30; i++) {
+      world.boot("g8", i % 2 == 0 ? "z1" : "z2", true);
+    }
+    world.pass(8);
+    // Workers are spread over the controllers.
+    int next = 0;
+    for (FakeWorker w : world.workers.values()) {
+      w.node = next++ % 3;
+    }
+    assertThat(world.submit(0, job("j-1", "standing", 90)).status()).isEqualTo(201);
+    world.pass(15);
+    assertThat(world.running("j-1")).hasSize(90);
+    world.leastLeft = 1;
+    return world.running("j-1");
+  }
+
+  private void alone(Node n, boolean is) {
+    n.noState = is;
+    n.noPeers = is;
+  }
+
+  @AfterEach
+  void nothingEverRanTwice() {
+    assertThat(world.broken()).isEmpty();
+  }
+
+  @ParameterizedTest
+  @CsvSource({"true,30", "true,60", "true,150", "false,30", "false,60", "false,150"})
+  void keepsNoWorkerToItsDeath(boolean steward, int seconds) {
+    Map<String, FakeWorker> before = service();
+    Node n = steward ? world.steward() : world.other(world.steward());
+    alone(n, true);
+    double told = 0;
+    for (int s = 0; s < seconds; s += 5) {
+      world.pass(5);
+      assertThat(world.running("j-1")).isEqualTo(before);
+      if (s >= 5) {
+        // Who asks here is told at once to ask elsewhere, and the balancer to send nobody.
+        double at = world.time.now();
+        int status = world.poll(n.index, "j-1").status();
+        told = Math.max(told, world.time.now() - at);
+        assertThat(status).isEqualTo(503);
+        assertThat(n.controller.ready().status()).isEqualTo(503);
+      }
+    }
+    assertThat(told).isLessThan(1);
+    assertThat(world.steward()).isNotNull().isNotEqualTo(n);
+    alone(n, false);
+    world.pass(40);
+    assertThat(world.running("j-1")).isEqualTo(before);
+    // Of a lease that was last renewed there, this was left when another controller renewed it.
+    assertThat(world.leastLeft).isGreaterThan(0.4);
+    System.out.println("alone " + (steward ? "steward" : "follower") + " " + seconds + " s: least left " + world.leastLeft);
+  }
+
+  /** Stop by the next steward: a worker that shows its token is sent away at once, whatever right is left. */
+  @ParameterizedTest
+  @CsvSource({"true", "false"})
+  void sendsAwayWhoHasSeenALaterSteward(boolean steward) {
+    Map<String, FakeWorker> before = service();
+    Node n = steward ? world.steward() : world.other(world.steward());
+    alone(n, true);
+    world.pass(10);
+    if (!steward) {
+      Node other = world.steward();
+      other.kill();
+      world.pass(8);
+      other.start();
+    }
+    world.settle(4);
+    // The new steward reaches all machines directly.
+    assertThat(world.submit(world.steward().index, job("j-2", "array", 150)).status()).isEqualTo(201);
+    world.pass(12);
+    assertThat(world.running("j-2")).hasSize(150);
+    assertThat(world.workers.values().stream().filter(w -> w.node == n.index && !w.alive().isEmpty()).count()).isZero();
+    world.pass(60);
+    assertThat(world.running("j-1")).isEqualTo(before);
+  }
+}
