Plans take a third of our processor at the most; views of machines in turns

Cause: after a takeover plans took 1.7 s of the 3.5 s that 16 s give a controller with a fifth of a core, and a look at all machines' views 28 ms eight times in a report period, while reports went unanswered. Change: the pause after a plan is measured by the share of the core; a quarter of the machines is looked at in a turn.

--- a/src/main/java/io/embernotch/rounds/StragglerFeed.java
+++ b/src/main/java/io/embernotch/rounds/StragglerFeed.java
@@ -22,6 +22,9 @@
   /** Views that have not changed are sent again after this many rounds, lest a lost one be missed. */
   private static final int REPEAT_ROUNDS = 4;
 
+  /** Machines are looked at in turns, all of them in so many calls: a look at all of them took a fifth of the core's time. */
+  private static final int TURNS = 4;
+
   /** What was last sent of a machine, and to whom. */
   private static final class Sent {
     final String owner;
@@ -43,6 +46,7 @@
   private final Map<String, Sent> sentTo = new HashMap<>();
   private Set<String> lastControllers = Set.of();
   private long messages;
+  private int turn;
 
   public StragglerFeed(
       Env env, Ledger ledger, BiConsumer<String, MachineView> send, BiConsumer<String, String> forget) {
@@ -60,7 +64,11 @@
     double now = env.clock().now();
     boolean moved = !controllers.equals(lastControllers);
     lastControllers = controllers;
+    turn = (turn + 1) % TURNS;
     for (Machine m : ledger.machines.values()) {
+      if (!moved && Math.floorMod(m.name.hashCode(), TURNS) != turn) {
+        continue;
+      }
       Sent sent = sent(m, controllers, moved);
       if (sent == null || now - sent.at < env.operator().roundS()) {
         continue;
--- a/src/main/java/io/embernotch/steward/Planning.java
+++ b/src/main/java/io/embernotch/steward/Planning.java
@@ -97,8 +97,9 @@
   void soon() {
     if (!armed && loadedAt >= 0 && !closed) {
       armed = true;
-      // However long a plan takes, most of the time stays for reports.
-      double spacing = Math.max(env.settings().workers().reportS() / 60, 4 * tookS);
+      // However long a plan takes, most of our share of the processor stays for reports. Four times as long as the last
+      // one took left plans half of the share after a takeover, while workers' reports went unanswered.
+      double spacing = Math.max(env.settings().workers().reportS() / 60, 3 * tookS / env.settings().quota().cpuShare());
       double wait = Math.max(0.001, plannedAt + spacing - env.clock().now());
       env.timers().after(wait, ask);
     }
