--- a/src/main/java/io/embernotch/app/CheckCommand.java
+++ b/src/main/java/io/embernotch/app/CheckCommand.java
@@ -16,7 +16,7 @@
   @Override
   public Integer call() {
     Settings s = files.platform();
-    files.operator();
+    files.operator().against(s);
     spec.commandLine().getOut().printf(
         "ok: %s in %s, %d other controllers, %d teams%n",
         s.node(), s.location(), s.members().size(), s.teams().size());
--- a/src/main/java/io/embernotch/app/Main.java
+++ b/src/main/java/io/embernotch/app/Main.java
@@ -18,6 +18,7 @@
       StatusCommand.class,
       CancelCommand.class,
       OverviewCommand.class,
+      CalendarCommand.class,
       SnapshotCommand.class,
       RehearseCommand.class
     })
--- a/src/main/java/io/embernotch/codec/JobCodec.java
+++ b/src/main/java/io/embernotch/codec/JobCodec.java
@@ -13,6 +13,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.regex.Pattern;
 
 /** Jobs as users write them, and the answers users get. */
@@ -121,6 +122,13 @@
         .getBytes(StandardCharsets.UTF_8);
   }
 
+  /** The same with more that is to be told. */
+  public static byte[] status(String ref, Phase phase, int done, int running, Consumer<ObjectNode> more) {
+    ObjectNode o = Json.object().put("ref", ref).put("phase", phase(phase)).put("done", done).put("running", running);
+    more.accept(o);
+    return Json.bytes(o);
+  }
+
   /** The same for a job that fails wherever it goes, and on which machines it has; the last few are named. */
   public static byte[] failing(String ref, Phase phase, int done, int running, Collection<String> machines) {
     ObjectNode o = Json.object().put("ref", ref).put("phase", phase(phase)).put("done", done).put("running", running);
--- a/src/main/java/io/embernotch/codec/RunCodec.java
+++ b/src/main/java/io/embernotch/codec/RunCodec.java
@@ -27,6 +27,9 @@
 
   public static final String PART = "part/";
 
+  /** Facts that stewards hand on, beside jobs. */
+  public static final String SHARED = "shared/";
+
   /** The key that whoever is steward holds. */
   public static final String STEWARD = "steward";
 
@@ -34,7 +37,7 @@
   private static final int BYTES_PER_TASK = 46;
 
   /** What a piece takes besides its tasks. */
-  private static final int BYTES_PER_PIECE = 128;
+  private static final int BYTES_PER_PIECE = 192;
 
   /** Marks a submission that is written once more after a loss of data. */
   public static final String AGAIN = "again";
@@ -92,6 +95,9 @@
         // The version before job chains ignores this, and may write the value back without it.
         o.put("at", job.endedMs);
       }
+      if (job.release != null) {
+        o.put("rel", job.release);
+      }
     }
     int from = piece * pieceSize;
     int to = Math.min(job.spec.tasks(), from + pieceSize);
@@ -147,6 +153,7 @@
       job.end = readEnd(o);
       job.endKept = job.end != null;
       job.endedMs = Json.opt(o, "at") == null ? job.submittedMs : Json.whole(o, "at");
+      job.release = o.path("rel").asText(null);
     }
     JsonNode done = Json.opt(o, "done");
     if (done != null) {
--- a/src/main/java/io/embernotch/copy/Base.java
+++ b/src/main/java/io/embernotch/copy/Base.java
@@ -1,7 +1,11 @@
 package io.embernotch.copy;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.embernotch.codec.BadInput;
+import io.embernotch.codec.Json;
+import io.embernotch.codec.RunCodec;
+import io.embernotch.codec.Versions;
 import io.embernotch.copy.proto.CopyFile.Copy;
 import io.embernotch.copy.proto.CopyFile.EndedCopy;
 import io.embernotch.copy.proto.CopyFile.JobCopy;
@@ -12,6 +16,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 
 /**
  * What an era began with. It lies in the state service as blocks and stands beneath its keys: a key that
@@ -27,6 +32,7 @@
   /** Packed: jobs that nobody asks for are never taken apart. */
   private final Map<String, byte[]> jobs = new LinkedHashMap<>();
   private final Map<String, Ledger.Ended> ended = new HashMap<>();
+  private final Map<String, ObjectNode> shared = new TreeMap<>();
 
   /** @param since keys with a higher stamp are newer than the copy */
   public Base(Copy copy, long since) {
@@ -38,6 +44,7 @@
     for (EndedCopy e : copy.getEndedList()) {
       ended.put(e.getRef(), Copies.ended(e));
     }
+    copy.getSharedList().forEach(s -> shared.put(s.getName(), Json.parseObject(s.getValue().toByteArray())));
   }
 
   /** False if tasks may run of which neither it nor the keys left in the store know. */
@@ -77,6 +84,19 @@
     return new Changes(stored.epoch(), List.copyOf(out.values()));
   }
 
+  /** The store's shared facts with what stands beneath them: of each the later value, under the stamp that the store has. */
+  public List<Entry> beneathShared(Changes stored) {
+    Map<String, Entry> out = new TreeMap<>();
+    shared.forEach((name, value) -> out.put(RunCodec.SHARED + name, new Entry(RunCodec.SHARED + name, value, 0)));
+    for (Entry e : stored.events()) {
+      if (e.present()) {
+        Entry below = out.get(e.key());
+        out.put(e.key(), below == null ? e : new Entry(e.key(), Versions.later(below.value(), e.value()), e.stamp()));
+      }
+    }
+    return List.copyOf(out.values());
+  }
+
   /** The same of one job. */
   public List<Entry> beneath(String ref, String prefix, List<Entry> stored) {
     Map<String, Entry> out = new LinkedHashMap<>();
--- a/src/main/java/io/embernotch/copy/Copies.java
+++ b/src/main/java/io/embernotch/copy/Copies.java
@@ -1,5 +1,6 @@
 package io.embernotch.copy;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.protobuf.ByteString;
 import io.embernotch.codec.BadInput;
 import io.embernotch.codec.Json;
@@ -9,6 +10,7 @@
 import io.embernotch.copy.proto.CopyFile.EndedCopy;
 import io.embernotch.copy.proto.CopyFile.JobCopy;
 import io.embernotch.copy.proto.CopyFile.OpenCopy;
+import io.embernotch.copy.proto.CopyFile.SharedCopy;
 import io.embernotch.ledger.Ledger;
 import io.embernotch.model.Attempt;
 import io.embernotch.model.Job;
@@ -37,9 +39,12 @@
    * attempt that was sent is in it, since starts are committed before they are sent.
    *
    * @param pieceOf tasks in a piece of the job with this id
+   * @param shared facts beside jobs, by name
    */
-  public static Copy of(Ledger ledger, ToIntFunction<String> pieceOf, long epoch, long wallMs) {
+  public static Copy of(
+      Ledger ledger, ToIntFunction<String> pieceOf, Map<String, ObjectNode> shared, long epoch, long wallMs) {
     Copy.Builder out = Copy.newBuilder().setEpoch(epoch).setWallMs(wallMs).setComplete(true);
+    shared.forEach((name, value) -> out.addShared(fact(name, value)));
     ledger.jobs.forEach((ref, job) -> out.addJob(job(job, pieceOf.applyAsInt(ref))));
     ledger.ended.forEach((ref, e) -> out.addEnded(ended(ref, e)));
     return out.build();
@@ -49,7 +54,7 @@
    * What is left in the store, of whatever moment each key is. Values that can't be read are left out, and
    * pieces without their job.
    */
-  public static Copy of(Changes jobs, Changes runs, Changes parts) {
+  public static Copy of(Changes jobs, Changes runs, Changes parts, Changes shared) {
     Map<String, Job> all = new LinkedHashMap<>();
     Map<String, Integer> sizes = new HashMap<>();
     read(jobs, e -> {
@@ -75,10 +80,16 @@
       list.forEach(p -> sizes.merge(ref, p.size(), Math::min));
     });
     Copy.Builder out = Copy.newBuilder().setComplete(false);
+    shared.events().stream().filter(Entry::present)
+        .forEach(e -> out.addShared(fact(e.key().substring(RunCodec.SHARED.length()), e.value())));
     all.forEach((ref, job) -> out.addJob(job(job, sizes.get(ref))));
     return out.build();
   }
 
+  private static SharedCopy fact(String name, ObjectNode value) {
+    return SharedCopy.newBuilder().setName(name).setValue(ByteString.copyFrom(Json.bytes(value))).build();
+  }
+
   private static void read(Changes entries, Consumer<Entry> take) {
     for (Entry e : entries.events()) {
       try {
--- a/src/main/java/io/embernotch/copy/Merge.java
+++ b/src/main/java/io/embernotch/copy/Merge.java
@@ -1,11 +1,15 @@
 package io.embernotch.copy;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.protobuf.ByteString;
+import io.embernotch.codec.Json;
+import io.embernotch.codec.Versions;
 import io.embernotch.copy.proto.CopyFile.Copy;
 import io.embernotch.copy.proto.CopyFile.End;
 import io.embernotch.copy.proto.CopyFile.EndedCopy;
 import io.embernotch.copy.proto.CopyFile.JobCopy;
 import io.embernotch.copy.proto.CopyFile.OpenCopy;
+import io.embernotch.copy.proto.CopyFile.SharedCopy;
 import java.util.BitSet;
 import java.util.Comparator;
 import java.util.Map;
@@ -47,11 +51,23 @@
         .setEpoch(Math.max(a.getEpoch(), b.getEpoch()))
         .setWallMs(Math.max(a.getWallMs(), b.getWallMs()))
         .setComplete(a.getComplete() && b.getComplete())
+        .addAllShared(shared(a, b).values())
         .addAllJob(jobs.values())
         .addAllEnded(ended.values())
         .build();
   }
 
+  private static Map<String, SharedCopy> shared(Copy a, Copy b) {
+    TreeMap<String, SharedCopy> out = new TreeMap<>();
+    for (Copy c : new Copy[] {a, b}) {
+      c.getSharedList().forEach(s -> out.merge(s.getName(), s, (x, y) -> {
+        ObjectNode one = Json.parseObject(x.getValue().toByteArray());
+        return Versions.later(one, Json.parseObject(y.getValue().toByteArray())) == one ? x : y;
+      }));
+    }
+    return out;
+  }
+
   private static EndedCopy ends(EndedCopy a, EndedCopy b) {
     return EndedCopy.newBuilder()
         .setRef(a.getRef())
--- a/src/main/java/io/embernotch/era/Restore.java
+++ b/src/main/java/io/embernotch/era/Restore.java
@@ -95,7 +95,8 @@
         .list(RunCodec.JOB)
         .compose(
             jobs ->
-                store.list(RunCodec.RUN).compose(runs -> store.list(RunCodec.PART).map(parts -> Copies.of(jobs, runs, parts))))
+                store.list(RunCodec.RUN).compose(runs -> store.list(RunCodec.PART).compose(parts ->
+                    store.list(RunCodec.SHARED).map(shared -> Copies.of(jobs, runs, parts, shared)))))
         .onSuccess(left -> lead(mine, Merge.of(left, kept)))
         .onFailure(e -> env.timers().after(lifeS / 4, () -> {
           if (mine == attempt && needed.getAsBoolean()) {
--- a/src/main/java/io/embernotch/jobs/Reading.java
+++ b/src/main/java/io/embernotch/jobs/Reading.java
@@ -4,7 +4,9 @@
 import io.embernotch.copy.Base;
 import io.embernotch.env.Env;
 import io.embernotch.store.Changes;
+import io.embernotch.store.Entry;
 import io.embernotch.store.StoreClient;
+import java.util.List;
 import java.util.function.BooleanSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -16,7 +18,7 @@
   /** Is given what was read. */
   public interface Sink {
     /** {@code jobs} was read first: what changed after its epoch may be missing. */
-    void read(Changes jobs, Changes runs, Changes parts);
+    void read(Changes jobs, Changes runs, Changes parts, List<Entry> shared);
   }
 
   private final Env env;
@@ -37,12 +39,14 @@
     StoreClient store = env.store();
     store
         .list(RunCodec.JOB)
-        .compose(jobs -> store.list(RunCodec.RUN).compose(runs -> store.list(RunCodec.PART).map(parts -> {
+        .compose(jobs -> store.list(RunCodec.RUN).compose(runs -> store.list(RunCodec.PART).compose(parts -> store.list(RunCodec.SHARED).map(shared -> {
           if (!over.getAsBoolean()) {
-            sink.read(base.beneath(RunCodec.JOB, jobs), base.beneath(RunCodec.RUN, runs), base.beneath(RunCodec.PART, parts));
+            sink.read(
+                base.beneath(RunCodec.JOB, jobs), base.beneath(RunCodec.RUN, runs), base.beneath(RunCodec.PART, parts),
+                base.beneathShared(shared));
           }
           return null;
-        })))
+        }))))
         .onFailure(
             e -> {
               LOG.info("reading the store failed: {}", e.getMessage());
--- a/src/main/java/io/embernotch/jobs/UserDesk.java
+++ b/src/main/java/io/embernotch/jobs/UserDesk.java
@@ -1,5 +1,6 @@
 package io.embernotch.jobs;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.embernotch.codec.JobCodec;
 import io.embernotch.codec.RunCodec;
 import io.embernotch.env.Env;
@@ -24,6 +25,9 @@
     void cancel(Job job, Promise<Answer> reply);
 
     boolean over();
+
+    /** Adds what else is to be told of a job that has not ended. */
+    void describe(Job job, ObjectNode into);
   }
 
   private final Env env;
@@ -76,7 +80,9 @@
               200,
               job.fails() && !job.endKept
                   ? JobCodec.failing(ref, phase, done, job.running(), job.errorMachines)
-                  : JobCodec.status(ref, phase, done, job.running())));
+                  : job.release != null && !job.endKept
+                      ? JobCodec.status(ref, phase, done, job.running(), o -> host.describe(job, o))
+                      : JobCodec.status(ref, phase, done, job.running())));
     }
   }
 
--- a/src/main/java/io/embernotch/model/Job.java
+++ b/src/main/java/io/embernotch/model/Job.java
@@ -39,6 +39,14 @@
   public Priority rank;
   /** Latest start by which it, and what needs it, can meet their deadlines; no deadline: {@link Long#MAX_VALUE}. */
   public long startByMs = Long.MAX_VALUE;
+  /** The coming out of a release that it is for, as RELEASE/DATE; null if that is not settled, or it is for none. */
+  public String release;
+  /** By when it is to be done for its release, by the time of day; {@link Long#MAX_VALUE}: there is no such time. */
+  public long releaseByMs = Long.MAX_VALUE;
+  /** How long it still needs once it has started. */
+  public long restMs;
+  /** Set by the planner: it can't be done for its release together with others that take less. */
+  public boolean behind;
   /** Set by the planner: the earlier, the sooner its turn among its like. */
   public long urgentMs;
   public final BitSet done = new BitSet();
--- a/src/main/java/io/embernotch/model/Machine.java
+++ b/src/main/java/io/embernotch/model/Machine.java
@@ -75,6 +75,10 @@
   /** Empty since this time. */
   public double idleSince;
   public final Map<String, Attempt> open = new LinkedHashMap<>();
+  /** What is held free here for reservations. */
+  public double keptCpus;
+  public double keptGpus;
+  public double keptMemGb;
   private Load load;
   private double performance;
   /** Counts the changes of its attempts. */
--- /dev/null
+++ b/src/main/java/io/embernotch/plan/Deadlines.java
@@ -0,0 +1,64 @@
+package io.embernotch.plan;
+
+import io.embernotch.model.Job;
+import io.embernotch.model.Shape;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Set;
+
+/**
+ * Which of the jobs that are for a release are left to be late where not all can be in time: as many as possible are
+ * served by their deadline (Moore and Hodgson: in the order of deadlines, and whenever one would be late, the one that
+ * takes most of the machines is left out). What is left out goes on behind, and is not starved: see {@code Planner}.
+ */
+public final class Deadlines {
+  /** One job: what it takes of all machines together, in seconds, and by when it must be done, in seconds from now. */
+  public record Item(String ref, double takesS, double dueS) {}
+
+  private Deadlines() {}
+
+  /** The jobs that are left to be late. */
+  public static Set<String> late(List<Item> items) {
+    List<Item> order = new ArrayList<>(items);
+    order.sort(Comparator.comparingDouble(Item::dueS).thenComparing(Item::ref));
+    PriorityQueue<Item> taken = new PriorityQueue<>(Comparator.comparingDouble(Item::takesS).reversed().thenComparing(Item::ref));
+    Set<String> late = new HashSet<>();
+    double at = 0;
+    for (Item i : order) {
+      taken.add(i);
+      at += i.takesS;
+      if (at > i.dueS) {
+        Item longest = taken.poll();
+        at -= longest.takesS;
+        late.add(longest.ref);
+      }
+    }
+    return late;
+  }
+
+  /** The same of jobs, on machines with so many GPUs and CPUs for them; sets {@link Job#behind}. */
+  static void mark(List<Job> jobs, Amount room, long wallMs) {
+    List<Item> items = new ArrayList<>();
+    for (Job j : jobs) {
+      j.behind = false;
+      if (j.releaseByMs != Long.MAX_VALUE && j.end == null) {
+        double share = Math.max(ratio(j.spec.gpus(), room.gpus()), ratio(j.spec.cpus(), room.cpus()));
+        int left = j.spec.shape() == Shape.GANG ? j.spec.tasks() : j.remaining();
+        double runS = j.restMs / 1000.0;
+        // Nothing is done before one of its tasks has run, however many machines there are.
+        items.add(new Item(j.spec.ref(), share * left * runS, (j.releaseByMs - wallMs) / 1000.0 - runS * (1 - Math.min(1, share * left))));
+      }
+    }
+    Set<String> late = late(items);
+    for (Job j : jobs) {
+      j.behind = late.contains(j.spec.ref());
+    }
+  }
+
+  private static double ratio(double want, double all) {
+    return want <= 0 || all <= 0 ? 0 : want / all;
+  }
+}
--- a/src/main/java/io/embernotch/plan/Gathering.java
+++ b/src/main/java/io/embernotch/plan/Gathering.java
@@ -130,9 +130,10 @@
   private double emptyInS(Slot s, JobSpec spec) {
     List<Attempt> there = new ArrayList<>(s.machine.open.values());
     there.sort(Comparator.comparingDouble(this::leftS));
-    double cpus = s.cpus - spec.cpus();
-    double gpus = s.gpus - spec.gpus();
-    double mem = s.mem - spec.memGb();
+    Amount kept = s.keptFrom(spec);
+    double cpus = s.cpus - spec.cpus() - kept.cpus();
+    double gpus = s.gpus - spec.gpus() - kept.gpus();
+    double mem = s.mem - spec.memGb() - kept.memGb();
     double at = 0;
     for (Attempt a : there) {
       if (!Preemption.lacks(cpus, gpus, mem)) {
--- /dev/null
+++ b/src/main/java/io/embernotch/plan/Holds.java
@@ -0,0 +1,44 @@
+package io.embernotch.plan;
+
+import io.embernotch.model.JobSpec;
+import io.embernotch.model.Machine;
+import io.embernotch.settings.Reservation;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+
+/**
+ * Reservations as a plan sees them.
+ *
+ * @param terms each with the tasks like which room is to be kept free beside what its work holds
+ * @param held what is held on machines, by name, for each of the terms: what its work takes there, and what is free for it
+ * @param used what the work of each of the terms takes of a machine; null if nothing
+ */
+public record Holds(List<Term> terms, Map<String, Amount[]> held, Function<Machine, Amount[]> used) {
+  public static final Holds NONE = new Holds(List.of(), Map.of(), m -> null);
+
+  /** One reservation, and how much is to be free for it. */
+  public record Term(Reservation terms, List<Fleet.Headroom> spare) {}
+
+  /** What is held on a machine; null: on one of which nothing is known yet. */
+  Hold on(Machine m) {
+    Amount[] there = m == null ? null : used.apply(m);
+    Amount[] kept = m == null ? null : held.get(m.name);
+    return new Hold(terms, there == null ? Hold.nothing(terms.size()) : there, kept);
+  }
+
+  /** Something is held on the machine, or used by those who may hold it. */
+  boolean concerns(Machine m) {
+    return held.containsKey(m.name) || used.apply(m) != null;
+  }
+
+  /** One of the terms serves the job, so that room for it is kept by them. */
+  public boolean serves(JobSpec job) {
+    for (Term t : terms) {
+      if (t.terms.serves(job)) {
+        return true;
+      }
+    }
+    return false;
+  }
+}
--- a/src/main/java/io/embernotch/plan/Plan.java
+++ b/src/main/java/io/embernotch/plan/Plan.java
@@ -5,6 +5,7 @@
 import io.embernotch.model.Machine;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 
 /** What the steward should do now. */
 public final class Plan {
@@ -20,6 +21,8 @@
   public final List<Start> starts = new ArrayList<>();
   public final List<Stop> stops = new ArrayList<>();
   public final List<Buy> buys = new ArrayList<>();
+  /** What is to be held on machines for each reservation, by name; null: as before. */
+  public Map<String, Amount[]> held;
   /** Idle machines that nothing waits for. */
   public final List<Machine> returns = new ArrayList<>();
 }
--- a/src/main/java/io/embernotch/plan/Planner.java
+++ b/src/main/java/io/embernotch/plan/Planner.java
@@ -8,6 +8,7 @@
 import io.embernotch.model.Shape;
 import io.embernotch.plan.Slots.Room;
 import io.embernotch.settings.OperatorSettings;
+import io.embernotch.settings.Reservation;
 import io.embernotch.settings.Settings;
 import java.util.ArrayList;
 import java.util.BitSet;
@@ -27,7 +28,7 @@
  * that is coming free, or a machine that is booting; else, if they may, they have others stopped;
  * else a machine is rented for them. What is claimed is not given to anybody behind.
  */
-public final class Planner {
+public final class Planner implements Reserving.Host {
   private final Settings settings;
   private final OperatorSettings operator;
   private final int mostNew;
@@ -50,58 +51,41 @@
     this.mostNew = (int) Math.max(1, settings.cloudLimits().rps()) * Settings.Cloud.MAX_RENT;
   }
 
-  public Plan plan(
-      double atTime,
-      long wallMs,
-      Collection<Job> jobs,
-      Collection<Machine> machines,
-      Map<String, MachineType> types,
-      Fleet.Pools pools,
-      Collection<Fleet.Expected> expected,
-      Collection<Fleet.Headroom> headroom) {
-    List<Job> order = placeLive(atTime, jobs, machines, types, pools, expected);
+  public Plan plan(Situation at) {
+    List<Job> order = placeLive(at);
     // Room for the next live service goes before all other work, or that would fill it.
-    headroom.stream().filter(h -> h.like().priority() == Priority.PRODUCTION).forEach(this::keepFree);
-    gathering = new Gathering(slots, settings, market, now, wallMs);
+    new Reserving(at.holds(), slots, this).keep();
+    List<Fleet.Headroom> free = at.headroom().stream().filter(h -> !at.holds().serves(h.like())).toList();
+    free.stream().filter(h -> h.like().priority() == Priority.PRODUCTION).forEach(this::keepFree);
+    gathering = new Gathering(slots, settings, market, now, at.wallMs());
     gathering.hold(order);
     order.forEach(this::place);
-    headroom.stream().filter(h -> h.like().priority() != Priority.PRODUCTION).forEach(this::keepFree);
+    free.stream().filter(h -> h.like().priority() != Priority.PRODUCTION).forEach(this::keepFree);
     market.collect(plan);
     collectReturns();
+    plan.held = slots.held();
     return plan;
   }
 
   /** The same for live services alone: a fraction of the time, where a whole plan would keep them waiting. */
-  public Plan liveOnly(
-      double atTime,
-      Collection<Job> jobs,
-      Collection<Machine> machines,
-      Map<String, MachineType> types,
-      Fleet.Pools pools,
-      Collection<Fleet.Expected> expected) {
-    placeLive(atTime, jobs, machines, types, pools, expected);
+  public Plan liveOnly(Situation at) {
+    placeLive(at);
     market.collect(plan);
     return plan;
   }
 
   /** Places live services, and returns the other jobs in their order. */
-  private List<Job> placeLive(
-      double atTime,
-      Collection<Job> jobs,
-      Collection<Machine> machines,
-      Map<String, MachineType> types,
-      Fleet.Pools pools,
-      Collection<Fleet.Expected> expected) {
-    now = atTime;
+  private List<Job> placeLive(Situation at) {
+    now = at.now();
     plan = new Plan();
-    usage = new Usage(settings.teams(), jobs);
-    usage.markGuaranteed(jobs);
-    slots = Slots.of(machines, this::usable, now);
-    expected.forEach(e -> slots.add(e, types.get(e.type())));
-    market = new Market(types, pools, slots, mostNew);
+    usage = new Usage(settings.teams(), at.jobs());
+    usage.markGuaranteed(at.jobs());
+    slots = Slots.of(at.machines(), this::usable, now, at.holds());
+    at.expected().forEach(e -> slots.add(e, at.types().get(e.type())));
+    market = new Market(at.types(), at.pools(), slots, mostNew);
     preemption = new Preemption(settings, slots, plan, now);
-    queueing = new Queueing(jobs, types);
-    List<Job> order = inOrder(jobs);
+    queueing = new Queueing(at.jobs(), at.types());
+    List<Job> order = Turns.of(at.jobs(), settings, slots, at.wallMs());
     int live = 0;
     while (live < order.size() && order.get(live).spec.priority() == Priority.PRODUCTION) {
       place(order.get(live++));
@@ -110,6 +94,11 @@
   }
 
   private boolean usable(Machine m) {
+    return usable(m, now, settings);
+  }
+
+  /** Something may be started there now, if there is room. */
+  public static boolean usable(Machine m, double now, Settings settings) {
     return m.avoidUntil <= now && !m.doubted() && now - m.aliveAt() < 2 * settings.workers().reportS();
   }
 
@@ -124,30 +113,6 @@
     }
   }
 
-  /**
-   * Live services first, then what is guaranteed, then by priority, then by the time at which it is to
-   * start: that which its deadline leaves, or, without one, a worker's lease after it could start.
-   */
-  private static final Comparator<Job> ORDER =
-      Comparator.comparing((Job j) -> j.spec.priority() != Priority.PRODUCTION)
-          .thenComparing(j -> !j.guaranteed)
-          .thenComparing(j -> j.rank, Comparator.reverseOrder())
-          .thenComparingLong(j -> j.urgentMs)
-          .thenComparing(j -> j.spec.ref());
-
-  private List<Job> inOrder(Collection<Job> jobs) {
-    long patienceMs = Math.round(settings.workers().leaseS() * 1000);
-    List<Job> order = new ArrayList<>();
-    for (Job j : jobs) {
-      if (j.end == null && j.pendingCount() > 0) {
-        j.urgentMs = Math.min(j.startByMs, j.sinceMs + patienceMs);
-        order.add(j);
-      }
-    }
-    order.sort(ORDER);
-    return order;
-  }
-
   private void placeTasks(Job job) {
     JobSpec spec = job.spec;
     // One task is enough to see whether a job that fails everywhere still does.
@@ -417,6 +382,19 @@
     claimNew(h.like(), h.count() - now, anywhere);
   }
 
+  @Override
+  public int claimLater(JobSpec like, int n) {
+    int done = fill(like, Room.FREEING, n, Zones.anywhere(), (s, k) -> {});
+    return done + claimNew(like, n - done, Zones.anywhere());
+  }
+
+  @Override
+  public void restore(JobSpec like, int n, Reservation r) {
+    if (settings.zones().stream().noneMatch(z -> market.canBuy(like, z))) {
+      preemption.makeRoom(like, n, Zones.anywhere(), s -> !s.spot && r.allowsType(s.type.name()));
+    }
+  }
+
   private void collectReturns() {
     for (Slot s : slots.all()) {
       if (s.kind == Slot.Kind.READY
--- a/src/main/java/io/embernotch/plan/Preemption.java
+++ b/src/main/java/io/embernotch/plan/Preemption.java
@@ -144,9 +144,10 @@
   /** What must go for one such task, and nothing besides; null if what may go is not enough. */
   private List<Attempt> victims(JobSpec spec, Slot s, Predicate<Attempt> may) {
     List<Attempt> out = new ArrayList<>();
-    double cpus = s.cpus + s.freeingCpus - spec.cpus();
-    double gpus = s.gpus + s.freeingGpus - spec.gpus();
-    double mem = s.mem + s.freeingMem - spec.memGb();
+    Amount kept = s.keptFrom(spec);
+    double cpus = s.cpus + s.freeingCpus - spec.cpus() - kept.cpus();
+    double gpus = s.gpus + s.freeingGpus - spec.gpus() - kept.gpus();
+    double mem = s.mem + s.freeingMem - spec.memGb() - kept.memGb();
     for (Attempt a : s.machine.open.values()) {
       if (!a.stopping && !stopped.contains(a) && may.test(a)) {
         out.add(a);
@@ -179,10 +180,11 @@
   private int most(JobSpec spec, Slot s, Predicate<Attempt> may) {
     double share = Double.MAX_VALUE;
     Load there = new Load(s.machine.open.values().stream().filter(a -> !a.stopping && !stopped.contains(a) && may.test(a)).toList());
-    share = Math.min(share, spec.cpus() <= 0 ? share : (s.cpus + s.freeingCpus + there.cpus) / spec.cpus());
-    share = Math.min(share, spec.gpus() <= 0 ? share : (s.gpus + s.freeingGpus + there.gpus) / spec.gpus());
-    share = Math.min(share, spec.memGb() <= 0 ? share : (s.mem + s.freeingMem + there.memGb) / spec.memGb());
-    return (int) Math.floor(share + EPS);
+    Amount kept = s.keptFrom(spec);
+    share = Math.min(share, spec.cpus() <= 0 ? share : (s.cpus + s.freeingCpus + there.cpus - kept.cpus()) / spec.cpus());
+    share = Math.min(share, spec.gpus() <= 0 ? share : (s.gpus + s.freeingGpus + there.gpus - kept.gpus()) / spec.gpus());
+    share = Math.min(share, spec.memGb() <= 0 ? share : (s.mem + s.freeingMem + there.memGb - kept.memGb()) / spec.memGb());
+    return (int) Math.floor(Math.max(0, share) + EPS);
   }
 
   static boolean lacks(double cpus, double gpus, double mem) {
--- a/src/main/java/io/embernotch/plan/Slot.java
+++ b/src/main/java/io/embernotch/plan/Slot.java
@@ -40,6 +40,8 @@
   double heldS;
   /** How well it suits the job that is being placed: less is better. */
   double score;
+  /** What is held here for reservations; null if nothing is. */
+  Hold hold;
   private Set<String> fetching = Set.of();
   private boolean ownFetching;
 
@@ -94,12 +96,23 @@
   /** How many such tasks have room now, or once what is being stopped has ended. */
   int count(JobSpec j, boolean later) {
     double n = 10_000;
-    n = fits(n, later ? cpus + freeingCpus : cpus, j.cpus());
-    n = fits(n, later ? gpus + freeingGpus : gpus, j.gpus());
-    n = fits(n, later ? mem + freeingMem : mem, j.memGb());
+    Amount kept = keptFrom(j);
+    n = fits(n, (later ? cpus + freeingCpus : cpus) - kept.cpus(), j.cpus());
+    n = fits(n, (later ? gpus + freeingGpus : gpus) - kept.gpus(), j.gpus());
+    n = fits(n, (later ? mem + freeingMem : mem) - kept.memGb(), j.memGb());
     return (int) Math.max(0, n);
   }
 
+  /** What is held here that such a job may not have. */
+  Amount keptFrom(JobSpec j) {
+    return hold == null ? Amount.ZERO : hold.keptFrom(j);
+  }
+
+  /** What nobody uses, or will not once what is being stopped has ended. */
+  Amount freeLater() {
+    return new Amount(Math.max(0, cpus + freeingCpus), Math.max(0, gpus + freeingGpus), Math.max(0, mem + freeingMem));
+  }
+
   private static double fits(double most, double free, double each) {
     return each <= 0 ? most : Math.min(most, Math.floor((free + EPS) / each));
   }
@@ -108,6 +121,9 @@
     cpus -= j.cpus() * tasks;
     gpus -= j.gpus() * tasks;
     mem -= j.memGb() * tasks;
+    if (hold != null) {
+      hold.take(j, tasks);
+    }
   }
 
   void willFree(JobSpec j) {
--- a/src/main/java/io/embernotch/plan/Slots.java
+++ b/src/main/java/io/embernotch/plan/Slots.java
@@ -83,6 +83,15 @@
     return all;
   }
 
+  /** What all machines have together. */
+  Amount together() {
+    Amount sum = Amount.ZERO;
+    for (Slot s : all) {
+      sum = sum.plus(new Amount(s.type.cpus(), s.type.gpus(), s.type.memGb()), 1);
+    }
+    return sum;
+  }
+
   /** Machines that are up and have room now or will have. */
   List<Slot> ready() {
     return ready;
@@ -135,6 +144,18 @@
     }
   }
 
+  /** What is held on each machine now. */
+  Map<String, Amount[]> held() {
+    Map<String, Amount[]> out = new HashMap<>();
+    for (Slot s : all) {
+      Amount[] total = s.hold == null ? null : s.hold.total();
+      if (total != null) {
+        out.put(s.machine.name, total);
+      }
+    }
+    return out;
+  }
+
   static Slot slot(Machine m, double now) {
     if (m.type == null || m.zone == null || m.deleting || m.failed || m.cordoned || m.recallAt >= 0) {
       return null;
@@ -145,11 +166,12 @@
     return Slot.of(Slot.Kind.READY, m);
   }
 
-  static Slots of(Collection<Machine> machines, Predicate<Machine> usable, double now) {
+  static Slots of(Collection<Machine> machines, Predicate<Machine> usable, double now, Holds holds) {
     Slots out = new Slots();
     for (Machine m : machines) {
       Slot s = slot(m, now);
       if (s != null && (s.kind != Slot.Kind.READY || usable.test(m))) {
+        s.hold = s.kind == Slot.Kind.READY && !s.spot && holds.concerns(m) ? holds.on(m) : null;
         out.add(s);
       }
     }
--- a/src/main/java/io/embernotch/progress/JobWatch.java
+++ b/src/main/java/io/embernotch/progress/JobWatch.java
@@ -5,6 +5,7 @@
 import io.embernotch.model.Job;
 import io.embernotch.store.Entry;
 import io.embernotch.store.StoreFailure;
+import java.util.function.BooleanSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -15,20 +16,21 @@
   /** Is told of each job, known or not. */
   public interface Sink {
     void seen(Job job, int piece);
-
-    boolean over();
   }
 
   private final Env env;
   private final Sink sink;
+  private final BooleanSupplier over;
 
-  public JobWatch(Env env, Sink sink) {
+  /** {@code over}: nobody needs it any more. */
+  public JobWatch(Env env, Sink sink, BooleanSupplier over) {
     this.env = env;
     this.sink = sink;
+    this.over = over;
   }
 
   public void from(long epoch) {
-    if (sink.over()) {
+    if (over.getAsBoolean()) {
       return;
     }
     double hold = 3 * env.settings().workers().reportS();
@@ -50,7 +52,7 @@
   }
 
   private void readAll() {
-    if (sink.over()) {
+    if (over.getAsBoolean()) {
       return;
     }
     env.store()
--- /dev/null
+++ b/src/main/java/io/embernotch/reserve/HoldKeeper.java
@@ -0,0 +1,351 @@
+package io.embernotch.reserve;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.embernotch.codec.ReserveCodec;
+import io.embernotch.env.Env;
+import io.embernotch.ledger.Ledger;
+import io.embernotch.model.Attempt;
+import io.embernotch.model.Machine;
+import io.embernotch.plan.Amount;
+import io.embernotch.plan.Fleet;
+import io.embernotch.plan.Holds;
+import io.embernotch.plan.Planner;
+import io.embernotch.settings.OperatorSettings;
+import io.embernotch.settings.Reservation;
+import io.embernotch.shared.InForce;
+import io.embernotch.shared.SharedState;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * What is held for reservations, by this steward and for the next one. Nothing that the store says is held is given to
+ * others before the store says that it no longer is: what is more in the store than a plan wants counts as held until the
+ * commit that gives it up is answered. What a plan wants more counts at once.
+ */
+public final class HoldKeeper {
+  private static final Logger LOG = LoggerFactory.getLogger(HoldKeeper.class);
+
+  /** Facts that what is held for one reservation is spread over, so that a change rewrites a part of it. */
+  private static final int PIECES = 4;
+
+  /** So much less or more than the store says is written at once, as a share of it; the rest by and by. */
+  private static final double NOTABLE = 0.05;
+
+  /** Report periods after which any difference is written. */
+  private static final double PERIODS = 4;
+
+  private static final String TERMS = "reserve";
+  private static final String HELD = "held/";
+
+  private record Used(int version, int terms, Amount[] amounts) {}
+
+  private final Env env;
+  private final Ledger ledger;
+  private final SharedState shared;
+  private final Map<Machine, Used> usage = new HashMap<>();
+  private final List<Machine> marked = new ArrayList<>();
+  private List<Reservation> terms = List.of();
+  private final InForce<List<Reservation>> inForce;
+  /** As the store is known to hold it, and as the last plan wants it. */
+  private Map<String, Amount[]> kept = Map.of();
+  private Map<String, Amount[]> wanted = Map.of();
+  private Map<String, Amount[]> perhaps = Map.of();
+  private long perhapsOf = -1;
+  private long perhapsIn = -1;
+  private List<Holds.Term> lastTerms = List.of();
+  private double writtenAt;
+  private double changedAt;
+  private long told = -1;
+
+  public HoldKeeper(Env env, Ledger ledger, SharedState shared) {
+    this.env = env;
+    this.ledger = ledger;
+    this.shared = shared;
+    OperatorSettings.Reserve own = env.operator().reserve();
+    this.inForce =
+        new InForce<>(
+            shared, TERMS, own.terms(), own.generation(), ReserveCodec.writeTerms(own.generation(), own.terms()),
+            ReserveCodec::readTerms, this::use);
+  }
+
+  /** The shared facts have been read. */
+  public void load() {
+    inForce.load();
+    use(inForce.value());
+    wanted = kept;
+    changedAt = env.clock().now();
+    if (!kept.isEmpty()) {
+      LOG.info("reservations of generation {}: held on {} machines", inForce.generation(), kept.size());
+    }
+  }
+
+  private void use(List<Reservation> now) {
+    terms = now.isEmpty() && env.operator().reserve().live() ? List.of(env.operator().reserve().byDefault()) : now;
+    usage.clear();
+    wanted = Map.of();
+    kept = stored();
+  }
+
+  private Map<String, Amount[]> stored() {
+    Map<String, Amount[]> out = new TreeMap<>();
+    for (int i = 0; i < terms.size(); i++) {
+      for (int k = 0; k < PIECES; k++) {
+        add(shared.get(piece(terms.get(i), k)), i, out);
+      }
+    }
+    return out;
+  }
+
+  private void add(ObjectNode piece, int term, Map<String, Amount[]> to) {
+    if (piece != null) {
+      ReserveCodec.readHeld(piece).forEach((machine, a) -> {
+        Amount[] there = to.computeIfAbsent(machine, x -> nothing());
+        there[term] = there[term].max(new Amount(a[0], a[1], a[2]));
+      });
+    }
+  }
+
+  /** What the store holds or may hold: a commit whose answer is out may have been made. */
+  private Map<String, Amount[]> perhapsStored() {
+    if (perhapsOf == shared.edition() && perhapsIn == inForce.generation()) {
+      return perhaps;
+    }
+    Map<String, Amount[]> out = stored();
+    for (int i = 0; i < terms.size(); i++) {
+      for (int k = 0; k < PIECES; k++) {
+        add(shared.underWay(piece(terms.get(i), k)), i, out);
+      }
+    }
+    perhaps = out;
+    perhapsOf = shared.edition();
+    perhapsIn = inForce.generation();
+    return out;
+  }
+
+  private Amount[] nothing() {
+    Amount[] out = new Amount[terms.size()];
+    Arrays.fill(out, Amount.ZERO);
+    return out;
+  }
+
+  private static String piece(Reservation r, int k) {
+    return HELD + r.name() + "/" + k;
+  }
+
+  /** For the next plan; {@code headroom} is what each class needs free. */
+  public Holds holds(List<Fleet.Headroom> headroom) {
+    if (terms.isEmpty()) {
+      return Holds.NONE;
+    }
+    Map<String, Amount[]> held = new HashMap<>(wanted);
+    perhapsStored().forEach((machine, there) -> {
+      Amount[] w = wanted.get(machine);
+      held.put(machine, w == null ? there : max(there, w));
+    });
+    usage.keySet().removeIf(m -> ledger.machines.get(m.name) != m);
+    mark(held);
+    lastTerms = terms.stream().map(r -> new Holds.Term(r, Spare.of(r, headroom, ledger, env.operator()))).toList();
+    return new Holds(lastTerms, held, this::used);
+  }
+
+  /** Restarts keep off what is held free. */
+  private void mark(Map<String, Amount[]> held) {
+    marked.forEach(m -> keep(m, Amount.ZERO));
+    marked.clear();
+    held.forEach((name, amounts) -> {
+      Machine m = ledger.machines.get(name);
+      if (m != null) {
+        Amount[] u = used(m);
+        Amount free = Amount.ZERO;
+        for (int i = 0; i < amounts.length; i++) {
+          free = free.plus(u == null ? amounts[i] : amounts[i].less(u[i]), 1);
+        }
+        keep(m, free);
+        marked.add(m);
+      }
+    });
+  }
+
+  private static void keep(Machine m, Amount free) {
+    m.keptCpus = free.cpus();
+    m.keptGpus = free.gpus();
+    m.keptMemGb = free.memGb();
+  }
+
+  private static Amount[] max(Amount[] a, Amount[] b) {
+    Amount[] out = new Amount[a.length];
+    for (int i = 0; i < out.length; i++) {
+      out[i] = a[i].max(b[i]);
+    }
+    return out;
+  }
+
+  /** What the work of each reservation takes of a machine; null if nothing. Summed up anew only when that has changed. */
+  private Amount[] used(Machine m) {
+    Used u = usage.get(m);
+    if (u == null || u.version != m.version || u.terms != terms.size()) {
+      u = new Used(m.version, terms.size(), sum(m));
+      usage.put(m, u);
+    }
+    return u.amounts;
+  }
+
+  private Amount[] sum(Machine m) {
+    Amount[] out = null;
+    for (Attempt a : m.open.values()) {
+      for (int i = 0; i < terms.size(); i++) {
+        if (terms.get(i).serves(a.job.spec)) {
+          out = out == null ? nothing() : out;
+          out[i] = out[i].plus(Amount.of(a.job.spec), 1);
+        }
+      }
+    }
+    return out;
+  }
+
+  /** A plan has been made with {@link #holds}; {@code held} is what is to be held after it. */
+  public void planned(Map<String, Amount[]> held) {
+    if (terms.isEmpty() || held == null) {
+      return;
+    }
+    double now = env.clock().now();
+    Map<String, Amount[]> next = new TreeMap<>(held);
+    // Nothing is known against a machine that just can't be planned with.
+    wanted.forEach((name, a) -> {
+      Machine m = ledger.machines.get(name);
+      if (m != null && !m.deleting && !m.failed && !m.cordoned && m.recallAt < 0 && !next.containsKey(name)
+          && a.length == terms.size() && !Planner.usable(m, now, env.settings())) {
+        next.put(name, a);
+      }
+    });
+    wanted = next;
+    write(now);
+  }
+
+  private void write(double now) {
+    double report = env.settings().workers().reportS();
+    double difference = 0;
+    double size = 0;
+    for (Map.Entry<String, Amount[]> e : wanted.entrySet()) {
+      Amount[] there = kept.get(e.getKey());
+      for (int i = 0; i < terms.size(); i++) {
+        size += weight(e.getValue()[i]);
+        difference += Math.abs(weight(e.getValue()[i]) - (there == null ? 0 : weight(there[i])));
+      }
+    }
+    for (Map.Entry<String, Amount[]> e : kept.entrySet()) {
+      if (!wanted.containsKey(e.getKey())) {
+        difference += Arrays.stream(e.getValue()).mapToDouble(HoldKeeper::weight).sum();
+      }
+    }
+    boolean due = difference > NOTABLE * size ? now - writtenAt > report : now - writtenAt > PERIODS * report;
+    if (difference <= 0 || !due) {
+      return;
+    }
+    writtenAt = now;
+    for (int i = 0; i < terms.size(); i++) {
+      for (int k = 0; k < PIECES; k++) {
+        writePiece(i, k);
+      }
+    }
+  }
+
+  private static double weight(Amount a) {
+    return a.cpus() + a.gpus() + a.memGb();
+  }
+
+  private void writePiece(int term, int k) {
+    Map<String, double[]> held = new TreeMap<>();
+    int most = (int) (env.settings().stateFloor().valueKb() * 1024 / BYTES_PER_MACHINE);
+    wanted.forEach((name, a) -> {
+      if (Math.floorMod(name.hashCode(), PIECES) == k && !a[term].isZero() && held.size() < most) {
+        held.put(name, new double[] {a[term].cpus(), a[term].gpus(), a[term].memGb()});
+      }
+    });
+    String name = piece(terms.get(term), k);
+    ObjectNode value = ReserveCodec.writeHeld(held);
+    ObjectNode there = shared.get(name);
+    boolean same = there == null ? held.isEmpty() : there.path("on").equals(value.path("on"));
+    if (!same && !shared.pending(name)) {
+      long of = inForce.generation();
+      shared.put(name, value, () -> {
+        if (of == inForce.generation()) {
+          kept = stored();
+          changedAt = env.clock().now();
+          say();
+        }
+      });
+    }
+  }
+
+  /** A name, three amounts in thousandths, and quotes. */
+  private static final int BYTES_PER_MACHINE = 56;
+
+  private void say() {
+    for (int i = 0; i < terms.size(); i++) {
+      Seen s = seen(i);
+      long now = Math.round(s.held.gpus() * 1000 + s.held.cpus());
+      if (terms.size() > 1 || now != told) {
+        told = now;
+        LOG.info("reservation {}: {} GPUs and {} CPUs held on {} machines, {} and {} of it filled", terms.get(i).name(),
+            s.held.gpus(), s.held.cpus(), s.machines, s.filled.gpus(), s.filled.cpus());
+      }
+    }
+  }
+
+  private record Seen(Amount held, Amount filled, int machines, double idlePerHour) {}
+
+  private Seen seen(int term) {
+    Amount held = Amount.ZERO;
+    Amount filled = Amount.ZERO;
+    int machines = 0;
+    double idle = 0;
+    for (Map.Entry<String, Amount[]> e : kept.entrySet()) {
+      Machine m = ledger.machines.get(e.getKey());
+      if (m == null || m.type == null || e.getValue()[term].isZero()) {
+        continue;
+      }
+      Amount[] u = used(m);
+      Amount used = u == null ? Amount.ZERO : u[term];
+      held = held.plus(e.getValue()[term], 1);
+      filled = filled.plus(used, 1);
+      machines++;
+      Amount free = e.getValue()[term].less(used);
+      double share = Math.max(free.cpus() / Math.max(1, m.type.cpus()), m.type.gpus() > 0 ? free.gpus() / m.type.gpus() : 0);
+      idle += m.type.price() * Math.min(1, share);
+    }
+    return new Seen(held, filled, machines, idle);
+  }
+
+  /** For operators: what each reservation holds, wants and costs. */
+  public void overview(ObjectNode into) {
+    into.put("generation", inForce.generation()).put("changes", shared.changes());
+    ArrayNode list = into.putArray("reservations");
+    double now = env.clock().now();
+    for (int i = 0; i < terms.size(); i++) {
+      Seen s = seen(i);
+      ObjectNode o = list.addObject().put("name", terms.get(i).name()).put("machines", s.machines);
+      amount(o.putObject("held"), s.held);
+      amount(o.putObject("filled"), s.filled);
+      Amount free = Amount.ZERO;
+      if (i < lastTerms.size()) {
+        for (Fleet.Headroom h : lastTerms.get(i).spare()) {
+          free = free.plus(Amount.of(h.like()), h.count());
+        }
+      }
+      amount(o.putObject("wanted"), s.filled.plus(free, 1));
+      o.put("since_s", Math.round(now - changedAt)).put("idle_cost_per_hour", Math.round(s.idlePerHour * 100) / 100.0);
+    }
+  }
+
+  private static void amount(ObjectNode o, Amount a) {
+    o.put("cpus", a.cpus()).put("gpus", a.gpus()).put("mem_gb", a.memGb());
+  }
+}
--- a/src/main/java/io/embernotch/rounds/RestartDesk.java
+++ b/src/main/java/io/embernotch/rounds/RestartDesk.java
@@ -107,9 +107,10 @@
   }
 
   private static boolean roomOn(Machine m, JobSpec spec) {
-    double cpus = m.type.cpus();
-    double gpus = m.type.gpus();
-    double mem = m.type.memGb();
+    // Reserved capacity takes no restart.
+    double cpus = m.type.cpus() - m.keptCpus;
+    double gpus = m.type.gpus() - m.keptGpus;
+    double mem = m.type.memGb() - m.keptMemGb;
     for (Attempt a : m.open.values()) {
       cpus -= a.job.spec.cpus();
       gpus -= a.job.spec.gpus();
--- a/src/main/java/io/embernotch/rounds/StragglerFeed.java
+++ b/src/main/java/io/embernotch/rounds/StragglerFeed.java
@@ -134,9 +134,9 @@
   }
 
   private static MachineView view(Machine m, double now) {
-    double cpus = m.type.cpus();
-    double gpus = m.type.gpus();
-    double mem = m.type.memGb();
+    double cpus = m.type.cpus() - m.keptCpus;
+    double gpus = m.type.gpus() - m.keptGpus;
+    double mem = m.type.memGb() - m.keptMemGb;
     int busy = 0;
     List<TaskView> tasks = new ArrayList<>();
     for (Attempt a : m.open.values()) {
--- a/src/main/java/io/embernotch/settings/OperatorSettings.java
+++ b/src/main/java/io/embernotch/settings/OperatorSettings.java
@@ -1,10 +1,13 @@
 package io.embernotch.settings;
 
 import com.google.protobuf.TextFormat;
+import io.embernotch.model.Priority;
 import io.embernotch.settings.proto.OperatorFile;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
 
 /** The operators' own settings, checked; defaults hold where the file is silent. */
 public record OperatorSettings(
@@ -19,7 +22,9 @@
     double arraySpare,
     double leaseReports,
     double leaseShare,
-    Snapshots snapshots) {
+    Snapshots snapshots,
+    Reserve reserve,
+    Calendar calendar) {
 
   /**
    * Snapshots in a directory.
@@ -31,9 +36,28 @@
    */
   public record Snapshots(Path directory, double everyS, int keep, boolean restoreWhenEmpty) {}
 
+  /**
+   * Reserved capacity.
+   *
+   * @param generation of the reservations: a controller with a lower one goes by what the others know
+   * @param live without any, one is made for what runs at the priority of live services
+   * @param spare deviations of what comes of live services that are kept free for them
+   */
+  public record Reserve(long generation, boolean live, List<Reservation> terms, double spare) {
+    /** The reservation that is made without any. */
+    public Reservation byDefault() {
+      Selector services = new Selector(Priority.PRODUCTION, null, null, null);
+      return new Reservation("live", List.of(services), 0, 0, 0, 0, 0, spare, List.of(), Map.of());
+    }
+  }
+
+  /** The embargo calendar; {@code generation} as in {@link Reserve}. */
+  public record Calendar(long generation, List<Release> releases) {}
+
   /** What holds without an operator file; the same values as operator.proto gives. */
   public static final OperatorSettings DEFAULTS =
-      new OperatorSettings(true, 1.5, 0.5, 5.0, 2.0, 0.2, 2.0, 1.0, 0.5, 0, 0.1, new Snapshots(null, 60, 10, true));
+      new OperatorSettings(true, 1.5, 0.5, 5.0, 2.0, 0.2, 2.0, 1.0, 0.5, 0, 0.1, new Snapshots(null, 60, 10, true), new Reserve(0, true, List.of(), 2.0),
+          new Calendar(0, List.of()));
 
   public static OperatorSettings read(Path file) {
     try {
@@ -67,7 +91,41 @@
             ? within("leadership.lease_reports", b.getLeadership().getLeaseReports(), 0.2, 20)
             : 0,
         within("leadership.lease_share", b.getLeadership().getLeaseShare(), 0.02, 1),
-        snapshots(b.getSnapshots()));
+        snapshots(b.getSnapshots()),
+        new Reserve(b.getGeneration(), b.getReserveLive(), ReservationReader.read(b.getReserveList(), b.getGeneration()), f.getServiceSpare()),
+        new Calendar(b.getGeneration(), CalendarReader.read(b.getCalendar(), b.getGeneration())));
+  }
+
+  /** Checks what this file says of teams and zones against the platform's; mistakes are told with their place. */
+  public OperatorSettings against(Settings platform) {
+    for (int i = 0; i < reserve.terms().size(); i++) {
+      Reservation r = reserve.terms().get(i);
+      teams("reserve[" + i + "].serves", r.serves(), platform);
+      for (String zone : r.zones().keySet()) {
+        if (!platform.zones().contains(zone)) {
+          throw new SettingsException("reserve[" + i + "].zone: unknown zone " + zone);
+        }
+      }
+      for (Selector s : r.serves()) {
+        Settings.Team t = s.team() == null ? null : platform.teams().get(s.team());
+        if (r.serves().size() == 1 && t != null && t.gpusMax() > 0 && r.gpus() > t.gpusMax()) {
+          throw new SettingsException("reserve[" + i + "].gpus: team " + t.name() + " may use " + t.gpusMax() + " at the most");
+        }
+      }
+    }
+    for (int i = 0; i < calendar.releases().size(); i++) {
+      teams("calendar.release[" + i + "].orders", calendar.releases().get(i).orders(), platform);
+    }
+    return this;
+  }
+
+  private static void teams(String place, List<Selector> selectors, Settings platform) {
+    for (int k = 0; k < selectors.size(); k++) {
+      String team = selectors.get(k).team();
+      if (team != null && !platform.teams().containsKey(team)) {
+        throw new SettingsException(place + "[" + k + "].team: unknown team " + team);
+      }
+    }
   }
 
   private static Snapshots snapshots(OperatorFile.Snapshots s) {
@@ -80,7 +138,7 @@
         (int) within("snapshots.keep", s.getKeep(), 1, 10_000), s.getRestoreWhenEmpty());
   }
 
-  private static double within(String name, double v, double low, double high) {
+  static double within(String name, double v, double low, double high) {
     if (!(v >= low && v <= high)) {
       throw new SettingsException(name + ": must be between " + low + " and " + high + ", is " + v);
     }
--- /dev/null
+++ b/src/main/java/io/embernotch/settings/Release.java
@@ -0,0 +1,41 @@
+package io.embernotch.settings;
+
+import io.embernotch.model.JobSpec;
+import java.time.DayOfWeek;
+import java.time.LocalDate;
+import java.time.LocalTime;
+import java.time.ZoneId;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * A release that comes out at a time of day, and the work that must be done by then.
+ *
+ * @param days on which it comes out, empty for none but {@code also}
+ * @param except dates on which it does not
+ * @param also dates added, with their time
+ * @param moved dates on which its time is another; a null time: the embargo is lifted
+ * @param orders the work, any of these; of two releases that order the same work the first in the file counts
+ * @param leadS seconds before the deadline by which the work is to be done
+ */
+public record Release(
+    String id,
+    ZoneId zone,
+    LocalTime time,
+    Set<DayOfWeek> days,
+    Set<LocalDate> except,
+    Map<LocalDate, LocalTime> also,
+    Map<LocalDate, LocalTime> moved,
+    List<Selector> orders,
+    double leadS) {
+
+  public boolean orders(JobSpec job) {
+    for (Selector s : orders) {
+      if (s.matches(job)) {
+        return true;
+      }
+    }
+    return false;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/embernotch/settings/Selector.java
@@ -0,0 +1,23 @@
+package io.embernotch.settings;
+
+import io.embernotch.model.JobSpec;
+import io.embernotch.model.Priority;
+import io.embernotch.model.Shape;
+
+/** Which jobs something is about: all that is given must match; null: any. */
+public record Selector(Priority priority, Shape shape, String team, String jobClass) {
+  public boolean matches(JobSpec j) {
+    return (priority == null || priority == j.priority())
+        && (shape == null || shape == j.shape())
+        && (team == null || team.equals(j.team()))
+        && (jobClass == null || jobClass.equals(j.jobClass()));
+  }
+
+  /** Some job may match both. */
+  public boolean overlaps(Selector o) {
+    return (priority == null || o.priority == null || priority == o.priority)
+        && (shape == null || o.shape == null || shape == o.shape)
+        && (team == null || o.team == null || team.equals(o.team))
+        && (jobClass == null || o.jobClass == null || jobClass.equals(o.jobClass));
+  }
+}
--- a/src/main/java/io/embernotch/snapshot/Snapshot.java
+++ b/src/main/java/io/embernotch/snapshot/Snapshot.java
@@ -100,6 +100,9 @@
     for (int from = 0; from < copy.getJobCount(); from += JOBS) {
       out.add(Copy.newBuilder().addAllJob(copy.getJobList().subList(from, Math.min(copy.getJobCount(), from + JOBS))).build().toByteArray());
     }
+    if (copy.getSharedCount() > 0) {
+      out.add(Copy.newBuilder().addAllShared(copy.getSharedList()).build().toByteArray());
+    }
     for (int from = 0; from < copy.getEndedCount(); from += ENDS) {
       out.add(Copy.newBuilder().addAllEnded(copy.getEndedList().subList(from, Math.min(copy.getEndedCount(), from + ENDS))).build().toByteArray());
     }
--- /dev/null
+++ b/src/main/java/io/embernotch/steward/Facts.java
@@ -0,0 +1,69 @@
+package io.embernotch.steward;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.embernotch.actor.Clock;
+import io.embernotch.calendar.CalendarKeeper;
+import io.embernotch.env.Env;
+import io.embernotch.ledger.Ledger;
+import io.embernotch.machines.Tokens;
+import io.embernotch.model.Job;
+import io.embernotch.reserve.HoldKeeper;
+import io.embernotch.shared.SharedState;
+import io.embernotch.store.Entry;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/** What a stewardship takes over beside jobs, and hands on: read before anything but live services is planned. */
+final class Facts {
+  private final SharedState shared;
+  private final HoldKeeper holds;
+  private final CalendarKeeper calendar;
+  private final Clock clock;
+
+  /** {@code rewritten} has a job's progress written anew. */
+  Facts(Env env, Ledger ledger, long epoch, long stamp, Consumer<Job> rewritten, Runnable deposed) {
+    this.clock = env.clock();
+    this.shared = new SharedState(env, stamp, Tokens.base(epoch), deposed);
+    this.holds = new HoldKeeper(env, ledger, shared);
+    this.calendar = new CalendarKeeper(env, ledger, shared, rewritten);
+  }
+
+  void load(List<Entry> entries) {
+    shared.load(entries);
+    holds.load();
+    calendar.load();
+  }
+
+  void close() {
+    shared.close();
+  }
+
+  HoldKeeper holds() {
+    return holds;
+  }
+
+  CalendarKeeper calendar() {
+    return calendar;
+  }
+
+  void tick() {
+    calendar.tick(clock.wallMs());
+  }
+
+  /** What a poll tells of a job beyond its progress. */
+  void describe(Job job, ObjectNode into) {
+    calendar.status(job, into, clock.wallMs());
+  }
+
+  /** Facts by name, for copies. */
+  Map<String, ObjectNode> copy() {
+    return shared.copy();
+  }
+
+  ObjectNode overview(ObjectNode into) {
+    holds.overview(into.putObject("reserved"));
+    calendar.overview(into.putObject("calendar"), clock.wallMs());
+    return into;
+  }
+}
--- a/src/main/java/io/embernotch/steward/Planning.java
+++ b/src/main/java/io/embernotch/steward/Planning.java
@@ -10,8 +10,12 @@
 import io.embernotch.machines.Stops;
 import io.embernotch.model.Machine;
 import io.embernotch.model.Priority;
+import io.embernotch.plan.Fleet;
+import io.embernotch.plan.Holds;
 import io.embernotch.plan.Plan;
 import io.embernotch.plan.Planner;
+import io.embernotch.plan.Situation;
+import java.util.List;
 import java.util.function.BooleanSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -20,6 +24,9 @@
 final class Planning {
   private static final Logger LOG = LoggerFactory.getLogger(Planning.class);
 
+  /** So much more room is kept for live services of a release that is near. */
+  private static final double NEAR = 1.5;
+
   private final Env env;
   private final Ledger ledger;
   private final Chains chains;
@@ -27,6 +34,7 @@
   private final FleetKeeper fleet;
   private final Starts starts;
   private final Stops stops;
+  private final Facts facts;
   private final double acquiredAt;
   private final BooleanSupplier live;
   private final Runnable ask;
@@ -44,7 +52,7 @@
   /** {@code ask} has {@link #make} called in a turn of the steward's own. */
   Planning(
       Env env, Ledger ledger, Chains chains, Demand demand, FleetKeeper fleet, Starts starts, Stops stops,
-      double acquiredAt, BooleanSupplier live, Runnable ask) {
+      Facts facts, double acquiredAt, BooleanSupplier live, Runnable ask) {
     this.env = env;
     this.ledger = ledger;
     this.chains = chains;
@@ -52,6 +60,7 @@
     this.fleet = fleet;
     this.starts = starts;
     this.stops = stops;
+    this.facts = facts;
     this.acquiredAt = acquiredAt;
     this.live = live;
     this.ask = ask;
@@ -117,13 +126,19 @@
     planned++;
     chains.inherit();
     boolean liveFirst = liveWaits(now);
-    Plan plan =
-        liveFirst
-            ? planner.liveOnly(
-                now, ledger.jobs.values(), ledger.machines.values(), ledger.types, fleet::exhausted, fleet.expected())
-            : planner.plan(
-                now, env.clock().wallMs(), ledger.jobs.values(), ledger.machines.values(), ledger.types, fleet::exhausted,
-                fleet.expected(), demand.headroom(env.operator(), ledger.types.values(), ledger.jobs.values(), now));
+    long wallMs = env.clock().wallMs();
+    facts.calendar().apply(wallMs);
+    List<Fleet.Headroom> room =
+        demand.headroom(env.operator(), ledger.types.values(), ledger.jobs.values(), now).stream()
+            .map(h -> facts.calendar().near(h.like(), wallMs) ? new Fleet.Headroom(h.like(), (int) Math.ceil(NEAR * h.count())) : h)
+            .toList();
+    Holds held = facts.holds().holds(room);
+    Situation at =
+        new Situation(
+            now, wallMs, ledger.jobs.values(), ledger.machines.values(), ledger.types, fleet::exhausted,
+            fleet.expected(), room, held);
+    Plan plan = liveFirst ? planner.liveOnly(at) : planner.plan(at);
+    facts.holds().planned(plan.held);
     tookS = env.clock().now() - now;
     plans.record(liveFirst ? "live plan" : "plan", tookS);
     for (Plan.Stop s : plan.stops) {
--- a/src/main/java/io/embernotch/steward/Steward.java
+++ b/src/main/java/io/embernotch/steward/Steward.java
@@ -87,6 +87,7 @@
   private double loadedAt;
   private boolean stopped;
   private final Minutes minutes;
+  private final Facts facts;
 
   /** {@code stamp} is that of the steward's key, {@code base} and {@code begunWith} as in {@code Eras}. */
   Steward(Env env, StewardHost host, long epoch, long stamp, Collection<MachineType> types, Base base, Copy begunWith) {
@@ -101,10 +102,9 @@
     this.begunWith = begunWith;
     types.forEach(t -> ledger.types.put(t.name(), t));
     this.layout = new Layout(RunCodec.piece(env.settings().stateFloor().valueKb(), env.settings().zones()));
-    this.committer =
-        new Committer(
-            env.settings(), layout, env.store(), env.clock(), env.timers(), env.work(), stamp,
-            () -> host.outranked("a commit failed on the steward's key"));
+    this.committer = new Committer(
+        env.settings(), layout, env.store(), env.clock(), env.timers(), env.work(), stamp,
+        () -> host.outranked("a commit failed on the steward's key"));
     Hooks hooks = new Hooks();
     this.chains = new Chains(env, ledger, hooks);
     this.endings = new Endings(env, ledger, committer, chains, (ref, e) -> host.ended(ref, e.phase(), e.tasks(), e.done()));
@@ -118,12 +118,12 @@
     this.reports = new ReportQueue(env.clock(), env.timers(), m -> env.work().run("Report", () -> report(m)), Steward::refuse);
     this.starts = new Starts(env, ledger, committer, workers, acquiredAt, this::leads);
     this.fleet = new FleetKeeper(env, ledger, workers, epoch, this);
-    this.feed =
-        new StragglerFeed(
-            env, ledger, (node, v) -> host.post().view(node, epoch, v), (node, m) -> host.post().forget(node, epoch, m));
-    this.planning =
-        new Planning(
-            env, ledger, chains, demand, fleet, starts, stops, acquiredAt, this::leads, () -> tell(new StewardMessage.MakePlan()));
+    this.feed = new StragglerFeed(env, ledger,
+        (node, v) -> host.post().view(node, epoch, v), (node, m) -> host.post().forget(node, epoch, m));
+    this.facts = new Facts(env, ledger, epoch, stamp, j -> committer.later(j, 0), () -> host.outranked("a fact failed on the steward's key"));
+    this.planning = new Planning(
+        env, ledger, chains, demand, fleet, starts, stops, facts, acquiredAt, this::leads,
+            () -> tell(new StewardMessage.MakePlan()));
     this.restarts = new RestartDesk(env, ledger, committer, stops);
     this.images = new ImageNews.Teller(env.operator().roundS());
     this.minutes = new Minutes(env, ledger, planning, committer);
@@ -132,8 +132,9 @@
 
   void start() {
     takeover = new Takeover(env, ledger, committer, layout, chains, demand, workers.base(), acquiredAt, base);
-    new Reading(env, base, () -> stopped).read((jobs, runs, parts) -> {
+    new Reading(env, base, () -> stopped).read((jobs, runs, parts, shared) -> {
       takeover.read(jobs, runs, parts);
+      facts.load(shared);
       outcomes.takeOver();
       begin(jobs.epoch());
     });
@@ -144,6 +145,7 @@
     stopped = true;
     planning.close();
     committer.close();
+    facts.close();
     waiting.forEach(Steward::refuse);
     waiting.clear();
     early.refuse();
@@ -177,17 +179,7 @@
         "took over {} jobs, {} ended, {} machines with tasks after {} ms",
         ledger.jobs.size(), ledger.ended.size(), ledger.machines.size(),
         Math.round((env.clock().now() - acquiredAt) * 1000));
-    new JobWatch(env, new JobWatch.Sink() {
-      @Override
-      public void seen(Job job, int piece) {
-        tell(new StewardMessage.JobCreated(job, piece));
-      }
-
-      @Override
-      public boolean over() {
-        return stopped;
-      }
-    }).from(jobsEpoch);
+    new JobWatch(env, (job, piece) -> tell(new StewardMessage.JobCreated(job, piece)), () -> stopped).from(jobsEpoch);
     List<StewardMessage> held = new ArrayList<>(waiting);
     waiting.clear();
     held.forEach(this::receive);
@@ -318,14 +310,17 @@
     public boolean over() {
       return stopped;
     }
+
+    @Override
+    public void describe(Job job, ObjectNode into) {
+      facts.describe(job, into);
+    }
   }
 
   // ---- what workers tell
 
   @Override
-  public void running(Attempt a, Machine m) {
-    // A gang counts as started with its first running task; nothing else hangs on it here.
-  }
+  public void running(Attempt a, Machine m) {}
 
   @Override
   public void exited(Attempt a, Machine m, Cause cause, boolean saved) {
@@ -380,7 +375,7 @@
     return host.controllers();
   }
 
-  /** Another controller is there; it may be given the right to renew its zone's workers. */
+  /** Another controller is there. */
   Frame.Noted heard(Frame.Here here) {
     if (wards.another(here)) {
       images.again();
@@ -430,17 +425,18 @@
       feed.flush(host.controllers());
       images.tell(ledger.machines.values(), epoch, now, host::tellAll);
     }
+    facts.tick();
     minutes.tick(now);
     planning.tick(now);
   }
 
   private ObjectNode overview() {
-    return Overview.of(ledger, chains.waiting()).put("epoch", epoch).put("plans", planning.made()).put("views", feed.sent());
+    return facts.overview(Overview.of(ledger, chains.waiting())).put("epoch", epoch).put("plans", planning.made()).put("views", feed.sent());
   }
 
   /** All that is known here of jobs, whether or not the store has it yet; null before it is known. */
   Copy copy() {
-    return loaded ? Copies.of(ledger, layout::size, epoch, env.clock().wallMs()) : begunWith;
+    return loaded ? Copies.of(ledger, layout::size, facts.copy(), epoch, env.clock().wallMs()) : begunWith;
   }
 
   Ledger ledger() {
--- /dev/null
+++ b/src/test/java/io/embernotch/calendar/CalendarTest.java
@@ -0,0 +1,177 @@
+package io.embernotch.calendar;
+
+import static io.embernotch.testkit.World.job;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.embernotch.codec.Json;
+import io.embernotch.settings.OperatorSettings;
+import io.embernotch.testkit.World;
+import io.embernotch.testkit.World.Fate;
+import io.embernotch.testkit.World.Node;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** The embargo calendar, with three controllers that fail. The fake day begins at 00:16:40 of 1 January 1970. */
+class CalendarTest {
+  private static final int SEEDS = Integer.getInteger("calendar.seeds", 40);
+
+  private World world;
+
+  private static String file(int generation, String more) {
+    return "reserve_live: false generation: " + generation + " calendar { release { id: 'morning' zone: 'UTC' time: '00:24' " + more
+        + " day: [MONDAY, TUESDAY, WEDNESDAY, THURSDAY, FRIDAY, SATURDAY, SUNDAY] orders { job_class: 'wire' } }"
+        + " release { id: 'late' zone: 'UTC' time: '00:40' day: THURSDAY orders { job_class: 'desk' } } }";
+  }
+
+  private void begin(String file) {
+    world = new World(OperatorSettings.parse(file));
+    world.settle(4);
+  }
+
+  private static String of(String jobClass, String ref, int tasks) {
+    return job(ref, "array", tasks).replace("\"jobclass\":\"c\"", "\"jobclass\":\"" + jobClass + "\"").replace("red", "blue");
+  }
+
+  private JsonNode poll(String ref) {
+    for (int i = 0; i < 3; i++) {
+      if (!world.nodes.get(i).down && world.poll(i, ref).status() == 200) {
+        return Json.parseObject(world.poll(i, ref).body());
+      }
+    }
+    return Json.object();
+  }
+
+  /** One machine, taken, and more waits than any guarantee holds; three jobs wait that came in the order of their urgency turned round. */
+  private void threeWait() {
+    world.boot("g8", "z1", false);
+    world.pass(7);
+    world.full = true;
+    world.submit(0, of("c", "j-1", 8));
+    world.pass(4);
+    assertThat(world.running("j-1")).hasSize(8);
+    world.submit(0, of("c", "j-2", 16));
+    world.pass(1);
+    world.submit(1, of("desk", "j-3", 16));
+    world.pass(1);
+    world.submit(2, of("wire", "j-4", 16));
+    world.pass(4);
+  }
+
+  @Test
+  void whatWaitsGoesByWhenItsMembersMustPublish() {
+    begin(file(1, "").replace("00:24", "00:21"));
+    threeWait();
+    assertThat(poll("j-4").get("release").asText()).isEqualTo("morning/1970-01-01");
+    assertThat(poll("j-4").get("deadline").asText()).isEqualTo("1970-01-01T00:21:00Z");
+    assertThat(poll("j-4").get("in_time").asBoolean()).isTrue();
+    assertThat(poll("j-3").get("release").asText()).isEqualTo("late/1970-01-01");
+    assertThat(poll("j-2").has("release")).isFalse();
+    // A while before it is due the morning's goes before what has waited longer; the rest by age.
+    world.pass(100);
+    world.finish("j-1");
+    world.pass(5);
+    assertThat(world.running("j-4")).hasSize(8);
+    world.finish("j-4");
+    world.pass(5);
+    world.finish("j-4");
+    world.pass(5);
+    assertThat(world.running("j-2")).hasSize(8);
+  }
+
+  /** Moved, advanced or lifted: a newer file, in force once it is in the store; the release of a job never changes. */
+  @Test
+  void aMovedEmbargoReordersWhatWaitsAndNoOlderFileMovesItBack() {
+    begin(file(1, ""));
+    threeWait();
+    restartWith(file(2, "moved { date: '1970-01-01' time: '00:50' }"));
+    assertThat(poll("j-4").get("deadline").asText()).isEqualTo("1970-01-01T00:50:00Z");
+    assertThat(poll("j-4").get("release").asText()).isEqualTo("morning/1970-01-01");
+    restartWith(file(1, ""));
+    assertThat(poll("j-4").get("deadline").asText()).isEqualTo("1970-01-01T00:50:00Z");
+    restartWith(file(3, "moved { date: '1970-01-01' lifted: true }"));
+    assertThat(poll("j-4").get("lifted").asBoolean()).isTrue();
+  }
+
+  private void restartWith(String file) {
+    world.operator(OperatorSettings.parse(file));
+    world.nodes.forEach(Node::kill);
+    world.pass(1);
+    world.nodes.forEach(Node::start);
+    world.settle(8);
+    world.pass(15);
+  }
+
+  @Test
+  void whatCameOfAReleaseIsKept() {
+    begin(file(1, ""));
+    threeWait();
+    world.pass(200);
+    world.finish("j-1");
+    world.pass(5);
+    for (int i = 0; i < 8; i++) {
+      world.pass(15);
+      world.finish("j-2");
+      world.finish("j-3");
+      world.finish("j-4");
+    }
+    world.pass(250);
+    JsonNode over = world.state.value("shared/release/morning/1970-01-01");
+    assertThat(over.get("over").asBoolean()).isTrue();
+    assertThat(over.get("jobs").asInt()).isEqualTo(1);
+    assertThat(over.get("in_time").asInt()).isEqualTo(1);
+  }
+
+  /** Controllers end around every commit, facts' commits are lost or late, the store loses all: each job keeps its release. */
+  @Test
+  void aSettledReleaseIsNeverAnother() {
+    List<String> wrong = new ArrayList<>();
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      SplittableRandom random = new SplittableRandom(seed);
+      begin(file(1, ""));
+      String[] told = new String[12];
+      for (int step = 0; step < 24; step++) {
+        int n = step / 2;
+        if (step % 2 == 0 && !world.nodes.get(n % 3).down) {
+          world.submit(n % 3, of(n % 4 == 0 ? "desk" : "wire", "j-" + n, 1 + random.nextInt(4)));
+        }
+        switch (random.nextInt(6)) {
+          case 0 -> {
+            world.commitsWith = random.nextBoolean() ? "shared/" : "run/";
+            world.commitFate = Fate.values()[random.nextInt(3)];
+          }
+          case 1 -> world.releaseHeld();
+          case 2 -> world.finish("j-" + random.nextInt(12));
+          default -> {
+            Node node = world.nodes.get(random.nextInt(3));
+            node.kill();
+            world.pass(random.nextDouble(0.6));
+            node.start();
+          }
+        }
+        world.pass(random.nextDouble(20));
+        for (int j = 0; j <= n; j++) {
+          String now = poll("j-" + j).path("release").asText(null);
+          if (told[j] != null && now != null && !now.equals(told[j])) {
+            wrong.add(seed + ": j-" + j + " was for " + told[j] + " and is for " + now);
+          }
+          told[j] = told[j] == null ? now : told[j];
+        }
+      }
+      wrong.addAll(world.broken());
+    }
+    assertThat(wrong).isEmpty();
+  }
+
+  @Test
+  void aLossOfTheStoreLosesNoRelease() {
+    begin(file(2, "moved { date: '1970-01-01' time: '00:50' }"));
+    threeWait();
+    world.state.loseAll();
+    world.pass(50);
+    world.settle(5);
+    assertThat(poll("j-4").get("deadline").asText()).isEqualTo("1970-01-01T00:50:00Z");
+  }
+}
--- a/src/test/java/io/embernotch/plan/PlannerTest.java
+++ b/src/test/java/io/embernotch/plan/PlannerTest.java
@@ -35,7 +35,12 @@
   private boolean spotFull;
 
   private Plan plan() {
-    return planner.plan(1000, wallMs, jobs, machines, Map.of("g8", G8), (t, z, s) -> full || s && spotFull, List.of(), List.of());
+    return planner.plan(situation());
+  }
+
+  private Situation situation() {
+    return new Situation(
+        1000, wallMs, jobs, machines, Map.of("g8", G8), (t, z, s) -> full || s && spotFull, List.of(), List.of(), Holds.NONE);
   }
 
   private Job add(String json) {
@@ -87,6 +92,7 @@
         }
         for (Plan.Placement p : start.placements()) {
           run(small, p.task(), p.machine());
+          p.machine().touched();
           ends.put(small.open.get(p.task()), s + 15 + (p.task() * 7) % 11);
         }
       }
@@ -193,8 +199,7 @@
     Job live =
         add(job("j-2", "standing", 2).replace("standard", "production").replace("\"loaner\":true", "\"loaner\":false"));
     Plan all = plan();
-    Plan first =
-        planner.liveOnly(1000, jobs, machines, Map.of("g8", G8), (t, z, s) -> full, List.of());
+    Plan first = planner.liveOnly(situation());
     assertThat(all.starts).extracting(s -> s.job()).containsExactly(live, array);
     assertThat(first.starts).containsExactly(all.starts.get(0));
     assertThat(first.returns).isEmpty();
--- /dev/null
+++ b/src/test/java/io/embernotch/reserve/ReservationTest.java
@@ -0,0 +1,248 @@
+package io.embernotch.reserve;
+
+import static io.embernotch.testkit.World.job;
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.embernotch.codec.Json;
+import io.embernotch.settings.OperatorSettings;
+import io.embernotch.settings.SettingsException;
+import io.embernotch.testkit.FakeWorker;
+import io.embernotch.testkit.World;
+import io.embernotch.testkit.World.Fate;
+import io.embernotch.testkit.World.Node;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+
+/** Reserved capacity, with three controllers that fail. */
+class ReservationTest {
+  private static final int SEEDS = Integer.getInteger("reserve.seeds", 60);
+  private static final int FROM = Integer.getInteger("reserve.from", 1);
+  private static final String TEN = "generation: 1 reserve { name: 'live' serves { priority: LIVE } gpus: 10 }";
+
+  private World world;
+  private HeldRoom room;
+
+  private void begin(String file) {
+    world = new World(OperatorSettings.parse(file));
+    room = new HeldRoom(world);
+    world.settle(3);
+  }
+
+  private static String live(String ref, int tasks) {
+    return job(ref, "standing", tasks).replace("standard", "production").replace("\"loaner\":true", "\"loaner\":false");
+  }
+
+  private static String array(String ref, int tasks) {
+    return job(ref, "array", tasks).replace("\"loaner\":true", "\"loaner\":false");
+  }
+
+  private JsonNode seen() {
+    JsonNode cluster = Json.parseObject(world.await(world.steward().controller.overview()).body()).get("cluster");
+    return cluster.get("reserved").get("reservations").get(0);
+  }
+
+  /** Room for ten is held, others fill the rest, and what the services that come use of it is theirs at once. */
+  @Test
+  void aFixedAmountIsHeldAgainstABurstAndFilledByWhatItIsFor() {
+    begin(TEN);
+    room.pass(20);
+    assertThat(room.heldInAll()).isGreaterThanOrEqualTo(10);
+    world.noBoot = true;
+    world.submit(0, array("j-1", 100));
+    room.pass(20);
+    assertThat(seen().get("held").get("gpus").asDouble()).isGreaterThanOrEqualTo(10);
+    assertThat(seen().get("idle_cost_per_hour").asDouble()).isGreaterThan(0);
+    world.submit(1, live("j-2", 10));
+    room.pass(3);
+    assertThat(world.running("j-2")).hasSize(10);
+    assertThat(seen().get("filled").get("gpus").asDouble()).isEqualTo(10);
+    assertThat(room.wrong).isEmpty();
+  }
+
+  /** A restarted controller lends nothing: replicas that were lost while nobody led find their room. */
+  @Test
+  void allControllersEndWhileABurstWaitsAndNothingIsLent() {
+    begin("");
+    world.submit(0, live("j-1", 14));
+    room.pass(15);
+    world.noBoot = true;
+    world.submit(1, array("j-2", 200));
+    room.pass(15);
+    double held = room.heldInAll();
+    assertThat(held).isGreaterThanOrEqualTo(14);
+    world.nodes.forEach(Node::kill);
+    room.pass(1);
+    int gone = 0;
+    for (FakeWorker w : world.running("j-1").values()) {
+      for (String t : List.copyOf(w.alive())) {
+        if (t.startsWith("j-1/") && gone < 6) {
+          w.exit(t, "error");
+          gone++;
+        }
+      }
+    }
+    assertThat(world.running("j-1")).hasSize(8);
+    world.nodes.forEach(Node::start);
+    room.pass(25);
+    assertThat(world.running("j-1")).hasSize(14);
+    assertThat(room.wrong).isEmpty();
+  }
+
+  /** A value of the store's is given up by commit before it is used; one commit that is lost or late changes nothing. */
+  @Test
+  void whatIsGivenUpIsLentOnlyOnceThatIsKnownToBeWritten() {
+    begin("");
+    world.submit(0, live("j-1", 16));
+    room.pass(15);
+    world.noBoot = true;
+    world.submit(1, array("j-2", 200));
+    room.pass(10);
+    world.commitsWith = "shared/";
+    world.commitFate = Fate.HELD;
+    world.abort(0, "j-1");
+    room.pass(8);
+    double still = room.heldInAll();
+    assertThat(still).isGreaterThanOrEqualTo(16);
+    world.commitFate = Fate.ARRIVES;
+    world.releaseHeld();
+    room.pass(60);
+    assertThat(room.heldInAll()).isLessThan(still / 2);
+    assertThat(world.running("j-2").size()).isGreaterThan(8);
+    assertThat(room.wrong).isEmpty();
+  }
+
+  /** Where no machine is to be had the amount is restored by stopping lesser work, and by none of its equals. */
+  @Test
+  void aFixedAmountIsRestoredByStoppingLesserWork() {
+    begin("reserve_live: false");
+    String name = world.boot("g8", "z1", false);
+    room.pass(8);
+    world.full = true;
+    world.submit(0, array("j-1", 8).replace("standard", "idle"));
+    room.pass(8);
+    assertThat(world.workers.get(name).alive()).hasSize(8);
+    restartWith("generation: 1 reserve { name: 'live' serves { priority: LIVE } gpus: 4 }");
+    room.pass(25);
+    assertThat(room.held(name)).isEqualTo(4);
+    assertThat(world.workers.get(name).alive()).hasSize(4);
+    world.submit(0, live("j-2", 4));
+    room.pass(3);
+    assertThat(world.running("j-2")).hasSize(4);
+    assertThat(room.wrong).isEmpty();
+  }
+
+  private void restartWith(String file) {
+    world.operator(OperatorSettings.parse(file));
+    world.nodes.forEach(Node::kill);
+    world.pass(2);
+    world.nodes.forEach(Node::start);
+    world.settle(8);
+  }
+
+  /** A controller that is started with an older file goes by the newer one, and never writes its own over it. */
+  @Test
+  void anOlderFileNeverUndoesANewerGeneration() {
+    begin("generation: 3 reserve { name: 'new' serves { priority: LIVE } gpus: 12 }");
+    room.pass(20);
+    assertThat(room.heldInAll()).isGreaterThanOrEqualTo(12);
+    restartWith(TEN);
+    room.pass(20);
+    assertThat(seen().get("name").asText()).isEqualTo("new");
+    assertThat(world.state.value("shared/reserve").get("gen").asLong()).isEqualTo(3);
+    assertThat(room.heldInAll()).isGreaterThanOrEqualTo(12);
+  }
+
+  /** All data is lost: what was held is in the steward's copy, and is restored with the jobs. */
+  @Test
+  void aLossOfTheStoreLosesNoHold() {
+    begin(TEN);
+    world.submit(0, live("j-1", 6));
+    room.pass(25);
+    double held = room.heldInAll();
+    world.noBoot = true;
+    world.submit(1, array("j-2", 100));
+    room.pass(5);
+    world.state.loseAll();
+    room.pass(40);
+    world.settle(5);
+    assertThat(seen().get("held").get("gpus").asDouble()).isGreaterThanOrEqualTo(Math.min(held, 10));
+    assertThat(world.running("j-1")).hasSize(6);
+    assertThat(room.wrong).isEmpty();
+  }
+
+  private static List<String> play(long seed) {
+    SplittableRandom random = new SplittableRandom(seed);
+    ReservationTest t = new ReservationTest();
+    t.begin(random.nextBoolean() ? "" : TEN);
+    World world = t.world;
+    int next = 1;
+    for (int step = 0; step < 25; step++) {
+      int node = random.nextInt(3);
+      switch (random.nextInt(9)) {
+        case 0, 1 -> submit(world, node, live("j-" + next++, 1 + random.nextInt(6)));
+        case 2 -> submit(world, node, array("j-" + next++, 1 + random.nextInt(40)));
+        case 3 -> world.finish("j-" + (1 + random.nextInt(next)));
+        case 4 -> {
+          if (!world.nodes.get(node).down) {
+            world.abort(node, "j-" + (1 + random.nextInt(next)));
+          }
+        }
+        case 5 -> {
+          world.commitsWith = random.nextBoolean() ? "shared/" : "run/";
+          world.commitFate = Fate.values()[random.nextInt(3)];
+        }
+        case 6 -> world.releaseHeld();
+        case 7 -> world.noBoot = !world.noBoot;
+        default -> {
+          List<Node> nodes = random.nextInt(3) == 0 ? world.nodes : List.of(world.nodes.get(node));
+          nodes.forEach(Node::kill);
+          t.room.pass(random.nextDouble(1.0));
+          nodes.forEach(Node::start);
+        }
+      }
+      t.room.pass(random.nextDouble(5));
+    }
+    t.room.wrong.addAll(world.broken());
+    return t.room.wrong;
+  }
+
+  private static void submit(World world, int node, String json) {
+    if (!world.nodes.get(node).down) {
+      world.submit(node, json);
+    }
+  }
+
+  @Test
+  void nobodyEverBeginsOnWhatIsHeld() {
+    Map<Long, List<String>> wrong = new TreeMap<>();
+    for (long seed = FROM; seed < FROM + SEEDS; seed++) {
+      List<String> found = play(seed);
+      if (!found.isEmpty()) {
+        wrong.put(seed, found);
+      }
+    }
+    assertThat(wrong).isEmpty();
+  }
+
+  @Test
+  void mistakesInTheFileAreToldWithTheirPlace() {
+    mistake("reserve { name: 'a' serves { priority: LIVE } gpus: 1 }", "reserve[0]: generation");
+    mistake("generation: 1 reserve { name: 'a' gpus: 1 }", "reserve[0].serves: missing");
+    mistake("generation: 1 reserve { name: 'a' serves { priority: LIVE } }", "reserves nothing");
+    mistake(TEN + " reserve { name: 'b' serves { team: 'red' } gpus: 1 }", "reserve[1].serves: the same work may be served by live");
+    mistake("generation: 1 reserve { name: 'a' serves { shape: GANG } machines: 1 gpus: 2 }", "either whole machines or amounts");
+    mistake(
+        "generation: 1 reserve { name: 'a' serves { shape: GANG } gpus: 2 zone { name: 'x' least_share: 0.7 } zone { name: 'y' least_share: 0.6 } }",
+        "reserve[0].zone: the shares add up to 1.29");
+    mistake("generation: 1 reserve { name: 'a' serves { shape: HEAP } gpus: 2 }", "line 1");
+  }
+
+  private static void mistake(String file, String why) {
+    assertThatThrownBy(() -> OperatorSettings.parse(file)).isInstanceOf(SettingsException.class).hasMessageContaining(why);
+  }
+}
