Held room moves off machines that are empty but for it

Change: what is held on an empty machine is held elsewhere first, and a tenth too much is kept instead of a quarter.

--- a/src/main/java/io/embernotch/plan/Reserving.java
+++ b/src/main/java/io/embernotch/plan/Reserving.java
@@ -15,7 +15,7 @@
  */
 final class Reserving {
   /** So much more than is wanted may stay held, and a task's room. */
-  private static final double SLACK = 0.25;
+  private static final double SLACK = 0.1;
 
   /** What is needed of the planner. */
   interface Host {
@@ -50,12 +50,15 @@
 
   private void keep(int term, Reservation r, Fleet.Headroom h) {
     Amount unit = Amount.of(h.like());
-    int lacking = h.count() - heldFor(term, unit, h.count());
+    // What is held on a machine that is empty but for that keeps it from whole-machine work: it moves where others are.
+    int lacking = h.count() - heldFor(term, unit, h.count(), false);
     for (String zone : r.zones().keySet()) {
       int least = (int) Math.ceil(r.zones().get(zone) * h.count());
-      lacking -= extend(term, r, h.like(), unit, Math.min(lacking, least - heldIn(term, unit, zone)), zone);
+      lacking -= extend(term, r, h.like(), unit, Math.min(lacking, least - heldIn(term, unit, zone)), zone, true);
     }
-    lacking -= extend(term, r, h.like(), unit, lacking, null);
+    lacking -= extend(term, r, h.like(), unit, lacking, null, false);
+    lacking -= heldFor(term, unit, lacking, true);
+    lacking -= extend(term, r, h.like(), unit, lacking, null, true);
     if (lacking > 0) {
       lacking -= host.claimLater(h.like(), lacking);
     }
@@ -65,15 +68,15 @@
   }
 
   /** How many such tasks what is held has room for now; the machines are claimed for that. */
-  private int heldFor(int term, Amount unit, int most) {
+  private int heldFor(int term, Amount unit, int most, boolean onEmpty) {
     int n = 0;
     for (Slot s : slots.all()) {
-      if (s.hold != null && n < most && s.hold.free(term).holds(unit) > 0) {
+      if (s.hold != null && n < most && s.machine.open.isEmpty() == onEmpty && s.hold.free(term).holds(unit) > 0) {
         n += Math.min(s.hold.free(term).holds(unit), s.freeLater().holds(unit));
         s.claimed = true;
       }
     }
-    return Math.min(n, most);
+    return Math.max(0, Math.min(n, most));
   }
 
   private int heldIn(int term, Amount unit, String zone) {
@@ -81,13 +84,13 @@
   }
 
   /** Holds room that is free, where most is in use already; tells for how many tasks. */
-  private int extend(int term, Reservation r, JobSpec like, Amount unit, int wanted, String zone) {
+  private int extend(int term, Reservation r, JobSpec like, Amount unit, int wanted, String zone, boolean emptyToo) {
     int done = 0;
     if (wanted <= 0) {
       return 0;
     }
     for (Slot s : slots.candidates(
-        Room.NOW, like, s -> !s.spot && r.allowsType(s.type.name()) && (zone == null || zone.equals(s.zone)),
+        Room.NOW, like, s -> !s.spot && (emptyToo || !s.machine.open.isEmpty()) && r.allowsType(s.type.name()) && (zone == null || zone.equals(s.zone)),
         s -> -Scores.PACK_S * s.used() - (s.machine == null ? 0 : s.machine.images.size()))) {
       int there = s.hold == null ? 0 : s.hold.free(term).holds(unit);
       int n = Math.min(s.count(like, false) - there, wanted - done);
