Replicas by seconds of replica time: weights, failures and spread; weights kept for stewards

Need: replicas where weights lie, against the wish to spread; controllers that all end knew no weights. Change: one measure, rates counted with a prior; images by size of the cache; eighths of the machines under shared/weights.

--- a/src/main/java/io/embernotch/fleet/FleetKeeper.java
+++ b/src/main/java/io/embernotch/fleet/FleetKeeper.java
@@ -8,6 +8,7 @@
 import io.embernotch.model.Machine;
 import io.embernotch.plan.Fleet;
 import io.embernotch.plan.Plan;
+import io.embernotch.plan.Risk;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -47,6 +48,7 @@
   private final Outcome outcome;
   private final Rentals rentals;
   private final Silence silence;
+  private final FailureRates rates;
   private final Unreached unreached;
   private final Returns returns;
   private final double startedAt;
@@ -63,7 +65,8 @@
     this.outcome = outcome;
     this.rentals = new Rentals(env, ledger, workers, epoch, outcome::changed);
     this.returns = new Returns(env, ledger, outcome::machineGone);
-    this.silence = new Silence(env, ledger, workers, outcome, returns::giveBack);
+    this.rates = new FailureRates(env.settings());
+    this.silence = new Silence(env, ledger, workers, outcome, returns::giveBack, rates);
     this.unreached = new Unreached(env, ledger, workers, outcome, returns::giveBack);
     this.startedAt = env.clock().now();
   }
@@ -89,6 +92,11 @@
     return rentals.expected();
   }
 
+  /** How often machines and zones fail, as far as is known. */
+  public Risk risk() {
+    return rates.risk();
+  }
+
   public boolean exhausted(String type, String zone, boolean spot) {
     return silence.isCut(zone) || rentals.full(type, zone, spot);
   }
@@ -107,6 +115,7 @@
       typesAt = now;
       env.cloud().types().onSuccess(list -> list.forEach(t -> ledger.types.put(t.name(), t)));
     }
+    rates.tick(ledger, now);
     watchBoots(now);
     silence.watch(now);
     unreached.watch(now);
@@ -166,6 +175,7 @@
       if (l.phase().equals("failed") && !m.failed) {
         LOG.info("machine {} has failed", m.name);
         m.failed = true;
+        rates.machineFailed();
         giveBack(m);
         news = true;
       }
--- a/src/main/java/io/embernotch/fleet/Silence.java
+++ b/src/main/java/io/embernotch/fleet/Silence.java
@@ -40,17 +40,19 @@
   private final Workers workers;
   private final FleetKeeper.Outcome outcome;
   private final Consumer<Machine> giveBack;
+  private final FailureRates rates;
   private final double startedAt;
   private Set<String> cutZones = Set.of();
   /** When zones were last back from a cut. */
   private final Map<String, Double> backAt = new HashMap<>();
 
-  Silence(Env env, Ledger ledger, Workers workers, FleetKeeper.Outcome outcome, Consumer<Machine> giveBack) {
+  Silence(Env env, Ledger ledger, Workers workers, FleetKeeper.Outcome outcome, Consumer<Machine> giveBack, FailureRates rates) {
     this.env = env;
     this.ledger = ledger;
     this.workers = workers;
     this.outcome = outcome;
     this.giveBack = giveBack;
+    this.rates = rates;
     this.startedAt = env.clock().now();
   }
 
@@ -103,6 +105,7 @@
         LOG.info(
             "machine {} has been silent for {} s with {} tasks, {}", m.name, Math.round(now - lastSign(m)), m.open.size(),
             m.probeConnected ? "takes connections" : "takes no connection");
+        rates.machineFailed();
         giveBack.accept(m);
       }
     }
@@ -131,6 +134,7 @@
     }
     if (!out.equals(cutZones)) {
       LOG.info("zones that are cut off: {}", out);
+      out.stream().filter(z -> !cutZones.contains(z)).forEach(z -> rates.zoneFailed());
       cutZones.stream().filter(z -> !out.contains(z)).forEach(z -> backAt.put(z, env.clock().now()));
     }
     return out;
--- a/src/main/java/io/embernotch/ledger/Ledger.java
+++ b/src/main/java/io/embernotch/ledger/Ledger.java
@@ -31,6 +31,9 @@
   public final Map<String, Machine> machines = new TreeMap<>();
   public final Map<String, MachineType> types = new LinkedHashMap<>();
 
+  /** Sizes of images in GB, as far as jobs that need them have been seen to run. */
+  public final Map<String, Double> imageGb = new HashMap<>();
+
   private Function<String, List<String>> images = n -> List.of();
 
   /** Where to learn which images a machine has that was rented before. */
--- a/src/main/java/io/embernotch/machines/Workers.java
+++ b/src/main/java/io/embernotch/machines/Workers.java
@@ -63,6 +63,9 @@
   /** A worker drops an answer that comes later than this after its report ("Workers"), whatever its clock's drift. */
   private static final double ANSWERABLE_S = 4 * (1 + 2 * Settings.DRIFT);
 
+  /** Images of a machine that are remembered, whatever their size. */
+  private static final int MOST_IMAGES = 32;
+
   private final Set<String> deleted = new HashSet<>();
   private final Leases leases;
   private final Lanes lanes;
@@ -241,8 +244,12 @@
   private void cache(Machine m, JobSpec spec) {
     m.images.remove(spec.image());
     m.images.add(spec.image());
-    while (m.images.size() > 32) {
-      m.images.remove(m.images.iterator().next());
+    ledger.imageGb.put(spec.image(), spec.imageGb());
+    double held = m.images.stream().mapToDouble(i -> ledger.imageGb.getOrDefault(i, 0.0)).sum();
+    while (m.images.size() > 1 && (m.images.size() > MOST_IMAGES || (m.type != null && m.type.cacheGb() > 0 && held > m.type.cacheGb()))) {
+      String oldest = m.images.iterator().next();
+      m.images.remove(oldest);
+      held -= ledger.imageGb.getOrDefault(oldest, 0.0);
     }
   }
 
--- a/src/main/java/io/embernotch/plan/Planner.java
+++ b/src/main/java/io/embernotch/plan/Planner.java
@@ -39,6 +39,7 @@
   private Market market;
   private Preemption preemption;
   private Queueing queueing;
+  private Spread spread;
   private Gathering gathering;
   private Plan plan;
   /** Slots that may be filled at present. */
@@ -85,6 +86,7 @@
     market = new Market(at.types(), at.pools(), slots, mostNew);
     preemption = new Preemption(settings, slots, plan, now);
     queueing = new Queueing(at.jobs(), at.types());
+    spread = new Spread(slots, at.risk());
     List<Job> order = Turns.of(at.jobs(), settings, slots, at.wallMs());
     int live = 0;
     while (live < order.size() && order.get(live).spec.priority() == Priority.PRODUCTION) {
@@ -216,7 +218,14 @@
     }
     boolean keepOff = keepsOffOrdinary(spec);
     int done = 0;
-    for (Slot s : slots.candidates(room, spec, s -> only.test(s) && zones.room(s.zone) > 0 && !(keepOff && dear(spec, s)), score)) {
+    List<Slot> found = slots.candidates(room, spec, s -> only.test(s) && zones.room(s.zone) > 0 && !(keepOff && dear(spec, s)), score);
+    if (spec.shape() == Shape.SERVICE && spec.tasks() > 1 && room == Room.NOW) {
+      return spread.place(found, spec, wanted, zones, score, s -> {
+        take(s, spec, 1, zones);
+        taken.by(s, 1);
+      });
+    }
+    for (Slot s : found) {
       int n = Math.min(Math.min(s.count(spec, room == Room.FREEING), wanted - done), zones.room(s.zone));
       if (n > 0) {
         take(s, spec, n, zones);
--- /dev/null
+++ b/src/main/java/io/embernotch/plan/Risk.java
@@ -0,0 +1,14 @@
+package io.embernotch.plan;
+
+/**
+ * How often machines and zones fail, as the steward has seen it.
+ *
+ * @param machinePerS failures of one machine in a second
+ * @param zonePerS the same of a zone
+ * @param horizonS seconds for which a replica that is placed now is counted on
+ * @param noticedS seconds from a failure until what ran there may start elsewhere
+ */
+public record Risk(double machinePerS, double zonePerS, double horizonS, double noticedS) {
+  /** Nothing ever fails. */
+  public static final Risk NONE = new Risk(0, 0, 0, 0);
+}
--- a/src/main/java/io/embernotch/plan/Situation.java
+++ b/src/main/java/io/embernotch/plan/Situation.java
@@ -16,6 +16,7 @@
  * @param expected machines that requests under way may bring
  * @param headroom room to be kept free
  * @param holds reservations
+ * @param risk how often machines fail
  */
 public record Situation(
     double now,
@@ -26,4 +27,5 @@
     Fleet.Pools pools,
     List<Fleet.Expected> expected,
     List<Fleet.Headroom> headroom,
-    Holds holds) {}
+    Holds holds,
+    Risk risk) {}
--- a/src/main/java/io/embernotch/steward/Facts.java
+++ b/src/main/java/io/embernotch/steward/Facts.java
@@ -10,6 +10,7 @@
 import io.embernotch.reserve.HoldKeeper;
 import io.embernotch.shared.SharedState;
 import io.embernotch.store.Entry;
+import io.embernotch.weights.WeightsKeeper;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -19,6 +20,7 @@
   private final SharedState shared;
   private final HoldKeeper holds;
   private final CalendarKeeper calendar;
+  private final WeightsKeeper weights;
   private final Clock clock;
 
   /** {@code rewritten} has a job's progress written anew. */
@@ -27,12 +29,14 @@
     this.shared = new SharedState(env, stamp, Tokens.base(epoch), deposed);
     this.holds = new HoldKeeper(env, ledger, shared);
     this.calendar = new CalendarKeeper(env, ledger, shared, rewritten);
+    this.weights = new WeightsKeeper(env, ledger, shared);
   }
 
   void load(List<Entry> entries) {
     shared.load(entries);
     holds.load();
     calendar.load();
+    weights.load();
   }
 
   void close() {
@@ -49,6 +53,12 @@
 
   void tick() {
     calendar.tick(clock.wallMs());
+    weights.tick(clock.now());
+  }
+
+  /** Images that a former steward knew a machine to have. */
+  List<String> images(String machine) {
+    return weights.of(machine);
   }
 
   /** What a poll tells of a job beyond its progress. */
--- a/src/main/java/io/embernotch/steward/Planning.java
+++ b/src/main/java/io/embernotch/steward/Planning.java
@@ -136,7 +136,7 @@
     Situation at =
         new Situation(
             now, wallMs, ledger.jobs.values(), ledger.machines.values(), ledger.types, fleet::exhausted,
-            fleet.expected(), room, held);
+            fleet.expected(), room, held, fleet.risk());
     Plan plan = liveFirst ? planner.liveOnly(at) : planner.plan(at);
     facts.holds().planned(plan.held);
     tookS = env.clock().now() - now;
--- a/src/main/java/io/embernotch/steward/Steward.java
+++ b/src/main/java/io/embernotch/steward/Steward.java
@@ -127,14 +127,14 @@
     this.restarts = new RestartDesk(env, ledger, committer, stops);
     this.images = new ImageNews.Teller(env.operator().roundS());
     this.minutes = new Minutes(env, ledger, planning, committer);
-    ledger.imagesOf(host::images);
+    ledger.imagesOf(m -> host.images(m).isEmpty() ? facts.images(m) : host.images(m));
   }
 
   void start() {
     takeover = new Takeover(env, ledger, committer, layout, chains, demand, workers.base(), acquiredAt, base);
     new Reading(env, base, () -> stopped).read((jobs, runs, parts, shared) -> {
-      takeover.read(jobs, runs, parts);
       facts.load(shared);
+      takeover.read(jobs, runs, parts);
       outcomes.takeOver();
       begin(jobs.epoch());
     });
--- /dev/null
+++ b/src/main/java/io/embernotch/weights/WeightsKeeper.java
@@ -0,0 +1,137 @@
+package io.embernotch.weights;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.embernotch.codec.Json;
+import io.embernotch.env.Env;
+import io.embernotch.ledger.Ledger;
+import io.embernotch.model.Job;
+import io.embernotch.model.Machine;
+import io.embernotch.model.MachineType;
+import io.embernotch.model.Shape;
+import io.embernotch.shared.SharedState;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Which machines have the weights of live services, handed to the next steward through the store: what controllers tell
+ * each other of images is gone when all of them end. Only where it pays: images of services whose fetch takes longer than
+ * a report period. A few pieces are written in turn, one at a time, so it is never a burst. What is stale costs a fetch and
+ * nothing else: a worker fetches what it lacks, whatever we believe.
+ */
+public final class WeightsKeeper {
+  private static final String PREFIX = "weights/";
+  private static final int PIECES = 8;
+
+  /** Report periods between two pieces. */
+  private static final double PERIODS = 1;
+
+  /** Bytes that a machine takes in a piece: its name, a few numbers. */
+  private static final int BYTES_PER_MACHINE = 32;
+
+  private final Env env;
+  private final Ledger ledger;
+  private final SharedState shared;
+  private final Map<String, List<String>> known = new HashMap<>();
+  private int piece;
+  private double writtenAt;
+
+  public WeightsKeeper(Env env, Ledger ledger, SharedState shared) {
+    this.env = env;
+    this.ledger = ledger;
+    this.shared = shared;
+  }
+
+  /** The shared facts have been read. */
+  public void load() {
+    known.clear();
+    shared.all(PREFIX).values().forEach(this::read);
+  }
+
+  private void read(ObjectNode o) {
+    JsonNode images = o.path("images");
+    o.path("on").fields().forEachRemaining(e -> {
+      List<String> on = new ArrayList<>();
+      e.getValue().forEach(i -> {
+        if (i.asInt() >= 0 && i.asInt() < images.size()) {
+          on.add(images.get(i.asInt()).asText());
+        }
+      });
+      known.put(e.getKey(), on);
+    });
+  }
+
+  /** What a former steward knew a machine to have. */
+  public List<String> of(String machine) {
+    return known.getOrDefault(machine, List.of());
+  }
+
+  public void tick(double now) {
+    if (now - writtenAt < PERIODS * env.settings().workers().reportS()) {
+      return;
+    }
+    writtenAt = now;
+    piece = (piece + 1) % PIECES;
+    String name = PREFIX + piece;
+    ObjectNode value = piece(piece, worthKeeping());
+    ObjectNode there = shared.get(name);
+    boolean same = there == null ? value.path("on").isEmpty() : there.path("on").equals(value.path("on")) && there.path("images").equals(value.path("images"));
+    if (!same && !shared.pending(name)) {
+      shared.put(name, value, () -> {});
+    }
+  }
+
+  private Set<String> worthKeeping() {
+    Set<String> out = new HashSet<>();
+    for (Job j : ledger.jobs.values()) {
+      if (j.spec.shape() == Shape.SERVICE && j.end == null && !out.contains(j.spec.image())) {
+        double fetchS = ledger.types.values().stream().filter(t -> t.fits(j.spec)).mapToDouble((MachineType t) -> t.fetchS(j.spec)).min().orElse(0);
+        if (fetchS > env.settings().workers().reportS()) {
+          out.add(j.spec.image());
+        }
+      }
+    }
+    return out;
+  }
+
+  private ObjectNode piece(int k, Set<String> worth) {
+    ObjectNode o = Json.object();
+    ArrayNode images = o.putArray("images");
+    ObjectNode on = o.putObject("on");
+    Map<String, Integer> numbers = new TreeMap<>();
+    int left = (int) (env.settings().stateFloor().valueKb() * 1024 * 3 / 4);
+    for (Machine m : ledger.machines.values()) {
+      if (Math.floorMod(m.name.hashCode(), PIECES) != k || m.deleting) {
+        continue;
+      }
+      ArrayNode list = null;
+      for (String image : m.images) {
+        if (worth.contains(image)) {
+          Integer number = numbers.get(image);
+          if (number == null) {
+            number = numbers.size();
+            numbers.put(image, number);
+            images.add(image);
+            left -= image.length() + 3;
+          }
+          list = list == null ? Json.object().arrayNode() : list;
+          list.add(number);
+        }
+      }
+      left -= list == null ? 0 : BYTES_PER_MACHINE + 3 * list.size();
+      if (left < 0) {
+        break;
+      }
+      if (list != null) {
+        on.set(m.name, list);
+      }
+    }
+    return o;
+  }
+}
--- a/src/test/java/io/embernotch/plan/DeadlinesTest.java
+++ b/src/test/java/io/embernotch/plan/DeadlinesTest.java
@@ -112,7 +112,7 @@
         owed -= tasks * (double) run;
       }
       Plan plan = d.planner.plan(new Situation(
-          d.now, Math.round(d.now * 1000), d.jobs, d.machines, Map.of("g8", G8), (t, z, s) -> true, List.of(), List.of(), Holds.NONE));
+          d.now, Math.round(d.now * 1000), d.jobs, d.machines, Map.of("g8", G8), (t, z, s) -> true, List.of(), List.of(), Holds.NONE, Risk.NONE));
       for (Plan.Start s : plan.starts) {
         for (Plan.Placement p : s.placements()) {
           Attempt a = new Attempt(s.job(), p.task(), 1, p.machine().name, "z1", 0);
--- a/src/test/java/io/embernotch/plan/PlannerTest.java
+++ b/src/test/java/io/embernotch/plan/PlannerTest.java
@@ -40,7 +40,7 @@
 
   private Situation situation() {
     return new Situation(
-        1000, wallMs, jobs, machines, Map.of("g8", G8), (t, z, s) -> full || s && spotFull, List.of(), List.of(), Holds.NONE);
+        1000, wallMs, jobs, machines, Map.of("g8", G8), (t, z, s) -> full || s && spotFull, List.of(), List.of(), Holds.NONE, Risk.NONE);
   }
 
   private Job add(String json) {
--- /dev/null
+++ b/src/test/java/io/embernotch/plan/SpreadTest.java
@@ -0,0 +1,226 @@
+package io.embernotch.plan;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.embernotch.codec.JobCodec;
+import io.embernotch.codec.Json;
+import io.embernotch.model.Attempt;
+import io.embernotch.model.Job;
+import io.embernotch.model.Machine;
+import io.embernotch.model.MachineType;
+import io.embernotch.settings.OperatorSettings;
+import io.embernotch.settings.SettingsReader;
+import io.embernotch.testkit.World;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** Where replicas go: where their weights lie, against the wish to spread. */
+class SpreadTest {
+  private static final MachineType G8 = new MachineType("g8", 48, 8, 288, 200, 1, 12, 4, 60, List.of("z1", "z2"));
+  private static final double LEASE_S = 30;
+
+  private final Planner planner =
+      new Planner(SettingsReader.parse(World.toml(0).replace("gpus_max = 64.0", "gpus_max = 4000.0")), OperatorSettings.DEFAULTS);
+  private final List<Job> jobs = new ArrayList<>();
+  private final List<Machine> machines = new ArrayList<>();
+  private double now = 1000;
+
+  private Machine machine(String zone, String... images) {
+    Machine m = new Machine(String.format("n-%03d", machines.size()));
+    m.type = G8;
+    m.zone = zone;
+    m.heardAt = 1e9;
+    m.provenAt = 1;
+    m.images.addAll(List.of(images));
+    machines.add(m);
+    return m;
+  }
+
+  private Job service(String ref, int replicas, double gb) {
+    String json = World.job(ref, "standing", replicas).replace("standard", "production").replace("\"owner\":\"red\"", "\"owner\":\"blue\"")
+        .replace("\"loaner\":true", "\"loaner\":false").replace("\"bundle\":\"img\"", "\"bundle\":\"img-" + ref + "\"")
+        .replace("\"size_gb\":1.0", "\"size_gb\":" + gb);
+    Job j = new Job(JobCodec.read(Json.parseObject(json.getBytes())), jobs.size());
+    jobs.add(j);
+    return j;
+  }
+
+  private Plan plan(Risk risk) {
+    return planner.plan(new Situation(
+        now, Math.round(now * 1000), jobs, machines, Map.of("g8", G8), (t, z, s) -> true, List.of(), List.of(), Holds.NONE, risk));
+  }
+
+  private Map<Machine, Integer> placed(Risk risk) {
+    Map<Machine, Integer> out = new HashMap<>();
+    plan(risk).starts.forEach(s -> s.placements().forEach(p -> out.merge(p.machine(), 1, Integer::sum)));
+    return out;
+  }
+
+  private static Risk often(double perHour) {
+    return new Risk(perHour / 3600, perHour / 36_000, 5 * LEASE_S, LEASE_S);
+  }
+
+  @Test
+  void whereNothingFailsTheWeightsDecide() {
+    machine("z1");
+    Machine has = machine("z2", "img-j-1");
+    service("j-1", 4, 60);
+    assertThat(placed(Risk.NONE)).containsExactly(Map.entry(has, 4));
+  }
+
+  @Test
+  void whereNothingIsToBeFetchedAndMachinesFailOftenReplicasSpread() {
+    for (int i = 0; i < 4; i++) {
+      machine(i % 2 == 0 ? "z1" : "z2", "img-j-1");
+    }
+    service("j-1", 4, 60);
+    assertThat(placed(often(30))).hasSize(4);
+    assertThat(placed(often(0.001))).hasSize(1);
+  }
+
+  /** The bound between the two moves with what a fetch takes and how often machines fail. */
+  @Test
+  void aFetchIsPaidForSpreadOnlyWhereFailuresCostMore() {
+    machine("z1", "img-j-1");
+    machine("z1");
+    service("j-1", 2, 120);
+    assertThat(placed(often(1))).hasSize(1);
+    jobs.clear();
+    service("j-1", 2, 4);
+    assertThat(placed(often(60))).hasSize(2);
+  }
+
+  @Test
+  void oneZoneAndZonesOfUnequalSizeTakeWhatTheyCan() {
+    for (int i = 0; i < 3; i++) {
+      machine("z1", "img-j-1");
+    }
+    service("j-1", 3, 20);
+    assertThat(placed(often(30))).hasSize(3);
+    machine("z2", "img-j-1");
+    Risk zones = new Risk(0, 0.01, 5 * LEASE_S, LEASE_S);
+    assertThat(placed(zones)).anySatisfy((m, n) -> assertThat(m.zone).isEqualTo("z2"));
+  }
+
+  @Test
+  void hardSpreadIsNeverGivenUpForWeights() {
+    machine("z1", "img-j-1");
+    machine("z2");
+    Job j = service("j-1", 4, 120);
+    String json = new String(Json.bytes(JobCodec.write(j.spec))).replace("\"scatter\":false", "\"scatter\":true");
+    jobs.clear();
+    jobs.add(new Job(JobCodec.read(Json.parseObject(json.getBytes())), 0));
+    assertThat(placed(Risk.NONE).values()).containsExactly(2, 2);
+  }
+
+  private static final class Day {
+    double lost;
+    /** The same, each second by the share of the service that is down. */
+    double weighted;
+    double fetchedGb;
+  }
+
+  /** An hour of forty services with weights of 20 to 120 GB on 64 machines; machines fail, and once a fifth of a zone. */
+  private static Day day(long seed, Risk risk) {
+    SplittableRandom random = new SplittableRandom(seed);
+    SpreadTest t = new SpreadTest();
+    for (int i = 0; i < 64; i++) {
+      t.machine(i % 3 == 0 ? "z2" : "z1");
+    }
+    for (int s = 0; s < 40; s++) {
+      t.service("j-" + s, 2 + random.nextInt(7), 20 + random.nextInt(101));
+    }
+    Day d = new Day();
+    Map<Attempt, Double> readyAt = new HashMap<>();
+    int names = 64;
+    for (int second = 0; second < 3600; second++, t.now++) {
+      Set<Machine> dead = new HashSet<>();
+      for (Machine m : t.machines) {
+        if (random.nextInt(3600) < 2 || (second == 1800 && m.zone.equals("z1") && random.nextInt(5) == 0)) {
+          dead.add(m);
+        }
+      }
+      for (Machine m : dead) {
+        for (Attempt a : List.copyOf(m.open.values())) {
+          a.job.open.remove(a.task);
+          a.job.restarted.set(a.task);
+          a.job.notBefore = 0;
+          readyAt.remove(a);
+        }
+        t.machines.remove(m);
+        Machine fresh = t.machine(m.zone);
+        t.machines.remove(fresh);
+        Machine named = new Machine("x-" + names++);
+        named.type = G8;
+        named.zone = m.zone;
+        named.heardAt = 1e9;
+        named.provenAt = 1;
+        t.machines.add(named);
+      }
+      for (Plan.Start s : t.plan(risk).starts) {
+        for (Plan.Placement p : s.placements()) {
+          Attempt a = new Attempt(s.job(), p.task(), 1, p.machine().name, p.machine().zone, 0);
+          a.start = Attempt.Start.HELD;
+          s.job().open.put(p.task(), a);
+          p.machine().open.put(Machine.taskKey(s.job().spec.ref(), p.task()), a);
+          p.machine().touched();
+          boolean has = p.machine().images.remove(s.job().spec.image());
+          p.machine().images.add(s.job().spec.image());
+          double gb = s.job().spec.imageGb();
+          d.fetchedGb += has ? 0 : gb;
+          readyAt.put(a, t.now + (has ? 0 : gb));
+          double held = p.machine().images.stream().mapToDouble(i -> t.gb(i)).sum();
+          while (held > G8.cacheGb()) {
+            String oldest = p.machine().images.iterator().next();
+            p.machine().images.remove(oldest);
+            held -= t.gb(oldest);
+          }
+        }
+      }
+      for (Job j : t.jobs) {
+        int down = 0;
+        for (int k = 0; k < j.spec.tasks(); k++) {
+          Attempt a = j.open.get(k);
+          down += a == null || readyAt.getOrDefault(a, 0.0) > t.now ? 1 : 0;
+        }
+        // Past the first start: what was lost again.
+        d.lost += second > 200 ? down : 0;
+        d.weighted += second > 200 ? down * (double) down / j.spec.tasks() : 0;
+      }
+    }
+    return d;
+  }
+
+  private double gb(String image) {
+    return jobs.stream().filter(j -> j.spec.image().equals(image)).mapToDouble(j -> j.spec.imageGb()).findFirst().orElse(0);
+  }
+
+  /** Replica time lost and fetched, by weights alone, spread alone, and both weighed at the rates that there are. */
+  @Test
+  void theObjectiveLosesNoMoreThanEitherAlone() {
+    Map<String, Risk> ways = new java.util.LinkedHashMap<>();
+    ways.put("weights", Risk.NONE);
+    ways.put("spread", new Risk(1, 1, 1e6, LEASE_S));
+    ways.put("objective", new Risk(2 / 3600.0, 1 / 36_000.0, 5 * LEASE_S, LEASE_S));
+    Map<String, Double> lost = new HashMap<>();
+    ways.forEach((name, risk) -> {
+      Day sum = new Day();
+      for (long seed = 1; seed <= 3; seed++) {
+        Day d = day(seed, risk);
+        sum.lost += d.lost / 3;
+        sum.weighted += d.weighted / 3;
+        sum.fetchedGb += d.fetchedGb / 3;
+      }
+      System.out.printf(
+          "%s: %.0f replica seconds lost, %.0f by the share down at once, %.0f GB fetched%n", name, sum.lost, sum.weighted, sum.fetchedGb);
+      lost.put(name, sum.weighted);
+    });
+    assertThat(lost.get("objective")).isLessThanOrEqualTo(1.03 * Math.min(lost.get("weights"), lost.get("spread")));
+  }
+}
