--- a/src/main/java/io/embernotch/ledger/Ledger.java
+++ b/src/main/java/io/embernotch/ledger/Ledger.java
@@ -31,6 +31,7 @@
   public final Map<String, Machine> machines = new TreeMap<>();
   public final Map<String, MachineType> types = new LinkedHashMap<>();
 
+  public final Largest largest = new Largest();
   /** Sizes of images in GB, as far as jobs that need them have been seen to run. */
   public final Map<String, Double> imageGb = new HashMap<>();
 
--- a/src/main/java/io/embernotch/machines/Starts.java
+++ b/src/main/java/io/embernotch/machines/Starts.java
@@ -39,6 +39,9 @@
 
   public void begin(Plan.Start s, double now) {
     Job job = s.job();
+    if (job.open.isEmpty() && job.done.isEmpty() && job.restarted.isEmpty()) {
+      ledger.largest.begins(job, env.clock().wallMs());
+    }
     long number = job.nextAttempt++;
     boolean live = job.spec.priority() == Priority.PRODUCTION;
     for (Plan.Placement p : s.placements()) {
--- a/src/main/java/io/embernotch/steward/Minutes.java
+++ b/src/main/java/io/embernotch/steward/Minutes.java
@@ -33,6 +33,7 @@
     line("planned", planning.line());
     env.work().log();
     line("written", committer.line());
+    line("waits of the largest", ledger.largest.line(ledger.jobs.values(), env.clock().wallMs()));
   }
 
   private static void line(String what, String text) {
--- a/src/main/java/io/embernotch/steward/Planning.java
+++ b/src/main/java/io/embernotch/steward/Planning.java
@@ -37,6 +37,7 @@
   private final Facts facts;
   private final double acquiredAt;
   private final BooleanSupplier live;
+  private final BooleanSupplier pressed;
   private final Runnable ask;
   private final Planner planner;
   private final Latencies plans = new Latencies();
@@ -49,10 +50,10 @@
   private double tookS;
   private long planned;
 
-  /** {@code ask} has {@link #make} called in a turn of the steward's own. */
+  /** {@code pressed}: workers' reports wait; {@code ask} has {@link #make} called in a turn of the steward's own. */
   Planning(
       Env env, Ledger ledger, Chains chains, Demand demand, FleetKeeper fleet, Starts starts, Stops stops,
-      Facts facts, double acquiredAt, BooleanSupplier live, Runnable ask) {
+      Facts facts, double acquiredAt, BooleanSupplier live, BooleanSupplier pressed, Runnable ask) {
     this.env = env;
     this.ledger = ledger;
     this.chains = chains;
@@ -63,6 +64,7 @@
     this.facts = facts;
     this.acquiredAt = acquiredAt;
     this.live = live;
+    this.pressed = pressed;
     this.ask = ask;
     this.planner = new Planner(env.settings(), env.operator());
   }
@@ -106,9 +108,10 @@
   void soon() {
     if (!armed && loadedAt >= 0 && !closed) {
       armed = true;
-      // However long a plan takes, most of our share of the processor stays for reports. Four times as long as the last
-      // one took left plans half of the share after a takeover, while workers' reports went unanswered.
-      double spacing = Math.max(env.settings().workers().reportS() / 60, 3 * tookS / env.settings().quota().cpuShare());
+      // However long a plan takes, most of the time stays for reports. While these wait for their turn that is measured
+      // by our share of the processor: four times as long as the last one took left plans half of it after a takeover.
+      double pause = pressed.getAsBoolean() ? 3 * tookS / env.settings().quota().cpuShare() : 4 * tookS;
+      double spacing = Math.max(env.settings().workers().reportS() / 60, pause);
       double wait = Math.max(0.001, plannedAt + spacing - env.clock().now());
       env.timers().after(wait, ask);
     }
--- a/src/main/java/io/embernotch/steward/ReportQueue.java
+++ b/src/main/java/io/embernotch/steward/ReportQueue.java
@@ -97,6 +97,11 @@
     }
   }
 
+  /** Reports wait for their turn for longer than a worker would notice. */
+  boolean pressed() {
+    return !queue.isEmpty() && waitedS(clock.now()) > LONG_S / 4;
+  }
+
   private double waitedS(double now) {
     return now - queue.firstEntry().getValue().since;
   }
--- a/src/main/java/io/embernotch/steward/Steward.java
+++ b/src/main/java/io/embernotch/steward/Steward.java
@@ -122,7 +122,7 @@
         (node, v) -> host.post().view(node, epoch, v), (node, m) -> host.post().forget(node, epoch, m));
     this.facts = new Facts(env, ledger, epoch, stamp, j -> committer.later(j, 0), () -> host.outranked("a fact failed on the steward's key"));
     this.planning = new Planning(
-        env, ledger, chains, demand, fleet, starts, stops, facts, acquiredAt, this::leads,
+        env, ledger, chains, demand, fleet, starts, stops, facts, acquiredAt, this::leads, reports::pressed,
             () -> tell(new StewardMessage.MakePlan()));
     this.restarts = new RestartDesk(env, ledger, committer, stops);
     this.images = new ImageNews.Teller(env.operator().roundS());
--- /dev/null
+++ b/src/test/java/io/embernotch/ledger/LargestTest.java
@@ -0,0 +1,28 @@
+package io.embernotch.ledger;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.embernotch.codec.JobCodec;
+import io.embernotch.codec.Json;
+import io.embernotch.model.Job;
+import io.embernotch.testkit.World;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class LargestTest {
+  private static Job job(int n, int tasks) {
+    return new Job(JobCodec.read(Json.parseObject(World.job("j-" + n, "array", tasks).getBytes())), 1000);
+  }
+
+  @Test
+  void onlyTheLargestTenthOfAClassCountsAndWhatStillWaitsIsTold() {
+    Largest largest = new Largest();
+    assertThat(largest.line(List.of(), 0)).isNull();
+    for (int i = 0; i < 100; i++) {
+      largest.begins(job(i, 1 + i % 10), 2000);
+    }
+    largest.begins(job(200, 40), 61_000);
+    assertThat(largest.line(List.of(job(300, 2), job(301, 50)), 31_000)).contains("max 60").endsWith("one waits since 30000 ms");
+    assertThat(largest.line(List.of(job(300, 2)), 31_000)).doesNotContain("waits since");
+  }
+}
--- /dev/null
+++ b/src/test/java/io/embernotch/rounds/StragglerFeedTest.java
@@ -0,0 +1,50 @@
+package io.embernotch.rounds;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.embernotch.actor.Work;
+import io.embernotch.env.Env;
+import io.embernotch.ledger.Ledger;
+import io.embernotch.model.Machine;
+import io.embernotch.model.MachineType;
+import io.embernotch.settings.OperatorSettings;
+import io.embernotch.settings.SettingsReader;
+import io.embernotch.straggler.MachineView;
+import io.embernotch.testkit.FakeTime;
+import io.embernotch.testkit.World;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class StragglerFeedTest {
+  private final FakeTime time = new FakeTime();
+  private final Ledger ledger = new Ledger();
+  private final List<MachineView> views = new ArrayList<>();
+  private final StragglerFeed feed =
+      new StragglerFeed(
+          new Env(SettingsReader.parse(World.toml(0)), OperatorSettings.DEFAULTS, time, time, time, Work.NONE, null, null, null, null, null),
+          ledger, (owner, view) -> views.add(view), (owner, machine) -> {});
+
+  /** Restarts are proposed for free room; what is held for reservations is none. */
+  @Test
+  void heldRoomIsShownToNoRoundAndEveryMachineIsSeenInARound() {
+    for (int i = 0; i < 40; i++) {
+      Machine m = ledger.machine("n-" + i, 1);
+      m.type = new MachineType("g8", 48, 8, 288, 100, 1, 12, 4, 60, List.of("z1"));
+      m.zone = "z1";
+      m.heardAt = time.now();
+      m.keptGpus = 3;
+      m.keptCpus = 12;
+    }
+    for (double t = 0; t < OperatorSettings.DEFAULTS.roundS(); t += 0.4) {
+      feed.flush(Set.of("c0", "c1", "c2"));
+      time.pass(0.4);
+    }
+    assertThat(views).hasSize(40);
+    assertThat(views).allSatisfy(v -> {
+      assertThat(v.freeGpus()).isEqualTo(5);
+      assertThat(v.freeCpus()).isEqualTo(36);
+    });
+  }
+}
