What is held on machines that a new steward has not heard yet is not given up

Cause, by reading: the first whole plan of a stewardship wrote its holds anew without the machines that had not reported yet, so their room was free for others when they did. Change: such machines count for a worker's lease, and the first write waits for a report period; facts of a reservation that is no more are emptied.

--- a/src/main/java/io/embernotch/reserve/HoldKeeper.java
+++ b/src/main/java/io/embernotch/reserve/HoldKeeper.java
@@ -60,6 +60,7 @@
   private long perhapsOf = -1;
   private long perhapsIn = -1;
   private List<Holds.Term> lastTerms = List.of();
+  private double loadedAt;
   private double writtenAt;
   private double changedAt;
   private long told = -1;
@@ -80,7 +81,10 @@
     inForce.load();
     use(inForce.value());
     wanted = kept;
-    changedAt = env.clock().now();
+    loadedAt = env.clock().now();
+    changedAt = loadedAt;
+    // What of it is not seen yet is not to be given up before it had time to report.
+    writtenAt = loadedAt;
     if (!kept.isEmpty()) {
       LOG.info("reservations of generation {}: held on {} machines", inForce.generation(), kept.size());
     }
@@ -91,6 +95,13 @@
     usage.clear();
     wanted = Map.of();
     kept = stored();
+    for (Map.Entry<String, ObjectNode> e : shared.all(HELD).entrySet()) {
+      boolean inForce = terms.stream().anyMatch(r -> e.getKey().startsWith(HELD + r.name() + "/"));
+      if (!inForce && !e.getValue().path("on").isEmpty()) {
+        // Of a reservation that is no more.
+        shared.put(e.getKey(), ReserveCodec.writeHeld(Map.of()), () -> {});
+      }
+    }
   }
 
   private Map<String, Amount[]> stored() {
@@ -217,11 +228,8 @@
     }
     double now = env.clock().now();
     Map<String, Amount[]> next = new TreeMap<>(held);
-    // Nothing is known against a machine that just can't be planned with.
     wanted.forEach((name, a) -> {
-      Machine m = ledger.machines.get(name);
-      if (m != null && !m.deleting && !m.failed && !m.cordoned && m.recallAt < 0 && !next.containsKey(name)
-          && a.length == terms.size() && !Planner.usable(m, now, env.settings())) {
+      if (!next.containsKey(name) && a.length == terms.size() && mayComeBack(ledger.machines.get(name), now)) {
         next.put(name, a);
       }
     });
@@ -229,6 +237,17 @@
     write(now);
   }
 
+  /**
+   * Nothing is known against the machine, it just can't be planned with; or, right after a takeover, it has not been
+   * heard yet. What is held on such machines was once given up by each new steward, and lent when they reported.
+   */
+  private boolean mayComeBack(Machine m, double now) {
+    if (m == null) {
+      return now - loadedAt < env.settings().workers().leaseS();
+    }
+    return !m.deleting && !m.failed && !m.cordoned && m.recallAt < 0 && !Planner.usable(m, now, env.settings());
+  }
+
   private void write(double now) {
     double report = env.settings().workers().reportS();
     double difference = 0;
--- a/src/test/java/io/embernotch/reserve/ReservationTest.java
+++ b/src/test/java/io/embernotch/reserve/ReservationTest.java
@@ -93,6 +93,27 @@
     assertThat(room.wrong).isEmpty();
   }
 
+  /** Held room on a machine that reports late to a new steward is not given up before. */
+  @Test
+  void aMachineThatIsNotHeardYetKeepsWhatIsHeldThere() {
+    begin(TEN);
+    room.pass(25);
+    world.noBoot = true;
+    world.nodes.forEach(Node::kill);
+    world.workers.values().forEach(w -> w.cut = true);
+    world.unlisted.addAll(world.workers.keySet());
+    room.pass(1);
+    world.submit(0, array("j-1", 1));
+    world.nodes.forEach(Node::start);
+    room.pass(9);
+    world.workers.values().forEach(w -> w.cut = false);
+    world.unlisted.clear();
+    world.submit(0, array("j-2", 60));
+    room.pass(12);
+    assertThat(room.heldInAll()).isGreaterThanOrEqualTo(10);
+    assertThat(world.running("j-2").size()).isLessThanOrEqualTo(world.workers.size() * 8 - 10);
+  }
+
   /** A value of the store's is given up by commit before it is used; one commit that is lost or late changes nothing. */
   @Test
   void whatIsGivenUpIsLentOnlyOnceThatIsKnownToBeWritten() {
