--- a/src/test/java/io/embernotch/reserve/ReservationTest.java
+++ b/src/test/java/io/embernotch/reserve/ReservationTest.java
@@ -93,6 +93,32 @@
     assertThat(room.wrong).isEmpty();
   }
 
+  /** A commit that was made and whose answer is lost counts as made until it is known not to be. */
+  @Test
+  void whatMayBeWrittenIsKeptThoughItIsWantedNoMore() {
+    begin("");
+    world.boot("g8", "z1", false);
+    room.pass(7);
+    world.full = true;
+    world.commitsWith = "shared/";
+    world.commitFate = Fate.HELD;
+    world.submit(0, live("j-1", 8));
+    room.pass(9);
+    assertThat(world.running("j-1")).hasSize(8);
+    world.submit(1, array("j-2", 50));
+    for (int i = 0; i < 200 && room.heldInAll() < 8; i++) {
+      room.pass(0.05);
+      world.releaseHeld();
+    }
+    assertThat(room.heldInAll()).isGreaterThanOrEqualTo(8);
+    world.abort(0, "j-1");
+    room.pass(1);
+    world.commitFate = Fate.ARRIVES;
+    room.pass(40);
+    assertThat(world.running("j-2")).isNotEmpty();
+    assertThat(room.wrong).isEmpty();
+  }
+
   /** Held room on a machine that reports late to a new steward is not given up before. */
   @Test
   void aMachineThatIsNotHeardYetKeepsWhatIsHeldThere() {
@@ -106,6 +132,7 @@
     world.submit(0, array("j-1", 1));
     world.nodes.forEach(Node::start);
     room.pass(9);
+    assertThat(room.heldInAll()).isGreaterThanOrEqualTo(10);
     world.workers.values().forEach(w -> w.cut = false);
     world.unlisted.clear();
     world.submit(0, array("j-2", 60));
