--- /dev/null
+++ b/src/test/java/io/embernotch/meetings/MeetingsTest.java
@@ -0,0 +1,581 @@
+package io.embernotch.meetings;
+
+import static io.embernotch.testkit.World.job;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.embernotch.testkit.FakeWorker;
+import io.embernotch.testkit.Told;
+import io.embernotch.testkit.World;
+import io.embernotch.testkit.World.Fate;
+import io.embernotch.testkit.World.Node;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Two troubles that meet, one test for each row of {@code docs/design/meetings.md}, in its order. */
+class MeetingsTest {
+  private World world = new World(3);
+  private Told told = new Told(world);
+
+  private double cancelS() {
+    return world.nodes.get(0).settings.workers().cancelS();
+  }
+
+  private double leaseS() {
+    return world.nodes.get(0).settings.workers().leaseS();
+  }
+
+  /** Many more machines and a larger limit than most of these need. */
+  private void large() {
+    world = new World(3, 10);
+    told = new Told(world);
+  }
+
+  /** Troubles are over: all that was accepted is answered for, nothing waits beside room, and no rule was broken. */
+  private void allIsWell() {
+    world.directFate = Fate.ARRIVES;
+    world.commitFate = Fate.ARRIVES;
+    world.holdFrames = false;
+    world.lateWrites = 0;
+    world.lateReports = 0;
+    world.stateSlowS = 0;
+    world.cutZone = null;
+    if (world.state.outage) {
+      world.state.recover();
+    }
+    world.nodes.forEach(n -> {
+      n.noState = n.noPeers = n.noWorkers = false;
+      if (n.down) {
+        n.start();
+      }
+    });
+    world.workers.values().forEach(w -> {
+      w.cut = w.deaf = w.mute = false;
+      w.goOn();
+    });
+    world.releaseHeld();
+    world.pass(20);
+    world.rules.quiet = true;
+    world.pass(100);
+    told.atTheEnd();
+    assertThat(told.wrong).isEmpty();
+    assertThat(world.broken()).isEmpty();
+    assertThat(world.rules.startsAfterCancel).isEmpty();
+  }
+
+  /** Row 1. The team's limit is 24. */
+  @Test
+  void aTeamAtItsLimitWhileLeadershipMovesAndMachinesCannotBeAsked() {
+    Node leader = world.settle(3);
+    told.submit(0, "j-1", "array", 16);
+    told.submit(0, "j-2", "array", 8);
+    world.pass(12);
+    told.submit(1, "j-3", "array", 24);
+    List<FakeWorker> unreachable = world.running("j-2").values().stream().distinct().toList();
+    assertThat(unreachable).isNotEmpty();
+    unreachable.forEach(w -> w.cut = true);
+    world.cloudDown = true;
+    leader.kill();
+    for (int s = 0; s < 40; s++) {
+      if (s == 20) {
+        leader.start();
+      }
+      world.askCancel(world.other(leader).index, "j-2");
+      world.pass(0.5);
+    }
+    world.cloudDown = false;
+    world.pass(cancelS());
+    allIsWell();
+    assertThat(world.running("j-3").size() + world.running("j-1").size()).isEqualTo(24);
+  }
+
+  /** Row 2. What a worker had said before the new leader had it stopped arrives there afterwards. */
+  @Test
+  void aReportIsHeldBackUntilTheNextLeaderHasActed() {
+    large();
+    Node leader = world.settle(3);
+    told.submit(0, "j-1", "array", 8);
+    world.pass(12);
+    Map<String, FakeWorker> on = world.running("j-1");
+    List<byte[]> before = on.values().stream().distinct().map(FakeWorker::report).toList();
+    leader.kill();
+    world.pass(8);
+    leader.start();
+    Node next = world.settle(4);
+    // Its own stops and what has ended since.
+    told.cancel(next.index, "j-1");
+    told.submit(next.index, "j-2", "array", 8);
+    world.pass(8);
+    before.forEach(r -> world.nodes.forEach(n -> world.late(n, r)));
+    world.pass(1);
+    before.forEach(r -> world.late(next, r));
+    allIsWell();
+    assertThat(world.running("j-2")).hasSize(8);
+  }
+
+  /** Row 3. */
+  @ParameterizedTest
+  @CsvSource({"0.4", "1.4", "2.5"})
+  void aSlowStateServiceWhileUsersCancelAndAsk(double slowS) {
+    large();
+    Node leader = world.settle(3);
+    for (int i = 0; i < 6; i++) {
+      told.submit(i % 3, "j-" + i, i % 2 == 0 ? "array" : "standing", 3);
+    }
+    world.pass(12);
+    world.stateSlowS = slowS;
+    for (int s = 0; s < 80; s++) {
+      world.askCancel(s % 3, "j-" + s % 4);
+      told.ask((s + 1) % 3, "j-" + s % 6);
+      if (s == 40) {
+        leader.kill();
+      }
+      world.pass(0.5);
+    }
+    allIsWell();
+    assertThat(world.running("j-5")).hasSize(3);
+  }
+
+  /** Row 4. Users reach the leader that is cut off, too, and ask it. */
+  @Test
+  void aLeaderWithWorkersAndUsersOnlyWhileJobsAreCancelledThroughTheNextOne() {
+    large();
+    Node former = world.settle(3);
+    told.submit(0, "j-1", "array", 8);
+    told.submit(0, "j-2", "standing", 8);
+    world.pass(12);
+    world.workers.values().forEach(w -> w.node = former.index);
+    former.noState = true;
+    former.noPeers = true;
+    double until = world.time.now() + former.settings.holdS() + leaseS() + 10;
+    while (world.time.now() < until) {
+      world.askCancel(world.other(former).index, "j-1");
+      world.askCancel(former.index, "j-1");
+      told.ask(former.index, "j-1");
+      told.ask(world.other(former).index, "j-1");
+      world.pass(1);
+    }
+    assertThat(world.phase(world.other(former).index, "j-1")).isEqualTo("cancelled");
+    allIsWell();
+    assertThat(world.running("j-2")).hasSize(8);
+  }
+
+  /** Row 5. */
+  @Test
+  void jobsBoundToAZoneLoseMachines() {
+    large();
+    world.settle(3);
+    String bound = job("j-1", "array", 12).replace("\"room\":null", "\"room\":\"z2\"");
+    String one = job("j-2", "group", 12).replace("\"one_zone\":false", "\"one_zone\":true");
+    String array = job("j-3", "array", 12).replace("\"one_zone\":false", "\"one_zone\":true");
+    for (String j : List.of(bound, one, array)) {
+      assertThat(world.submit(0, j).status()).isEqualTo(201);
+    }
+    told.accepted.addAll(List.of("j-1", "j-2", "j-3"));
+    world.pass(15);
+    Node leader = world.steward();
+    for (String ref : List.of("j-1", "j-2", "j-3")) {
+      List<FakeWorker> on = world.running(ref).values().stream().distinct().toList();
+      on.get(0).cut = true;
+      on.get(on.size() - 1).deaf = true;
+    }
+    world.pass(3);
+    leader.kill();
+    world.pass(20);
+    allIsWell();
+    assertThat(world.running("j-1")).hasSize(12);
+    assertThat(world.running("j-2")).hasSize(12);
+    assertThat(world.running("j-3")).hasSize(12);
+  }
+
+  /** Row 6. */
+  @ParameterizedTest
+  @CsvSource({"cut", "deaf", "hung"})
+  void aLeaderEndsWhileMachinesWithLongTasksCannotBeReachedOrDoNotHear(String how) {
+    large();
+    Node leader = world.settle(3);
+    told.submit(0, "j-1", "standing", 12);
+    told.submit(0, "j-2", "array", 12);
+    world.pass(15);
+    List<FakeWorker> hit = world.running("j-2").values().stream().distinct().toList();
+    hit.forEach(w -> {
+      w.cut = how.equals("cut");
+      w.deaf = how.equals("deaf");
+      w.hung = how.equals("hung");
+    });
+    leader.kill();
+    world.cloudDown = true;
+    world.pass(leaseS() * 0.6);
+    leader.start();
+    hit.forEach(w -> {
+      w.cut = w.deaf = false;
+      w.goOn();
+    });
+    world.pass(5);
+    allIsWell();
+    assertThat(world.running("j-1")).hasSize(12);
+    assertThat(world.running("j-2")).hasSize(12);
+  }
+
+  /** Row 7. */
+  @ParameterizedTest
+  @CsvSource({"0.2", "6"})
+  void tenLeadersInTwoMinutesAnOutageAmongThem(double backS) {
+    large();
+    world.settle(3);
+    told.submit(0, "j-1", "standing", 8);
+    told.submit(0, "j-2", "array", 8);
+    told.submit(0, "j-3", "group", 8);
+    world.pass(12);
+    Map<String, FakeWorker> before = world.running("j-1");
+    for (int i = 0; i < 10; i++) {
+      Node leader = world.steward();
+      if (i == 4) {
+        world.state.outage = true;
+      }
+      if (i == 6) {
+        world.state.recover();
+      }
+      if (leader != null) {
+        leader.kill();
+        world.time.after(backS, leader::start);
+      }
+      for (int s = 0; s < 12; s++) {
+        // The user comes again until told.
+        world.askCancel((i + s) % 3, "j-2");
+        world.pass(1);
+      }
+    }
+    allIsWell();
+    assertThat(world.running("j-1")).isEqualTo(before);
+    assertThat(world.running("j-2")).isEmpty();
+    assertThat(world.running("j-3")).hasSize(8);
+  }
+
+  /** Row 8. */
+  @ParameterizedTest
+  @CsvSource({"array", "group"})
+  void tasksThatEndFarApartAcrossAChange(String shape) {
+    large();
+    Node leader = world.settle(3);
+    told.submit(0, "j-1", shape, 3);
+    world.pass(12);
+    Map<String, FakeWorker> on = world.running("j-1");
+    world.commitFate = Fate.LOST;
+    on.get("j-1/0").exit("j-1/0", "done");
+    world.pass(3);
+    leader.kill();
+    world.commitFate = Fate.ARRIVES;
+    world.pass(15);
+    leader.start();
+    told.ask(0, "j-1");
+    if (shape.equals("array")) {
+      assertThat(world.phase(world.settle(1).index, "j-1")).isEqualTo("running");
+    }
+    world.pass(20);
+    for (String t : List.of("j-1/1", "j-1/2")) {
+      world.running("j-1").forEach((task, w) -> {
+        if (task.equals(t)) {
+          w.exit(t, "done");
+        }
+      });
+      world.pass(8);
+    }
+    told.ask(1, "j-1");
+    assertThat(world.phase(1, "j-1")).isEqualTo("done");
+    allIsWell();
+  }
+
+  /** Row 9. */
+  @Test
+  void workersThatReachNoControllerWhileCommandsReachThem() {
+    large();
+    Node leader = world.settle(3);
+    told.submit(0, "j-1", "standing", 8);
+    told.submit(0, "j-2", "array", 16);
+    world.pass(12);
+    List<FakeWorker> mute = world.running("j-2").values().stream().distinct().toList();
+    mute.forEach(w -> w.mute = true);
+    world.pass(4);
+    leader.kill();
+    world.pass(6);
+    leader.start();
+    for (int s = 0; s < 30; s++) {
+      world.askCancel(s % 3, "j-2");
+      world.pass(1);
+    }
+    assertThat(world.phase(0, "j-2")).isEqualTo("cancelled");
+    allIsWell();
+    assertThat(world.running("j-1")).hasSize(8);
+  }
+
+  /** Row 10. */
+  @ParameterizedTest
+  @CsvSource({"25", "32", "90"})
+  void allControllersAreAwayForAboutALeaseAndLonger(int awayS) {
+    large();
+    world.settle(3);
+    told.submit(0, "j-1", "standing", 8);
+    told.submit(0, "j-2", "array", 8);
+    world.pass(12);
+    world.askCancel(0, "j-2");
+    world.pass(0.004);
+    world.nodes.forEach(Node::kill);
+    world.directFate = Fate.HELD;
+    world.pass(awayS);
+    world.directFate = Fate.ARRIVES;
+    world.nodes.forEach(Node::start);
+    world.pass(4);
+    world.releaseHeld();
+    world.askCancel(1, "j-2");
+    allIsWell();
+    assertThat(world.running("j-1")).hasSize(8);
+  }
+
+  /** Row 11. Node 2 is in z2. */
+  @ParameterizedTest
+  @CsvSource({"33", "60", "100"})
+  void aZoneWithWorkersAndAControllerIsCutOffForLongerThanALease(int cutS) {
+    large();
+    world.settle(3);
+    String spread = job("j-1", "standing", 6).replace("\"scatter\":false", "\"scatter\":true");
+    assertThat(world.submit(0, spread).status()).isEqualTo(201);
+    String there = job("j-2", "array", 6).replace("\"room\":null", "\"room\":\"z2\"");
+    assertThat(world.submit(0, there).status()).isEqualTo(201);
+    told.accepted.addAll(List.of("j-1", "j-2"));
+    world.pass(12);
+    world.cutZone = "z2";
+    for (int s = 0; s < cutS; s++) {
+      // Before anybody can have noticed, and for as long as it lasts.
+      world.askCancel(s % 2, "j-2");
+      if (s == 20) {
+        world.nodes.get(s % 2).kill();
+      }
+      world.pass(1);
+    }
+    allIsWell();
+    assertThat(world.running("j-1")).hasSize(6);
+    assertThat(world.running("j-2")).isEmpty();
+  }
+
+  /** Row 12. Commands are on the way while the machine hangs, or for seconds, and it then goes on. */
+  @ParameterizedTest
+  @CsvSource({"2", "6", "20", "28"})
+  void aCommandOrItsAnswerIsHeldUpAndTheMachineGoesOn(int heldS) {
+    large();
+    Node leader = world.settle(3);
+    told.submit(0, "j-1", "array", 8);
+    world.pass(12);
+    List<FakeWorker> all = List.copyOf(world.workers.values());
+    told.submit(0, "j-2", "standing", 4);
+    told.submit(0, "j-3", "array", 4);
+    all.forEach(w -> w.hung = true);
+    world.pass(1);
+    world.askCancel(leader.index, "j-3");
+    world.askCancel(leader.index, "j-1");
+    world.pass(heldS);
+    all.forEach(FakeWorker::goOn);
+    world.pass(3);
+    world.askCancel(leader.index, "j-3");
+    world.askCancel(leader.index, "j-1");
+    allIsWell();
+    assertThat(world.running("j-2")).hasSize(4);
+    assertThat(world.running("j-1")).isEmpty();
+  }
+
+  /** Row 13. */
+  @ParameterizedTest
+  @CsvSource({"-0.3", "0", "0.05", "0.5"})
+  void cancellationsAtTheMomentOfARefusalAndASecondLaterTheOutage(double atS) {
+    large();
+    Node leader = world.settle(3);
+    for (int i = 0; i < 6; i++) {
+      told.submit(0, "j-" + i, List.of("array", "group", "standing").get(i % 3), 4);
+    }
+    world.pass(12);
+    double refusedAt = world.time.now() + 1;
+    world.time.after(1, () -> leader.noState = true);
+    world.time.after(2, () -> world.state.outage = true);
+    for (int i = 0; i < 4; i++) {
+      String ref = "j-" + i;
+      int node = i % 3;
+      world.time.after(1 + atS, () -> world.askCancel(node, ref));
+    }
+    world.time.after(15, () -> leader.noState = false);
+    world.pass(1.25 * cancelS());
+    assertThat(world.time.now()).isGreaterThan(refusedAt + cancelS());
+    world.state.recover();
+    for (int s = 0; s < 20; s++) {
+      world.askCancel(s % 3, "j-" + s % 4);
+      world.pass(1);
+    }
+    allIsWell();
+    assertThat(world.running("j-5")).hasSize(4);
+  }
+
+  /** Row 14. */
+  @Test
+  void moreWorkThanRoomUrgentAndNotOverSlowLinks() {
+    large();
+    Node leader = world.settle(3);
+    for (int i = 0; i < 6; i++) {
+      world.boot("g8", i % 2 == 0 ? "z1" : "z2", true);
+    }
+    world.pass(6);
+    world.full = true;
+    told.submit(0, "j-1", "array", 100);
+    world.pass(6);
+    world.stateSlowS = 0.3;
+    String urgent = job("j-2", "standing", 12).replace("standard", "production");
+    assertThat(world.submit(0, urgent).status()).isEqualTo(201);
+    String gang = job("j-3", "group", 8).replace("standard", "high");
+    assertThat(world.submit(1, gang).status()).isEqualTo(201);
+    world.pass(3);
+    leader.kill();
+    world.pass(8);
+    leader.start();
+    for (int s = 0; s < 60; s++) {
+      world.finish("j-1");
+      world.pass(2);
+    }
+    told.accepted.addAll(List.of("j-2", "j-3"));
+    allIsWell();
+    assertThat(world.running("j-2")).hasSize(12);
+    assertThat(world.running("j-3")).hasSize(8);
+  }
+
+  /** Row 15. */
+  @ParameterizedTest
+  @CsvSource({"0.3,1", "0.3,2", "0.6,3", "0.6,4"})
+  void transactionsAreCarriedOutLateAfterNewerOnesOfTheSameController(double share, int seed) {
+    large();
+    world.random = new java.util.SplittableRandom(seed);
+    world.settle(3);
+    world.lateWrites = share;
+    for (int s = 0; s < 120; s++) {
+      if (s % 6 == 0) {
+        told.submit(s % 3, "j-" + s, List.of("array", "group", "standing").get(s / 6 % 3), 3);
+      }
+      if (s % 7 == 3) {
+        world.askCancel(s % 3, "j-" + (s / 12 * 6));
+      }
+      if (s % 5 == 2) {
+        world.finish("j-" + (s / 10 * 6));
+      }
+      if (s == 50) {
+        Node leader = world.steward();
+        if (leader != null) {
+          leader.kill();
+          world.time.after(0.2, leader::start);
+        }
+      }
+      if (s == 80) {
+        world.state.outage = true;
+      }
+      if (s == 90) {
+        world.state.recover();
+      }
+      for (String ref : told.accepted) {
+        told.ask(s % 3, ref);
+      }
+      world.pass(1);
+    }
+    world.lateWrites = 0;
+    world.pass(15);
+    allIsWell();
+  }
+
+  /** Row 16. */
+  @ParameterizedTest
+  @CsvSource({"0.2", "0.9", "5"})
+  void handOverAndBackAllEndAndOneReturns(double backS) {
+    large();
+    Node first = world.settle(3);
+    told.submit(0, "j-1", "standing", 8);
+    told.submit(0, "j-2", "array", 8);
+    world.pass(12);
+    Map<String, FakeWorker> before = world.running("j-1");
+    first.noState = true;
+    world.pass(5);
+    Node second = world.settle(1);
+    first.noState = false;
+    second.kill();
+    world.pass(backS);
+    second.start();
+    world.askCancel(first.index, "j-2");
+    world.nodes.forEach(Node::kill);
+    world.pass(backS);
+    first.start();
+    world.settle(8);
+    assertThat(world.running("j-1")).isEqualTo(before);
+    for (int s = 0; s < 10; s++) {
+      world.askCancel(first.index, "j-2");
+      world.pass(1);
+    }
+    allIsWell();
+    assertThat(world.running("j-1")).isEqualTo(before);
+    assertThat(world.running("j-2")).isEmpty();
+  }
+
+  /** Row 17. At every moment around the end, as it travels from the worker to the store. */
+  @Test
+  void aCancellationAQuestionOrARepeatMeetsTheEndOfAJobsLastTask() {
+    large();
+    world.settle(3);
+    int n = 0;
+    for (double at = -0.3; at < 1.6; at += 0.1) {
+      for (String shape : List.of("array", "group")) {
+        String ref = "j-" + n++;
+        told.submit(n % 3, ref, shape, 2);
+        world.pass(n == 1 ? 12 : 1.5);
+        assertThat(world.running(ref)).hasSize(2);
+        int node = n % 3;
+        boolean cancels = n % 4 < 2;
+        world.time.after(0.3, () -> world.finish(ref));
+        world.time.after(0.3 + at, () -> {
+          if (cancels) {
+            world.askCancel(node, ref);
+          }
+        });
+        world.pass(0.3 + at);
+        told.ask((node + 1) % 3, ref);
+        assertThat(world.submit((node + 2) % 3, job(ref, shape, 2)).status()).isEqualTo(200);
+        world.pass(4);
+        told.ask(node, ref);
+        assertThat(world.phase(node, ref)).isIn("done", "cancelled");
+      }
+    }
+    allIsWell();
+  }
+
+  /** Row 18. Of another session, and of another attempt of the same task on the same machine. */
+  @Test
+  void oldReportsArriveAfterNewerOnes() {
+    large();
+    Node leader = world.settle(3);
+    told.submit(0, "j-1", "array", 8);
+    told.submit(0, "j-2", "standing", 4);
+    world.pass(12);
+    world.lateReports = 0.3;
+    FakeWorker w = world.running("j-1").get("j-1/0");
+    List<byte[]> first = List.copyOf(world.reportsOf(w.name));
+    w.exit("j-1/0", "error");
+    world.pass(10);
+    first.forEach(r -> world.late(leader, r));
+    w.cut = true;
+    world.pass(leaseS() + 3);
+    w.cut = false;
+    world.pass(3);
+    first.forEach(r -> world.nodes.forEach(n -> world.late(n, r)));
+    leader.kill();
+    world.pass(6);
+    first.forEach(r -> world.nodes.forEach(n -> world.late(n, r)));
+    leader.start();
+    world.pass(10);
+    allIsWell();
+    assertThat(world.running("j-1")).hasSize(8);
+    assertThat(world.running("j-2")).hasSize(4);
+  }
+}
--- /dev/null
+++ b/src/test/java/io/embernotch/meetings/RulesCheckerTest.java
@@ -0,0 +1,181 @@
+package io.embernotch.meetings;
+
+import static io.embernotch.testkit.World.job;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.embernotch.codec.JobCodec;
+import io.embernotch.codec.Json;
+import io.embernotch.http.Answer;
+import io.embernotch.model.Phase;
+import io.embernotch.settings.SettingsReader;
+import io.embernotch.testkit.FakeWorker;
+import io.embernotch.testkit.Rules;
+import io.embernotch.testkit.World;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Each check of {@link Rules} reports a history in which the fault was planted. */
+class RulesCheckerTest {
+  private final Rules rules = new Rules(SettingsReader.parse(World.toml(0)));
+  private final List<FakeWorker> machines = new ArrayList<>();
+
+  private FakeWorker machine(String zone, boolean spot) {
+    FakeWorker w = new FakeWorker("n-" + machines.size(), "g8", zone, spot, "10.1.0.9:9", 0);
+    machines.add(w);
+    return w;
+  }
+
+  private void accept(String json) {
+    rules.submitted(json.getBytes(StandardCharsets.UTF_8), Answer.of(201, JobCodec.brief(ref(json), Phase.QUEUED)), 0, 0);
+  }
+
+  private static String ref(String json) {
+    return Json.parseObject(json.getBytes(StandardCharsets.UTF_8)).get("ref").asText();
+  }
+
+  private void start(FakeWorker w, String task, double now) {
+    w.direct(("{\"baton\":1,\"tenure\":1,\"orders\":[{\"verb\":\"run\",\"shard\":\"" + task + "\",\"try\":" + (int) (now + 1) + "}]}")
+        .getBytes(StandardCharsets.UTF_8));
+    rules.started(w, task, null, machines, now);
+  }
+
+  private void told(String ref, Phase phase, double now) {
+    rules.heard(ref, Answer.of(200, JobCodec.status(ref, phase, 0, 0)), now, now);
+  }
+
+  private void reports(String what) {
+    assertThat(rules.broken()).hasSize(1).first().asString().contains(what);
+  }
+
+  @Test
+  void aSoundHistoryIsSound() {
+    accept(job("j-1", "array", 2));
+    FakeWorker w = machine("z1", true);
+    start(w, "j-1/0", 1);
+    start(w, "j-1/1", 1);
+    rules.quiet = true;
+    rules.look(machines, 200);
+    rules.exited("j-1/0", "done");
+    rules.exited("j-1/1", "done");
+    told("j-1", Phase.DONE, 201);
+    rules.look(machines, 400);
+    assertThat(rules.broken()).isEmpty();
+  }
+
+  @Test
+  void aTaskOnTwoMachines() {
+    accept(job("j-1", "array", 1));
+    start(machine("z1", true), "j-1/0", 1);
+    start(machine("z2", true), "j-1/0", 2);
+    reports("while it is on n-0");
+  }
+
+  @Test
+  void aTeamOverItsLimit() {
+    accept(job("j-1", "array", 25));
+    for (int i = 0; i < 25; i++) {
+      start(i % 8 == 0 ? machine("z1", true) : machines.get(i / 8), "j-1/" + i, 1);
+    }
+    reports("over its limit");
+  }
+
+  @Test
+  void wrongPlaces() {
+    accept(job("j-1", "array", 1).replace("\"loaner\":true", "\"loaner\":false"));
+    start(machine("z1", true), "j-1/0", 1);
+    accept(job("j-2", "array", 1).replace("\"room\":null", "\"room\":\"z2\""));
+    start(machine("z1", false), "j-2/0", 1);
+    accept(job("j-3", "array", 2).replace("\"one_zone\":false", "\"one_zone\":true"));
+    start(machine("z1", true), "j-3/0", 1);
+    start(machine("z2", true), "j-3/1", 1);
+    accept(job("j-4", "array", 3).replace("\"scatter\":false", "\"scatter\":true"));
+    FakeWorker w = machine("z1", true);
+    start(w, "j-4/0", 1);
+    start(w, "j-4/1", 1);
+    start(w, "j-4/2", 1);
+    accept(job("j-5", "array", 1).replace("\"flavors\":null", "\"flavors\":[\"g4\"]"));
+    start(w, "j-5/0", 1);
+    assertThat(rules.broken()).hasSize(5).allMatch(b -> b.contains("wrong place"));
+  }
+
+  @Test
+  void whatOutlivesItsConfirmation() {
+    accept(job("j-1", "array", 2));
+    FakeWorker w = machine("z1", true);
+    start(w, "j-1/0", 1);
+    rules.cancelAsked("j-1", 2);
+    told("j-1", Phase.CANCELLED, 4);
+    start(w, "j-1/1", 10);
+    assertThat(rules.startsAfterCancel).hasSize(1);
+    assertThat(rules.cancelWaits).containsExactly(2.0);
+    w.hung = true;
+    rules.look(machines, 53.9);
+    assertThat(rules.broken()).isEmpty();
+    rules.look(machines, 54.1);
+    assertThat(rules.broken()).hasSize(2).allMatch(b -> b.contains("later than cancel_s"));
+  }
+
+  @Test
+  void startsLongAfterAConfirmation() {
+    accept(job("j-1", "array", 2));
+    rules.cancelAsked("j-1", 2);
+    told("j-1", Phase.CANCELLED, 4);
+    start(machine("z1", true), "j-1/0", 60);
+    reports("starts later than cancel_s");
+  }
+
+  @Test
+  void forgottenInventedAndTakenBack() {
+    accept(job("j-1", "array", 1));
+    rules.polled("j-1", Answer.error(404, "x"), 1, 1, true);
+    rules.submitted(job("j-1", "array", 1).getBytes(StandardCharsets.UTF_8), Answer.error(422, "x"), 1, 1);
+    rules.polled("j-2", Answer.of(200, JobCodec.status("j-2", Phase.QUEUED, 0, 0)), 1, 1, false);
+    rules.cancelAsked("j-1", 1);
+    told("j-1", Phase.CANCELLED, 2);
+    told("j-1", Phase.RUNNING, 3);
+    assertThat(rules.broken()).hasSize(4);
+  }
+
+  @Test
+  void doneTooEarlyAndCancelledByItself() {
+    accept(job("j-1", "array", 2));
+    rules.exited("j-1/0", "done");
+    told("j-1", Phase.DONE, 2);
+    reports("before all of its tasks");
+    accept(job("j-2", "array", 2));
+    told("j-2", Phase.CANCELLED, 2);
+    assertThat(rules.broken()).hasSize(2);
+  }
+
+  @Test
+  void acceptedThoughItLacksAField() {
+    String json = job("j-1", "array", 2).replace("\"flush_s\":2.0,", "");
+    rules.submitted(json.getBytes(StandardCharsets.UTF_8), Answer.of(201, JobCodec.brief("j-1", Phase.QUEUED)), 0, 0);
+    reports("lacks something");
+  }
+
+  @Test
+  void aJobThatWaitsBesideRoomForIt() {
+    machine("z1", true);
+    accept(job("j-1", "group", 4));
+    rules.quiet = true;
+    rules.look(machines, 0);
+    rules.look(machines, 90);
+    assertThat(rules.broken()).isEmpty();
+    rules.look(machines, 91);
+    reports("beside room");
+  }
+
+  @Test
+  void noRoomNoFault() {
+    machine("z1", true);
+    accept(job("j-1", "group", 9));
+    accept(job("j-2", "group", 6).replace("\"scatter\":false", "\"scatter\":true"));
+    rules.quiet = true;
+    rules.look(machines, 0);
+    rules.look(machines, 100);
+    assertThat(rules.broken()).isEmpty();
+  }
+}
--- a/src/test/java/io/embernotch/testkit/FakeWorker.java
+++ b/src/test/java/io/embernotch/testkit/FakeWorker.java
@@ -10,6 +10,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeSet;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 
 /** A worker of PROTOCOL: keeps the highest token, obeys orders, and kills all when its lease ends. */
 public final class FakeWorker {
@@ -19,6 +21,11 @@
     String cause;
   }
 
+  /** What every machine of the world has. */
+  public static final double CPUS = 48;
+
+  public static final double GPUS = 8;
+
   public final String name;
   public final String type;
   public final String zone;
@@ -38,6 +45,13 @@
   public boolean hung;
   /** Its reports arrive; answers and commands do not reach it, so it goes on to the next controller. */
   public boolean deaf;
+  /** It reaches no controller; direct commands reach it. */
+  public boolean mute;
+  /** Commands that reached it while it hung; it carries them out once it goes on. */
+  private final List<byte[]> queued = new ArrayList<>();
+  /** Are told of each start that is carried out, and of each end with its cause. */
+  Consumer<String> onStart = t -> {};
+  BiConsumer<String, String> onExit = (t, cause) -> {};
   double reportsAgainAt;
   /** Starts that were sent to it while it was deaf. */
   public int startsLost;
@@ -48,7 +62,7 @@
   public int node;
   public int moves;
 
-  FakeWorker(String name, String type, String zone, boolean spot, String address, double now) {
+  public FakeWorker(String name, String type, String zone, boolean spot, String address, double now) {
     this.name = name;
     this.type = type;
     this.zone = zone;
@@ -75,6 +89,26 @@
   public void exit(String task, String cause) {
     tasks.get(task).phase = "exited";
     tasks.get(task).cause = cause;
+    onExit.accept(task, cause);
+  }
+
+  /** A command reaches it while it hangs. */
+  void queue(byte[] direct) {
+    queued.add(direct);
+  }
+
+  /** It goes on, and first carries out what has reached it meanwhile. */
+  public void goOn() {
+    hung = false;
+    queued.forEach(this::direct);
+    queued.clear();
+  }
+
+  /** The cloud has deleted it, with all that was on it and on its way to it. */
+  void delete() {
+    tasks.clear();
+    queued.clear();
+    token = Long.MAX_VALUE;
   }
 
   void endSession(double now) {
@@ -150,6 +184,7 @@
             }
             tasks.put(task, n);
             started.add(task + "#" + attempt);
+            onStart.accept(task);
             if (sick) {
               n.phase = "exited";
               n.cause = "error";
--- /dev/null
+++ b/src/test/java/io/embernotch/testkit/Rules.java
@@ -0,0 +1,273 @@
+package io.embernotch.testkit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.embernotch.codec.BadInput;
+import io.embernotch.codec.JobCodec;
+import io.embernotch.codec.Json;
+import io.embernotch.http.Answer;
+import io.embernotch.model.JobSpec;
+import io.embernotch.model.Shape;
+import io.embernotch.settings.Settings;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * The rules of PROTOCOL and what the operators' pages add, held against what users, workers and the store saw. It knows
+ * nothing of what controllers mean: only submissions, questions and their answers, starts, ends, and what is on machines.
+ */
+public final class Rules {
+  /** How long a job may wait once troubles are over, while a machine that fits has room and its team is under its limit. */
+  private static final double IDLE_S = 90;
+
+  private final Settings settings;
+  private final Map<String, JobSpec> specs = new TreeMap<>();
+  private final Set<String> sent = new TreeSet<>();
+  private final Set<String> accepted = new TreeSet<>();
+  private final Map<String, String> ends = new TreeMap<>();
+  private final Map<String, Double> endsAt = new TreeMap<>();
+  private final Map<String, Double> cancelAskedAt = new TreeMap<>();
+  private final Map<String, Double> cancelledAt = new TreeMap<>();
+  private final Map<String, BitSet> done = new HashMap<>();
+  private final Map<String, Double> idleSince = new HashMap<>();
+  private final Set<String> reported = new TreeSet<>();
+  private final List<String> broken = new ArrayList<>();
+  /** Starts after a cancellation was confirmed; within {@code cancel_s} they break no rule, and there should be none. */
+  public final List<String> startsAfterCancel = new ArrayList<>();
+  /** From the first time that a user asked for a cancellation to its confirmation, in seconds. */
+  public final List<Double> cancelWaits = new ArrayList<>();
+  /** Troubles are over: no job may be left waiting beside room for it. */
+  public boolean quiet;
+
+  public Rules(Settings settings) {
+    this.settings = settings;
+  }
+
+  public List<String> broken() {
+    return broken;
+  }
+
+  void breaks(String what) {
+    if (reported.add(what)) {
+      broken.add(what);
+    }
+  }
+
+  // ---- what users see
+
+  public void submitted(byte[] body, Answer a, double askedAt, double now) {
+    ObjectNode o = Json.object();
+    JobSpec spec;
+    try {
+      o = Json.parseObject(body);
+      spec = JobCodec.read(o);
+    } catch (BadInput e) {
+      // A job that is known gets its state, whatever else is sent under its name.
+      if (a.status() == 201 || (a.status() == 200 && !accepted.contains(o.path("ref").asText()))) {
+        breaks("a submission that lacks something is accepted: " + e.getMessage());
+      }
+      return;
+    }
+    String ref = spec.ref();
+    sent.add(ref);
+    specs.putIfAbsent(ref, spec);
+    if (a.status() == 201 || a.status() == 200) {
+      accepted.add(ref);
+      heard(ref, a, askedAt, now);
+    } else if ((a.status() == 400 || a.status() == 422) && accepted.contains(ref)) {
+      breaks(ref + " was accepted, and submitted again gets " + a.status());
+    }
+  }
+
+  public void polled(String ref, Answer a, double askedAt, double now, boolean inStore) {
+    if (a.status() == 404 && accepted.contains(ref)) {
+      breaks(ref + " is forgotten");
+    }
+    if (a.status() == 200 && !sent.contains(ref) && !inStore) {
+      breaks(ref + " is invented");
+    }
+    heard(ref, a, askedAt, now);
+  }
+
+  public void cancelAsked(String ref, double now) {
+    cancelAskedAt.putIfAbsent(ref, now);
+  }
+
+  /** An answer to what was asked at {@code askedAt}: older than what was told after that it may be, unless both are ends. */
+  public void heard(String ref, Answer a, double askedAt, double now) {
+    if (a.status() != 200 && a.status() != 201) {
+      return;
+    }
+    String phase = Json.parseObject(a.body()).path("phase").asText();
+    boolean isEnd = phase.equals("done") || phase.equals("cancelled");
+    String end = ends.get(ref);
+    if (end != null && !end.equals(phase) && (isEnd || askedAt > endsAt.get(ref))) {
+      breaks(ref + " was " + end + " and is " + phase);
+    }
+    JobSpec spec = specs.get(ref);
+    if (phase.equals("done") && spec != null && !allDone(ref, spec)) {
+      breaks(ref + " is called done before all of its tasks are");
+    }
+    if (phase.equals("cancelled")) {
+      boolean byItself = !cancelAskedAt.containsKey(ref) && sent.contains(ref) && (spec == null || spec.awaits().isEmpty());
+      if (byItself) {
+        breaks(ref + " is called cancelled, and nobody asked for it");
+      }
+      if (cancelledAt.putIfAbsent(ref, now) == null && cancelAskedAt.containsKey(ref)) {
+        cancelWaits.add(now - cancelAskedAt.get(ref));
+      }
+    }
+    if (isEnd) {
+      ends.put(ref, phase);
+      endsAt.putIfAbsent(ref, now);
+    }
+  }
+
+  private boolean allDone(String ref, JobSpec spec) {
+    int n = done.getOrDefault(ref, new BitSet()).cardinality();
+    return spec.shape() == Shape.GANG ? n > 0 : n >= spec.tasks();
+  }
+
+  // ---- what workers see
+
+  private static String refOf(String task) {
+    return task.substring(0, task.lastIndexOf('/'));
+  }
+
+  private static int indexOf(String task) {
+    return Integer.parseInt(task.substring(task.lastIndexOf('/') + 1));
+  }
+
+  public void exited(String task, String cause) {
+    if (cause.equals("done")) {
+      done.computeIfAbsent(refOf(task), r -> new BitSet()).set(indexOf(task));
+    }
+  }
+
+  /** A task has started on a machine; {@code job} is its description as the store has it, or null. */
+  public void started(FakeWorker on, String task, JsonNode job, Iterable<FakeWorker> workers, double now) {
+    String ref = refOf(task);
+    if (job != null) {
+      specs.putIfAbsent(ref, JobCodec.read(job));
+    }
+    JobSpec spec = specs.get(ref);
+    Double told = cancelledAt.get(ref);
+    if (told != null) {
+      startsAfterCancel.add(task + " on " + on.name + " " + Math.round(now - told) + " s after its cancellation was told");
+      if (now - told > settings.workers().cancelS()) {
+        breaks(task + " starts later than cancel_s after its cancellation was told");
+      }
+    }
+    if (spec == null) {
+      return;
+    }
+    Map<String, Integer> perZone = new HashMap<>();
+    double gpus = 0;
+    double cpus = 0;
+    for (FakeWorker w : workers) {
+      for (String t : w.alive()) {
+        JobSpec s = specs.get(refOf(t));
+        if (w != on && t.equals(task)) {
+          breaks(task + " starts on " + on.name + " while it is on " + w.name);
+        }
+        if (refOf(t).equals(ref)) {
+          perZone.merge(w.zone, 1, Integer::sum);
+        }
+        if (s != null && s.team().equals(spec.team())) {
+          gpus += s.gpus();
+          cpus += s.cpus();
+        }
+      }
+    }
+    Settings.Team team = settings.teams().get(spec.team());
+    if (team != null && ((team.gpusMax() > 0 && gpus > team.gpusMax() + 1e-6) || (team.cpusMax() > 0 && cpus > team.cpusMax() + 1e-6))) {
+      breaks("team " + spec.team() + " is over its limit with " + task + " on " + on.name);
+    }
+    boolean place = spec.allows(on.type, on.zone, on.spot) && (!spec.oneZone() || perZone.size() < 2)
+        && perZone.getOrDefault(on.zone, 0) <= spec.zoneCap();
+    if (!place) {
+      breaks(task + " starts at a wrong place, " + on.name + " in " + on.zone);
+    }
+  }
+
+  // ---- what is on machines as time goes by
+
+  /** Looks at all machines, hung and cut ones too. */
+  public void look(Iterable<FakeWorker> workers, double now) {
+    double late = settings.workers().cancelS();
+    boolean any = cancelledAt.values().stream().anyMatch(at -> now - at > late);
+    if (!any && !quiet) {
+      return;
+    }
+    for (FakeWorker w : workers) {
+      for (String t : w.alive()) {
+        Double at = cancelledAt.get(refOf(t));
+        if (at != null && now - at > late) {
+          breaks(t + " is on " + w.name + " later than cancel_s after its cancellation was told");
+        }
+      }
+    }
+    if (quiet) {
+      waiting(workers, now);
+    }
+  }
+
+  private void waiting(Iterable<FakeWorker> workers, double now) {
+    Map<String, Integer> on = new HashMap<>();
+    Map<String, Double> used = new HashMap<>();
+    List<FakeWorker> up = new ArrayList<>();
+    for (FakeWorker w : workers) {
+      if (!w.cut && !w.hung && !w.deaf && !w.mute && w.recallS == null) {
+        up.add(w);
+      }
+      for (String t : w.alive()) {
+        on.merge(refOf(t), 1, Integer::sum);
+        JobSpec s = specs.get(refOf(t));
+        used.merge(s == null ? "" : s.team(), s == null ? 0 : s.gpus(), Double::sum);
+      }
+    }
+    for (String ref : accepted) {
+      JobSpec s = specs.get(ref);
+      int left = s.tasks() - on.getOrDefault(ref, 0) - (s.shape() == Shape.ARRAY ? done.getOrDefault(ref, new BitSet()).cardinality() : 0);
+      boolean gang = s.shape() == Shape.GANG;
+      boolean waits = !ends.containsKey(ref) && !cancelAskedAt.containsKey(ref) && s.awaits().isEmpty()
+          && (gang ? on.getOrDefault(ref, 0) == 0 && !allDone(ref, s) : left > 0);
+      double max = settings.teams().get(s.team()).gpusMax();
+      int need = gang ? s.tasks() : 1;
+      boolean room = waits && (max <= 0 || used.getOrDefault(s.team(), 0.0) + need * s.gpus() <= max + 1e-6) && fits(s, need, up);
+      if (!room) {
+        idleSince.remove(ref);
+      } else if (now - idleSince.computeIfAbsent(ref, r -> now) > IDLE_S) {
+        breaks(ref + " waits for " + IDLE_S + " s beside room for it");
+      }
+    }
+  }
+
+  /** Room for so many tasks at once; all of them in one zone, or spread, where the job wants that. */
+  private boolean fits(JobSpec s, int need, List<FakeWorker> up) {
+    Map<String, Integer> perZone = new HashMap<>();
+    for (FakeWorker w : up) {
+      if (s.allows(w.type, w.zone, w.spot)) {
+        double gpus = FakeWorker.GPUS;
+        double cpus = FakeWorker.CPUS;
+        for (String t : w.alive()) {
+          JobSpec o = specs.get(refOf(t));
+          gpus -= o == null ? FakeWorker.GPUS : o.gpus();
+          cpus -= o == null ? FakeWorker.CPUS : o.cpus();
+        }
+        int n = (int) Math.floor(Math.min(s.gpus() > 0 ? gpus / s.gpus() : 1e6, s.cpus() > 0 ? cpus / s.cpus() : 1e6) + 1e-6);
+        perZone.merge(w.zone, Math.max(0, n), Integer::sum);
+      }
+    }
+    if (s.oneZone() || need == 1) {
+      return perZone.values().stream().anyMatch(n -> n >= need);
+    }
+    return perZone.values().stream().mapToInt(n -> Math.min(n, s.zoneCap())).sum() >= need;
+  }
+}
--- a/src/test/java/io/embernotch/testkit/World.java
+++ b/src/test/java/io/embernotch/testkit/World.java
@@ -28,6 +28,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.BiConsumer;
@@ -45,13 +46,17 @@
 
   private static final double HOP_S = 0.002;
 
+  /** A worker drops an answer that comes later than this after its report. */
+  private static final double ANSWER_S = 4;
+
   public final FakeTime time = new FakeTime();
   public final FakeState state = new FakeState(time);
   public final TreeMap<String, FakeWorker> workers = new TreeMap<>();
   public final List<Node> nodes = new ArrayList<>();
   private final Map<String, List<String>> bookings = new HashMap<>();
   private final List<Runnable> held = new ArrayList<>();
-  private final List<String> broken = new ArrayList<>();
+  /** What users, workers and the store saw, held against the rules. */
+  public final Rules rules;
   /** Copies of commands and reports that were carried out. */
   private final List<Runnable> copies = new ArrayList<>();
   /** Frames arrive with {@link #releaseHeld()}, at whoever has the receiver's name then. */
@@ -73,6 +78,16 @@
   /** Rented machines do not come up. */
   public boolean noBoot;
   public double bootS = 5;
+  /** Draws what the two shares below hit; a seed makes a run repeat. */
+  public SplittableRandom random = new SplittableRandom(1);
+  /** This share of transactions gets no answer and is carried out {@link #LATE_LEAST_S} to {@link #LATE_MOST_S} later. */
+  public double lateWrites;
+  private static final double LATE_LEAST_S = 2;
+  private static final double LATE_MOST_S = 12;
+  /** Of this share of the reports a copy arrives again, up to two leases later, at any controller. */
+  public double lateReports;
+  /** Every answer of the state service takes so much longer. */
+  public double stateSlowS;
   /** A zone that is cut off from everything, or null. */
   public String cutZone;
   private int nextMachine = 1;
@@ -86,6 +101,8 @@
     public Controller controller;
     public boolean down;
     public boolean noState;
+    /** The state service does not answer it at all, rather than refuse it. */
+    public boolean silentState;
     public boolean noPeers;
     public boolean noWorkers;
     private int life;
@@ -198,6 +215,7 @@
     for (int i = 0; i < controllers; i++) {
       nodes.add(new Node(i, SettingsReader.parse(toml(i, scale).replace("# next\n", next))));
     }
+    rules = new Rules(nodes.get(0).settings);
     nodes.forEach(Node::start);
   }
 
@@ -207,6 +225,7 @@
     for (int i = 0; i < 3; i++) {
       nodes.add(new Node(i, SettingsReader.parse(toml(i, 10))));
     }
+    rules = new Rules(nodes.get(0).settings);
     nodes.forEach(Node::start);
   }
 
@@ -215,6 +234,7 @@
     for (int i = 0; i < controllers; i++) {
       nodes.add(new Node(i, SettingsReader.parse(toml(i, scale))));
     }
+    rules = new Rules(nodes.get(0).settings);
     nodes.forEach(Node::start);
   }
 
@@ -296,6 +316,7 @@
       time.pass(Math.min(0.25, left));
       checkRunTwice();
       checkChains();
+      rules.look(workers.values(), time.now());
     }
   }
 
@@ -307,7 +328,7 @@
         ObjectNode job = state.value("job/" + ref);
         for (JsonNode before : job == null ? Json.object() : job.path("job").path("awaits")) {
           if (!state.everDone.contains(before.asText()) && !"done".equals(endInStore(before.asText()))) {
-            broken.add(t + " is on a machine before " + before.asText() + " is done");
+            rules.breaks(t + " is on a machine before " + before.asText() + " is done");
           }
         }
       }
@@ -332,29 +353,61 @@
       for (String t : w.alive()) {
         String other = where.put(t, w.name);
         if (other != null) {
-          broken.add(t + " is on " + other + " and " + w.name);
+          rules.breaks(t + " is on " + other + " and " + w.name);
         }
       }
     }
   }
 
-  /** Rules seen broken so far: tasks that were on two machines at once. */
+  /** Rules seen broken so far. */
   public List<String> broken() {
-    return broken;
+    return rules.broken();
   }
 
   // ---- users
 
   public Answer submit(int node, String json) {
-    return await(nodes.get(node).controller.submit(json.getBytes(StandardCharsets.UTF_8)));
+    byte[] body = json.getBytes(StandardCharsets.UTF_8);
+    double askedAt = time.now();
+    Answer a = await(nodes.get(node).controller.submit(body));
+    if (a != null) {
+      rules.submitted(body, a, askedAt, time.now());
+    }
+    return a;
   }
 
   public Answer poll(int node, String ref) {
-    return await(nodes.get(node).controller.poll(ref));
+    double askedAt = time.now();
+    Answer a = await(nodes.get(node).controller.poll(ref));
+    if (a != null) {
+      rules.polled(ref, a, askedAt, time.now(), state.value("job/" + ref) != null);
+    }
+    return a;
   }
 
   public Answer abort(int node, String ref) {
-    return await(nodes.get(node).controller.abort(ref));
+    double askedAt = time.now();
+    rules.cancelAsked(ref, askedAt);
+    Answer a = await(nodes.get(node).controller.abort(ref));
+    if (a != null) {
+      rules.heard(ref, a, askedAt, time.now());
+    }
+    return a;
+  }
+
+  /** Asks for a cancellation and goes on; whoever answers is heard when the answer comes, as a user would be. */
+  public void askCancel(int node, String ref) {
+    Node n = nodes.get(node);
+    if (!n.down) {
+      int life = n.life;
+      double askedAt = time.now();
+      rules.cancelAsked(ref, askedAt);
+      n.controller.abort(ref).onSuccess(a -> {
+        if (n.life == life) {
+          rules.heard(ref, a, askedAt, time.now());
+        }
+      });
+    }
   }
 
   public String phase(int node, String ref) {
@@ -429,7 +482,16 @@
     }
     if (to.equals(from.settings.state())) {
       if (from.noState) {
-        return Future.succeededFuture(new Reply(503, "{}".getBytes(StandardCharsets.UTF_8)));
+        return from.silentState ? null : Future.succeededFuture(new Reply(503, "{}".getBytes(StandardCharsets.UTF_8)));
+      }
+      if (path.equals("/commit") && random.nextDouble() < lateWrites) {
+        time.after(LATE_LEAST_S + random.nextDouble(LATE_MOST_S - LATE_LEAST_S), () -> state.handle(method, path, body));
+        return null;
+      }
+      if (stateSlowS > 0 && !path.startsWith("/changes")) {
+        Promise<Reply> slow = Promise.promise();
+        time.after(stateSlowS, () -> state.handle(method, path, body).onSuccess(slow::complete));
+        return slow.future();
       }
       if (path.equals("/commit") && commitFate != Fate.ARRIVES && new String(body).contains(commitsWith)) {
         if (commitFate == Fate.HELD) {
@@ -449,6 +511,10 @@
       w.startsLost += path.equals("/do") ? starts(body) : 0;
       return null;
     }
+    if (w != null && w.hung && !w.cut && path.equals("/do") && directFate == Fate.ARRIVES && !from.noWorkers) {
+      w.queue(body);
+      return null;
+    }
     if (w == null || w.cut || w.hung || from.noWorkers || apart(from.settings.location(), w.zone) || directFate == Fate.LOST) {
       return null;
     }
@@ -532,7 +598,10 @@
     }
     if (path.equals("/machines/delete")) {
       for (JsonNode n : Json.parseObject(body).get("hearths")) {
-        workers.remove(n.asText());
+        FakeWorker w = workers.remove(n.asText());
+        if (w != null) {
+          w.delete();
+        }
         deleted.add(n.asText());
       }
       return json("{}");
@@ -560,6 +629,8 @@
       time.after(bootS, () -> {
         if (!deleted.contains(name)) {
           FakeWorker w = new FakeWorker(name, type, zone, spot, address, time.now());
+          w.onStart = t -> rules.started(w, t, described(t), workers.values(), time.now());
+          w.onExit = rules::exited;
           workers.put(name, w);
           reportLoop(w);
           leaseLoop(w);
@@ -569,13 +640,19 @@
     return name;
   }
 
+  /** The description that the store has of a task's job, or null. */
+  private JsonNode described(String task) {
+    ObjectNode v = state.value("job/" + task.substring(0, task.lastIndexOf('/')));
+    return v == null ? null : v.get("job");
+  }
+
   // ---- workers
 
   private void reportLoop(FakeWorker w) {
     if (workers.get(w.name) != w) {
       return;
     }
-    if (!w.cut && !w.hung && time.now() >= w.reportsAgainAt) {
+    if (!w.cut && !w.hung && !w.mute && time.now() >= w.reportsAgainAt) {
       report(w, 0);
     }
     time.after(1.0, () -> reportLoop(w));
@@ -596,6 +673,7 @@
       return;
     }
     double sentAt = time.now();
+    int life = n.life;
     long session = w.session;
     byte[] said = w.report();
     reports.computeIfAbsent(w.name, k -> new ArrayList<>()).add(said);
@@ -604,6 +682,10 @@
         n.controller.report(WorkerCodec.read(said));
       }
     });
+    if (random.nextDouble() < lateReports) {
+      int to = random.nextInt(nodes.size());
+      time.after(LATE_LEAST_S + random.nextDouble(2 * n.settings.workers().leaseS()), () -> late(nodes.get(to), said));
+    }
     if (w.deaf) {
       // It waits four seconds for the answer, and a second more.
       w.node = (w.node + 1) % nodes.size();
@@ -612,7 +694,8 @@
     n.controller
         .report(WorkerCodec.read(said))
         .onSuccess(a -> {
-          if (n.down || w.cut || w.session != session) {
+          boolean late = time.now() - sentAt > ANSWER_S;
+          if (n.life != life || late || w.cut || w.hung || w.session != session || apart(n.settings.location(), w.zone)) {
             return;
           }
           if (w.deaf) {
