A cancellation is not decided while a start of ours may yet be carried out

Where the leader is the only controller of a zone a cancellation was decided by the bound of the workers' leases alone, with a start on its way or a machine that hung before it took it: the task started after its user had been told, and an answer given while the start was on its way renewed the worker without a stop, which the bound does not count. Cancels waits until such a start is answered, refused under a newer token, or the lease is over (Attempt.mayYetStart).

--- a/src/main/java/io/embernotch/jobs/Cancels.java
+++ b/src/main/java/io/embernotch/jobs/Cancels.java
@@ -23,6 +23,9 @@
  * runs is stopped; it is decided, and so told to anybody, only once no task of it can outlive {@code
  * cancel_s} from then on: each is proven gone, or its machine's worker must kill it in time whoever
  * renews the worker's lease. Behind a cut, that takes until the renewals there end.
+ *
+ * <p>Nor is it decided while a start of ours may yet be carried out, or a task waits for its image: a cancelled
+ * job once started on a machine that had hung, seconds after its user had been told.
  */
 public final class Cancels {
   private final Env env;
@@ -77,7 +80,7 @@
     double by = env.clock().now() + env.settings().workers().cancelS() * (0.9 - Settings.DRIFT);
     for (Attempt a : job.open.values()) {
       Machine m = ledger.machines.get(a.machine);
-      if (m == null || workers.goneBy(m) > by) {
+      if (m == null || workers.goneBy(m) > by || a.mayYetStart(workers.base())) {
         return false;
       }
     }
--- a/src/main/java/io/embernotch/model/Attempt.java
+++ b/src/main/java/io/embernotch/model/Attempt.java
@@ -47,6 +47,19 @@
     this.startToken = startToken;
   }
 
+  /**
+   * A command that starts it may be on its way, or it waits for its image where it is. What was started under tokens
+   * below {@code base}, by an earlier leader, is taken for running: nothing tells since when.
+   */
+  public boolean mayYetStart(long base) {
+    return switch (start) {
+      case SENDING, IN_RESPONSE -> true;
+      case UNSURE -> startToken >= base;
+      case HELD -> state == null || state == TaskState.FETCHING;
+      case UNCOMMITTED, READY -> false;
+    };
+  }
+
   @Override
   public String toString() {
     return job.spec.ref() + "/" + task + "#" + number + "@" + machine;
