What a controller answered as leader tells its version; Wards is Delegations

A leader that can't prove its lease renewed for the short hold of the former version while any other controller had not written to it. Now an answer that it gave as leader counts too, and what is known is kept by the process (Reception.waiting). AloneTest.anOutageAfterALeaderWasCutOffEndsNothing is red without it.

--- a/src/main/java/io/embernotch/machines/Wards.java
+++ b/src/main/java/io/embernotch/machines/Delegations.java
@@ -7,6 +7,7 @@
 import io.embernotch.settings.Settings;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * What the steward knows of the controllers that may renew workers of their zone when they are cut off
@@ -21,10 +22,10 @@
  * same: the life that followed had not begun when k was sent, and renews nothing for {@code contactS} from its
  * beginning.
  */
-public final class Wards {
+public final class Delegations {
   private static final int REMEMBERED = 64;
 
-  private static final class Ward {
+  private static final class Delegation {
     final Map<Long, Double> answeredAt = new Recent<>(REMEMBERED);
     final Map<Long, Long> acks = new Recent<>(REMEMBERED);
     double renewedAt = -1e9;
@@ -36,11 +37,17 @@
 
   private final Settings settings;
   private final double acquiredAt;
-  private final Map<String, Ward> wards = new HashMap<>();
+  private final Map<String, Delegation> delegations = new HashMap<>();
+  private final Set<String> waiting;
 
-  public Wards(Settings settings, double acquiredAt) {
+  /**
+   * @param waiting controllers that are known to wait with cancellations, whoever leads; those that write are added.
+   *     A controller is only ever replaced by one of its version or a later one
+   */
+  public Delegations(Settings settings, double acquiredAt, Set<String> waiting) {
     this.settings = settings;
     this.acquiredAt = acquiredAt;
+    this.waiting = waiting;
   }
 
   private double longestHold() {
@@ -49,10 +56,12 @@
 
   /**
    * Every other controller is known to be of a version that waits with cancellations. While one may not
-   * be, nobody renews for longer than the former version counts on.
+   * be, nobody renews for longer than the former version counts on. A leader that was cut off alone writes to no
+   * successor; what it had answered as a leader tells its version as well. When only those that wrote counted, a
+   * state outage after such a cut ended all that ran.
    */
   public boolean allNew() {
-    return settings.members().stream().allMatch(m -> wards.containsKey(m.node()));
+    return settings.members().stream().allMatch(m -> waiting.contains(m.node()));
   }
 
   /** How long this steward renews workers without a proven lease. */
@@ -67,7 +76,7 @@
 
   /** The message is of another life of its process than the one before, or the first at all. */
   public boolean another(Frame.Here h) {
-    Ward w = wards.get(h.node());
+    Delegation w = delegations.get(h.node());
     return w == null || w.life != Lifetime.of(h.seq());
   }
 
@@ -76,7 +85,8 @@
    * cancellation was told has tasks left in its zone. Returns the answer to send at once.
    */
   public Frame.Noted heard(Frame.Here h, long epoch, boolean may, double now) {
-    Ward w = wards.computeIfAbsent(h.node(), n -> new Ward());
+    waiting.add(h.node());
+    Delegation w = delegations.computeIfAbsent(h.node(), n -> new Delegation());
     w.life = Lifetime.of(h.seq());
     if (h.ack() == 0 || w.answeredAt.isEmpty()) {
       // What its former process, or it under an earlier steward, has renewed, nobody owns up to.
@@ -104,13 +114,13 @@
     double latest = -1e9;
     for (Settings.Member m : settings.members()) {
       if (m.location().equals(zone)) {
-        latest = Math.max(latest, renewedUntil(wards.get(m.node()), now));
+        latest = Math.max(latest, renewedUntil(delegations.get(m.node()), now));
       }
     }
     return latest;
   }
 
-  private double renewedUntil(Ward w, double now) {
+  private double renewedUntil(Delegation w, double now) {
     double others = acquiredAt + longestHold();
     if (w == null) {
       return Math.min(now, others);
@@ -123,7 +133,7 @@
     double latest = -1e9;
     for (Settings.Member m : settings.members()) {
       if (m.location().equals(zone)) {
-        Ward w = wards.get(m.node());
+        Delegation w = delegations.get(m.node());
         latest = Math.max(latest, Math.max(acquiredAt + longestHold(), w == null ? 0 : w.grantEnds));
       }
     }
--- a/src/main/java/io/embernotch/machines/Leases.java
+++ b/src/main/java/io/embernotch/machines/Leases.java
@@ -11,14 +11,14 @@
 public final class Leases {
   private final Settings settings;
   private final Clock clock;
-  private final Wards wards;
+  private final Delegations delegations;
   private final long epochBase;
   private final double acquiredAt;
 
-  Leases(Settings settings, Clock clock, Wards wards, long epochBase) {
+  Leases(Settings settings, Clock clock, Delegations delegations, long epochBase) {
     this.settings = settings;
     this.clock = clock;
-    this.wards = wards;
+    this.delegations = delegations;
     this.epochBase = epochBase;
     this.acquiredAt = clock.now();
   }
@@ -45,8 +45,8 @@
   boolean over(Machine m) {
     double now = clock.now();
     // Without its zone, any controller may have.
-    double wardsUntil = m.zone == null ? now : wards.renewedUntil(m.zone, now);
-    return now > Math.max(m.renewedAt, Math.max(othersUntil(m), wardsUntil)) + lifeS(settings);
+    double delegatedUntil = m.zone == null ? now : delegations.renewedUntil(m.zone, now);
+    return now > Math.max(m.renewedAt, Math.max(othersUntil(m), delegatedUntil)) + lifeS(settings);
   }
 
   /** What is on a machine that we never reach again is gone by this time, whoever else renews its worker. */
@@ -54,6 +54,6 @@
     if (m.zone == null) {
       return Double.MAX_VALUE;
     }
-    return Math.max(m.renewedAt, Math.max(othersUntil(m), wards.renewalEnds(m.zone))) + lifeS(settings);
+    return Math.max(m.renewedAt, Math.max(othersUntil(m), delegations.renewalEnds(m.zone))) + lifeS(settings);
   }
 }
--- a/src/main/java/io/embernotch/machines/Workers.java
+++ b/src/main/java/io/embernotch/machines/Workers.java
@@ -73,12 +73,12 @@
   private final Hearing hearing;
   private final Asking asking;
 
-  public Workers(Env env, Ledger ledger, long epoch, Wards wards, Outcome outcome) {
+  public Workers(Env env, Ledger ledger, long epoch, Delegations delegations, Outcome outcome) {
     this.env = env;
     this.ledger = ledger;
     this.outcome = outcome;
     this.epochBase = Tokens.base(epoch);
-    this.leases = new Leases(env.settings(), env.clock(), wards, epochBase);
+    this.leases = new Leases(env.settings(), env.clock(), delegations, epochBase);
     this.callS = env.settings().workers().reportS() * 2 / 3;
     this.lanes = new Lanes(env.settings().quota().directCalls());
     this.inResponse = new ReportOrders(env, lanes, epochBase, outcome);
--- a/src/main/java/io/embernotch/relay/Reception.java
+++ b/src/main/java/io/embernotch/relay/Reception.java
@@ -12,6 +12,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -79,6 +80,7 @@
   private double unansweredSince = -1;
   private double tryAt;
   private final Standby standby;
+  private final Set<String> waiting = new HashSet<>();
 
   public Reception(Env env, Host host) {
     this.env = env;
@@ -121,11 +123,17 @@
   }
 
   public void noted(Frame.Noted n) {
-    if (n.epoch() == epoch) {
+    if (n.epoch() == epoch && steward != null) {
+      waiting.add(steward);
       standby.noted(n);
     }
   }
 
+  /** Controllers that are known to be of a version that waits with cancellations; see {@code Delegations}. */
+  public Set<String> waiting() {
+    return waiting;
+  }
+
   /** What workers said within a report period or so. */
   public List<WorkerReport> recent() {
     List<WorkerReport> out = new ArrayList<>();
--- a/src/main/java/io/embernotch/relay/Standby.java
+++ b/src/main/java/io/embernotch/relay/Standby.java
@@ -5,7 +5,7 @@
 import io.embernotch.env.Lifetime;
 import io.embernotch.env.Recent;
 import io.embernotch.http.Answer;
-import io.embernotch.machines.Wards;
+import io.embernotch.machines.Delegations;
 import io.embernotch.model.WorkerReport;
 import io.embernotch.peer.Frame;
 import io.embernotch.settings.Settings;
@@ -16,7 +16,7 @@
  * A controller's right to renew the workers of its own zone while it is cut off with them. Without it
  * all that runs behind a cut ends with its lease, though nothing is wrong there. The right is given by
  * a live steward with each {@link Frame.Noted}, counts from the sending of what that answers, and is
- * used only once the steward has not answered for {@link Settings#contactS}. {@link Wards} is the
+ * used only once the steward has not answered for {@link Settings#contactS}. {@link Delegations} is the
  * steward's side, which knows until when such renewals may have gone on.
  */
 public final class Standby {
--- a/src/main/java/io/embernotch/steward/Controller.java
+++ b/src/main/java/io/embernotch/steward/Controller.java
@@ -270,7 +270,7 @@
   public void acquired(long epoch, long stamp) {
     env.store().leading(true);
     former = null;
-    steward = new Steward(env, this, epoch, stamp, types.values(), eras.base(), eras.begunWith());
+    steward = new Steward(env, this, epoch, stamp, types.values(), eras.base(), eras.begunWith(), reception.waiting());
     reception.recent().forEach(r -> steward.tell(new StewardMessage.Heard(r)));
     reception.unpark(this::own);
     steward.start();
--- a/src/main/java/io/embernotch/steward/Steward.java
+++ b/src/main/java/io/embernotch/steward/Steward.java
@@ -23,7 +23,7 @@
 import io.embernotch.machines.Starts;
 import io.embernotch.machines.Stops;
 import io.embernotch.machines.Tokens;
-import io.embernotch.machines.Wards;
+import io.embernotch.machines.Delegations;
 import io.embernotch.machines.Workers;
 import io.embernotch.model.Attempt;
 import io.embernotch.model.Cause;
@@ -72,7 +72,7 @@
   private final Chains chains;
   private final Endings endings;
   private final UserDesk users;
-  private final Wards wards;
+  private final Delegations delegations;
   private final Cancels cancels;
   private final Stops stops;
   private final Starts starts;
@@ -89,8 +89,8 @@
   private final Minutes minutes;
   private final Facts facts;
 
-  /** {@code stamp} is that of the steward's key, {@code base} and {@code begunWith} as in {@code Eras}. */
-  Steward(Env env, StewardHost host, long epoch, long stamp, Collection<MachineType> types, Base base, Copy begunWith) {
+  /** {@code stamp} is that of the steward's key, {@code base} and {@code begunWith} as in {@code Eras}, {@code waiting} as in {@link Delegations}. */
+  Steward(Env env, StewardHost host, long epoch, long stamp, Collection<MachineType> types, Base base, Copy begunWith, Set<String> waiting) {
     super(env.loop());
     this.env = env;
     this.host = host;
@@ -109,8 +109,8 @@
     this.chains = new Chains(env, ledger, hooks);
     this.endings = new Endings(env, ledger, committer, chains, (ref, e) -> host.ended(ref, e.phase(), e.tasks(), e.done()));
     this.users = new UserDesk(env, ledger, committer, host::live, hooks);
-    this.wards = new Wards(env.settings(), acquiredAt);
-    this.workers = new Workers(env, ledger, epoch, wards, this);
+    this.delegations = new Delegations(env.settings(), acquiredAt, waiting);
+    this.workers = new Workers(env, ledger, epoch, delegations, this);
     this.cancels = new Cancels(env, ledger, committer, endings, workers);
     this.outcomes = new Outcomes(env, ledger, committer, endings, StragglerFeed.LATELY, cancels::check, this::changed);
     this.stops = new Stops(env, ledger, workers, outcomes::close, () -> loaded);
@@ -377,16 +377,16 @@
 
   /** Another controller is there. */
   Frame.Noted heard(Frame.Here here) {
-    if (wards.another(here)) {
+    if (delegations.another(here)) {
       images.again();
     }
-    boolean may = loaded && host.live() && endings.clear(wards.zoneOf(here.node()));
-    return wards.heard(here, epoch, may, env.clock().now());
+    boolean may = loaded && host.live() && endings.clear(delegations.zoneOf(here.node()));
+    return delegations.heard(here, epoch, may, env.clock().now());
   }
 
   /** How long workers are renewed without a proven lease. */
   double holdS() {
-    return wards.ownHoldS();
+    return delegations.ownHoldS();
   }
 
   @Override
--- a/src/test/java/io/embernotch/machines/WorkersTest.java
+++ b/src/test/java/io/embernotch/machines/WorkersTest.java
@@ -22,6 +22,7 @@
 import io.embernotch.testkit.World;
 import io.vertx.core.Promise;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -44,7 +45,7 @@
   private final Workers workers =
       new Workers(
           new Env(settings, OperatorSettings.DEFAULTS, time, time, time, Work.NONE, null, null, caller, null, null), ledger, EPOCH,
-          new Wards(settings, time.now()), this);
+          new Delegations(settings, time.now(), new HashSet<>()), this);
   private final Job job = new Job(JobCodec.read(Json.parseObject(World.job("j-1", "array", 16).getBytes())), 0);
   private boolean leads = true;
   private final List<Attempt> gone = new ArrayList<>();
--- a/src/test/java/io/embernotch/relay/AloneTest.java
+++ b/src/test/java/io/embernotch/relay/AloneTest.java
@@ -73,6 +73,30 @@
     assertThat(world.leastLeft).isGreaterThan(0.4);
   }
 
+  /** The next leader held workers for as long as the former version counts on, since the one cut off had not written to it. */
+  @ParameterizedTest
+  @CsvSource({"true", "false"})
+  void anOutageAfterALeaderWasCutOffEndsNothing(boolean ends) {
+    Map<String, FakeWorker> before = service();
+    Node n = world.steward();
+    if (ends) {
+      n.kill();
+    }
+    alone(n, true);
+    world.pass(8);
+    assertThat(world.steward()).isNotNull().isNotEqualTo(n);
+    world.state.outage = true;
+    world.pass(n.settings.holdS() + 0.6 * n.settings.workers().leaseS());
+    assertThat(world.running("j-1")).isEqualTo(before);
+    world.state.recover();
+    alone(n, false);
+    if (ends) {
+      n.start();
+    }
+    world.pass(40);
+    assertThat(world.running("j-1")).isEqualTo(before);
+  }
+
   /** Where the next steward has reached a worker it serves it too: one that shows its token is sent away at once. */
   @ParameterizedTest
   @CsvSource({"true", "false"})
--- a/src/test/java/io/embernotch/relay/StandbyTest.java
+++ b/src/test/java/io/embernotch/relay/StandbyTest.java
@@ -5,7 +5,7 @@
 
 import io.embernotch.actor.Work;
 import io.embernotch.env.Env;
-import io.embernotch.machines.Wards;
+import io.embernotch.machines.Delegations;
 import io.embernotch.model.WorkerReport;
 import io.embernotch.peer.Frame;
 import io.embernotch.settings.OperatorSettings;
@@ -15,6 +15,7 @@
 import io.embernotch.testkit.FakeWorker;
 import io.embernotch.testkit.World;
 import io.embernotch.testkit.World.Node;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Stream;
@@ -168,36 +169,36 @@
             .map(Standby::here)
             .toList();
     assertThat(first.get(0).seq()).isNotEqualTo(first.get(1).seq());
-    Wards wards = new Wards(far, 100);
-    wards.heard(first.get(0), 7, true, 200);
-    assertThat(wards.another(first.get(0))).isFalse();
-    assertThat(wards.another(first.get(1))).isTrue();
+    Delegations delegations = new Delegations(far, 100, new HashSet<>());
+    delegations.heard(first.get(0), 7, true, 200);
+    assertThat(delegations.another(first.get(0))).isFalse();
+    assertThat(delegations.another(first.get(1))).isTrue();
   }
 
   @Test
   void theStewardKnowsUntilWhenAControllerMayHaveRenewed() {
     Settings s = SettingsReader.parse(World.toml(0));
-    Wards wards = new Wards(s, 100);
+    Delegations delegations = new Delegations(s, 100, new HashSet<>());
     double hold = s.holdS() * (1 + Settings.DRIFT);
     // Nothing heard: it may hold a right of an earlier steward.
-    assertThat(wards.renewedUntil("z2", 110)).isEqualTo(110);
-    assertThat(wards.renewedUntil("z2", 500)).isEqualTo(100 + hold);
-    assertThat(wards.heard(new Frame.Here("c2", 1, 0, -1), 7, true, 200).granted()).isFalse();
-    assertThat(wards.heard(new Frame.Here("c1", 1, 0, -1), 7, true, 200).granted()).isTrue();
-    assertThat(wards.heard(new Frame.Here("c2", 2, 1, -1), 7, true, 202).granted()).isTrue();
-    wards.heard(new Frame.Here("c2", 3, 2, -1), 7, true, 204);
+    assertThat(delegations.renewedUntil("z2", 110)).isEqualTo(110);
+    assertThat(delegations.renewedUntil("z2", 500)).isEqualTo(100 + hold);
+    assertThat(delegations.heard(new Frame.Here("c2", 1, 0, -1), 7, true, 200).granted()).isFalse();
+    assertThat(delegations.heard(new Frame.Here("c1", 1, 0, -1), 7, true, 200).granted()).isTrue();
+    assertThat(delegations.heard(new Frame.Here("c2", 2, 1, -1), 7, true, 202).granted()).isTrue();
+    delegations.heard(new Frame.Here("c2", 3, 2, -1), 7, true, 204);
     // 3 acknowledges 2, which acknowledged 1, answered at 200: until contactS after that it renewed nothing.
-    assertThat(wards.renewedUntil("z2", 200 + s.contactS())).isEqualTo(100 + hold);
+    assertThat(delegations.renewedUntil("z2", 200 + s.contactS())).isEqualTo(100 + hold);
     // From then on it may have, until the right that it was given at 204 ends.
-    assertThat(wards.renewedUntil("z2", 220)).isEqualTo(220);
-    assertThat(wards.renewedUntil("z2", 900)).isEqualTo(204 + hold);
+    assertThat(delegations.renewedUntil("z2", 220)).isEqualTo(220);
+    assertThat(delegations.renewedUntil("z2", 900)).isEqualTo(204 + hold);
     // It owns up to a renewal, and is in contact again.
     for (int i = 4; i < 8; i++) {
-      wards.heard(new Frame.Here("c2", i, i - 1, 10 + 2 * i), 7, true, 230 + 2 * i);
+      delegations.heard(new Frame.Here("c2", i, i - 1, 10 + 2 * i), 7, true, 230 + 2 * i);
     }
-    assertThat(wards.renewedUntil("z2", 245)).isEqualTo(220);
+    assertThat(delegations.renewedUntil("z2", 245)).isEqualTo(220);
     // A new process knows nothing of what the one before it did.
-    wards.heard(new Frame.Here("c2", 50, 0, -1), 7, true, 260);
-    assertThat(wards.renewedUntil("z2", 300)).isGreaterThanOrEqualTo(260);
+    delegations.heard(new Frame.Here("c2", 50, 0, -1), 7, true, 260);
+    assertThat(delegations.renewedUntil("z2", 300)).isGreaterThanOrEqualTo(260);
   }
 }
