--- a/src/test/java/io/embernotch/calendar/CalendarTest.java
+++ b/src/test/java/io/embernotch/calendar/CalendarTest.java
@@ -44,7 +44,7 @@
   private void threeWait() {
     world.boot("g8", "z1", false);
     world.pass(7);
-    world.full = true;
+    world.cloud.full = true;
     world.submit(0, of("c", "j-1", 8));
     world.pass(4);
     assertThat(world.running("j-1")).hasSize(8);
--- a/src/test/java/io/embernotch/era/LossAtScaleTest.java
+++ b/src/test/java/io/embernotch/era/LossAtScaleTest.java
@@ -21,7 +21,7 @@
     for (int i = 0; i < MACHINES; i++) {
       world.boot("g8", i % 2 == 0 ? "z1" : "z2", true);
     }
-    world.pass(world.bootS + 2);
+    world.pass(world.cloud.bootS + 2);
     int n = 0;
     for (var w : world.workers.values()) {
       w.node = n++ % 3;
@@ -46,7 +46,7 @@
       world.pass(0.1);
       assertThat(world.time.now() - lostAt).as("submissions are taken again").isLessThan(5);
     }
-    world.pass(world.bootS + 3);
+    world.pass(world.cloud.bootS + 3);
     assertThat(world.running("j-20")).hasSize(1);
     assertThat(tasks()).isEqualTo(MACHINES * EACH + 1);
     assertThat(world.workers.values()).allSatisfy(w -> assertThat(w.session).isEqualTo(1));
--- a/src/test/java/io/embernotch/machines/HearingTest.java
+++ b/src/test/java/io/embernotch/machines/HearingTest.java
@@ -79,7 +79,7 @@
     world.submit(0, job("j-3", "array", 4));
     world.pass(5);
     assertThat(world.running("j-3")).hasSize(4);
-    assertThat(world.deleted).doesNotContain(deaf.name);
+    assertThat(world.cloud.deleted).doesNotContain(deaf.name);
   }
 
   /** When all controllers move their workers about, as after crashes, nobody is taken for deaf and returned. */
@@ -88,7 +88,7 @@
     world.settle(3);
     List<FakeWorker> all = machines(30);
     Map<String, FakeWorker> before = service(240);
-    world.full = true;
+    world.cloud.full = true;
     all.subList(0, 15).forEach(w -> w.deaf = true);
     world.pass(15);
     all.forEach(w -> w.deaf = false);
--- a/src/test/java/io/embernotch/machines/LateCopiesTest.java
+++ b/src/test/java/io/embernotch/machines/LateCopiesTest.java
@@ -89,7 +89,7 @@
     service();
     List<byte[]> said = List.copyOf(world.reportsOf(dead.name));
     world.workers.remove(dead.name);
-    world.deleted.add(dead.name);
+    world.cloud.deleted.add(dead.name);
     world.pass(60);
     Node steward = world.steward();
     steward.kill();
@@ -113,7 +113,7 @@
     dead.back(true);
     dead.seq = laterSeq == 0 ? 0 : seq + laterSeq;
     world.directFate = Fate.HELD;
-    world.noBoot = true;
+    world.cloud.noBoot = true;
     return former;
   }
 
@@ -126,7 +126,7 @@
     assertThat(dead.alive()).hasSize(1);
     world.nodes.forEach(n -> world.late(n, former));
     world.directFate = Fate.ARRIVES;
-    world.noBoot = false;
+    world.cloud.noBoot = false;
     world.boot("g8", "z1", true);
     world.pass(20);
   }
--- a/src/test/java/io/embernotch/meetings/MeetingsTest.java
+++ b/src/test/java/io/embernotch/meetings/MeetingsTest.java
@@ -85,7 +85,7 @@
     assertThat(world.submit(1, job("j-3", "array", 24)).status()).isEqualTo(201);
     List<FakeWorker> unreachable = world.running("j-2").values().stream().distinct().toList();
     assertThat(unreachable).isNotEmpty();
-    world.cloudDown = true;
+    world.cloud.down = true;
     unreachable.forEach(w -> {
       w.cut = how.equals("cut");
       w.hung = how.equals("hung");
@@ -100,7 +100,7 @@
       }
       world.pass(1);
     }
-    world.cloudDown = false;
+    world.cloud.down = false;
     world.pass(cancelS());
     allIsWell();
     assertThat(world.running("j-3").size() + world.running("j-1").size()).isEqualTo(24);
@@ -221,7 +221,7 @@
       w.hung = how.equals("hung");
     });
     leader.kill();
-    world.cloudDown = true;
+    world.cloud.down = true;
     world.pass(leaseS() * 0.6);
     leader.start();
     hit.forEach(w -> {
@@ -439,7 +439,7 @@
       world.boot("g8", i % 2 == 0 ? "z1" : "z2", true);
     }
     world.pass(6);
-    world.full = true;
+    world.cloud.full = true;
     told.submit(0, "j-1", "array", 100);
     world.pass(6);
     world.stateSlowS = 0.3;
--- a/src/test/java/io/embernotch/relay/StandbyTest.java
+++ b/src/test/java/io/embernotch/relay/StandbyTest.java
@@ -103,12 +103,12 @@
     world.pass(15);
     assertThat(world.running("j-2")).hasSize(4);
     world.cutZone = "z2";
-    world.cloudDown = true;
+    world.cloud.down = true;
     // The renewals end, and then the leases; the checker sees to it that nothing starts before.
     world.pass(settings.holdS() + settings.workers().leaseS() + 5);
     assertThat(anyInZ2("j-1")).isFalse();
     world.cutZone = null;
-    world.cloudDown = false;
+    world.cloud.down = false;
     world.pass(25);
     assertThat(world.running("j-1")).hasSize(6);
     assertThat(world.running("j-2")).hasSize(4);
@@ -118,7 +118,7 @@
   void aCancellationIsToldOnlyOnceWhatIsBehindTheCutMustEndInTime() {
     spreadService("j-1");
     world.cutZone = "z2";
-    world.cloudDown = true;
+    world.cloud.down = true;
     world.pass(12);
     assertThat(world.abort(0, "j-1").status()).isEqualTo(503);
     assertThat(world.phase(0, "j-1")).isNotEqualTo("cancelled");
--- a/src/test/java/io/embernotch/reserve/ReservationTest.java
+++ b/src/test/java/io/embernotch/reserve/ReservationTest.java
@@ -52,7 +52,7 @@
     begin(TEN);
     room.pass(20);
     assertThat(room.heldInAll()).isGreaterThanOrEqualTo(10);
-    world.noBoot = true;
+    world.cloud.noBoot = true;
     world.submit(0, array("j-1", 100));
     room.pass(20);
     assertThat(seen().get("held").get("gpus").asDouble()).isGreaterThanOrEqualTo(10);
@@ -70,7 +70,7 @@
     begin("");
     world.submit(0, live("j-1", 14));
     room.pass(15);
-    world.noBoot = true;
+    world.cloud.noBoot = true;
     world.submit(1, array("j-2", 200));
     room.pass(15);
     double held = room.heldInAll();
@@ -99,7 +99,7 @@
     begin("");
     world.boot("g8", "z1", false);
     room.pass(7);
-    world.full = true;
+    world.cloud.full = true;
     world.commitsWith = "shared/";
     world.commitFate = Fate.HELD;
     world.submit(0, live("j-1", 8));
@@ -124,17 +124,17 @@
   void aMachineThatIsNotHeardYetKeepsWhatIsHeldThere() {
     begin(TEN);
     room.pass(25);
-    world.noBoot = true;
+    world.cloud.noBoot = true;
     world.nodes.forEach(Node::kill);
     world.workers.values().forEach(w -> w.cut = true);
-    world.unlisted.addAll(world.workers.keySet());
+    world.cloud.unlisted.addAll(world.workers.keySet());
     room.pass(1);
     world.submit(0, array("j-1", 1));
     world.nodes.forEach(Node::start);
     room.pass(9);
     assertThat(room.heldInAll()).isGreaterThanOrEqualTo(10);
     world.workers.values().forEach(w -> w.cut = false);
-    world.unlisted.clear();
+    world.cloud.unlisted.clear();
     world.submit(0, array("j-2", 60));
     room.pass(12);
     assertThat(room.heldInAll()).isGreaterThanOrEqualTo(10);
@@ -147,7 +147,7 @@
     begin("");
     world.submit(0, live("j-1", 16));
     room.pass(15);
-    world.noBoot = true;
+    world.cloud.noBoot = true;
     world.submit(1, array("j-2", 200));
     room.pass(10);
     world.commitsWith = "shared/";
@@ -170,7 +170,7 @@
     begin("reserve_live: false");
     String name = world.boot("g8", "z1", false);
     room.pass(8);
-    world.full = true;
+    world.cloud.full = true;
     world.submit(0, array("j-1", 8).replace("standard", "idle"));
     room.pass(8);
     assertThat(world.workers.get(name).alive()).hasSize(8);
@@ -212,7 +212,7 @@
     world.submit(0, live("j-1", 6));
     room.pass(25);
     double held = room.heldInAll();
-    world.noBoot = true;
+    world.cloud.noBoot = true;
     world.submit(1, array("j-2", 100));
     room.pass(5);
     world.state.loseAll();
@@ -245,7 +245,7 @@
           world.commitFate = Fate.values()[random.nextInt(3)];
         }
         case 6 -> world.releaseHeld();
-        case 7 -> world.noBoot = !world.noBoot;
+        case 7 -> world.cloud.noBoot = !world.cloud.noBoot;
         default -> {
           List<Node> nodes = random.nextInt(3) == 0 ? world.nodes : List.of(world.nodes.get(node));
           nodes.forEach(Node::kill);
--- a/src/test/java/io/embernotch/steward/LivesTest.java
+++ b/src/test/java/io/embernotch/steward/LivesTest.java
@@ -133,6 +133,6 @@
     world.repeatAll();
     world.pass(12);
     assertThat(world.running("j-1")).hasSize(8);
-    assertThat(world.deleted).doesNotContain(w.name);
+    assertThat(world.cloud.deleted).doesNotContain(w.name);
   }
 }
--- a/src/test/java/io/embernotch/steward/ReceptionTest.java
+++ b/src/test/java/io/embernotch/steward/ReceptionTest.java
@@ -31,7 +31,7 @@
     for (int i = 0; i < count; i++) {
       world.boot("g8", i % 2 == 0 ? "z1" : "z2", true);
     }
-    world.pass(world.bootS + 0.5);
+    world.pass(world.cloud.bootS + 0.5);
     world.workers.values().forEach(w -> w.node = at.index);
     world.pass(2);
     world.workers.values().forEach(w -> w.moves = 0);
@@ -108,7 +108,7 @@
     world.pass(12);
     // It can neither pass anything on nor learn who is steward.
     assertThat(world.workers.values()).allMatch(w -> w.node != refused.index);
-    assertThat(world.deleted).isEmpty();
+    assertThat(world.cloud.deleted).isEmpty();
   }
 
   @Test
@@ -122,7 +122,7 @@
     follower.start();
     world.pass(1);
     world.boot("g8", "z1", true);
-    world.pass(world.bootS + 0.3);
+    world.pass(world.cloud.bootS + 0.3);
     Answer a = report(follower, world.workers.firstEntry().getValue());
     assertThat(a.status()).isEqualTo(421);
     assertThat(Json.parseObject(a.body()).get("steward").asText()).isEqualTo("c9");
@@ -139,7 +139,7 @@
     // Direct commands fail, so the starts go out with the answers to reports.
     assertThat(world.steward()).isSameAs(old);
     assertThat(world.running("j-3")).hasSize(8);
-    assertThat(world.deleted).isEmpty();
+    assertThat(world.cloud.deleted).isEmpty();
   }
 
   @Test
@@ -161,7 +161,7 @@
     world.workers.values().stream().limit(6).forEach(w -> w.cut = true);
     world.pass(29);
     assertThat(world.steward()).isSameAs(old);
-    assertThat(world.deleted).hasSize(6);
+    assertThat(world.cloud.deleted).hasSize(6);
   }
 
   @Test
--- a/src/test/java/io/embernotch/steward/RulesTest.java
+++ b/src/test/java/io/embernotch/steward/RulesTest.java
@@ -48,11 +48,11 @@
   @Test
   void aGangIsPlacedWholeOrNotAtAll() {
     world.settle(2);
-    world.noBoot = true;
+    world.cloud.noBoot = true;
     String gang = job("j-2", "group", 2).replace("\"cards\":1.0", "\"cards\":8.0").replace("\"cores\":4.0", "\"cores\":40.0");
     assertThat(world.submit(0, gang).status()).isEqualTo(201);
     world.pass(3);
-    world.noBoot = false;
+    world.cloud.noBoot = false;
     world.boot("g8", "z1", true);
     world.pass(8);
     assertThat(world.running("j-2")).isEmpty();
@@ -77,15 +77,15 @@
     FakeWorker cut = world.running("j-3").get("j-3/0");
     int onIt = cut.alive().size();
     cut.cut = true;
-    world.cloudDown = true;
+    world.cloud.down = true;
     world.submit(0, job("j-4", "array", 8));
     world.pass(25);
     // Neither deletion nor lease has proven anything yet.
     assertThat(world.running("j-4")).isEmpty();
     assertThat(cut.alive()).hasSize(onIt);
-    world.cloudDown = false;
+    world.cloud.down = false;
     world.pass(30);
-    assertThat(world.deleted).contains(cut.name);
+    assertThat(world.cloud.deleted).contains(cut.name);
     assertThat(world.running("j-3")).hasSize(24);
   }
 
@@ -97,7 +97,7 @@
     world.boot("g8", "z1", true);
     world.pass(6);
     cut.cut = true;
-    world.cloudDown = true;
+    world.cloud.down = true;
     world.pass(26);
     assertThat(world.running("j-5").get("j-5/0")).isSameAs(cut);
     world.pass(10);
@@ -255,7 +255,7 @@
   void aListThatLacksAMachineEndsNothing() {
     world.settle(2);
     Map<String, FakeWorker> on = run(job("j-18", "standing", 2), "j-18", 2);
-    on.values().forEach(w -> world.unlisted.add(w.name));
+    on.values().forEach(w -> world.cloud.unlisted.add(w.name));
     world.pass(30);
     assertThat(world.running("j-18")).isEqualTo(on);
   }
@@ -325,10 +325,10 @@
     world.pass(25);
     assertThat(world.running("j-22")).hasSize(4);
     // One job's word against it is enough once the job has succeeded elsewhere.
-    assertThat(world.deleted).doesNotContain(bad);
+    assertThat(world.cloud.deleted).doesNotContain(bad);
     world.finish("j-22");
     world.pass(6);
-    assertThat(world.deleted).contains(bad);
+    assertThat(world.cloud.deleted).contains(bad);
   }
 
   @Test
@@ -350,13 +350,13 @@
     FakeWorker hung = world.running("j-28").get("j-28/0");
     hung.hung = true;
     world.pass(14);
-    assertThat(world.deleted).containsExactly(hung.name);
+    assertThat(world.cloud.deleted).containsExactly(hung.name);
     world.pass(8);
     assertThat(world.running("j-28")).hasSize(8);
     FakeWorker cut = world.running("j-28").get("j-28/0");
     cut.cut = true;
     world.pass(20);
-    assertThat(world.deleted).doesNotContain(cut.name);
+    assertThat(world.cloud.deleted).doesNotContain(cut.name);
   }
 
   @Test
@@ -370,7 +370,7 @@
     cut.cut = true;
     old.kill();
     world.pass(24);
-    assertThat(world.deleted).containsExactly(cut.name);
+    assertThat(world.cloud.deleted).containsExactly(cut.name);
     assertThat(world.running("j-25").get("j-25/0")).isNotNull();
   }
 
@@ -418,7 +418,7 @@
     world.pass(6);
     cut.cut = true;
     world.pass(20);
-    assertThat(world.deleted).doesNotContain(cut.name);
+    assertThat(world.cloud.deleted).doesNotContain(cut.name);
     cut.cut = false;
     world.pass(5);
     assertThat(world.running("j-70").get("j-70/0")).isSameAs(cut);
@@ -433,7 +433,7 @@
     world.pass(6);
     cut.cut = true;
     world.pass(10);
-    assertThat(world.deleted).contains(cut.name);
+    assertThat(world.cloud.deleted).contains(cut.name);
     assertThat(world.running("j-71").get("j-71/0")).isNotNull().isNotSameAs(cut);
   }
 }
--- a/src/test/java/io/embernotch/steward/ScaleTest.java
+++ b/src/test/java/io/embernotch/steward/ScaleTest.java
@@ -20,7 +20,7 @@
   }
 
   private void fill() {
-    world.noBoot = false;
+    world.cloud.noBoot = false;
     for (int i = 0; i < MACHINES; i++) {
       world.boot("g8", i % 2 == 0 ? "z1" : "z2", true);
     }
--- /dev/null
+++ b/src/test/java/io/embernotch/testkit/FakeCloud.java
@@ -0,0 +1,140 @@
+package io.embernotch.testkit;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.embernotch.codec.Json;
+import io.embernotch.http.Reply;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+
+/** The cloud of PROTOCOL, in memory: rents, lists and deletes machines of one type. */
+public final class FakeCloud {
+  private final FakeTime time;
+  private final TreeMap<String, FakeWorker> workers;
+  private final Consumer<FakeWorker> booted;
+  private final Map<String, List<String>> bookings = new HashMap<>();
+  private int nextMachine = 1;
+
+  /** Names of machines that were deleted, in that order. */
+  public final List<String> deleted = new ArrayList<>();
+
+  /** How many machines each rental asked for. */
+  public final List<Integer> rentals = new ArrayList<>();
+
+  /** Every request is refused. */
+  public boolean down;
+
+  /** Names that machine lists leave out, as an old list would. */
+  public final TreeSet<String> unlisted = new TreeSet<>();
+
+  /** No machine is left to be rented. */
+  public boolean full;
+
+  /** Rented machines do not come up. */
+  public boolean noBoot;
+
+  /** Seconds until a rented machine is up. */
+  public double bootS = 5;
+
+  /**
+   * Creates a cloud.
+   *
+   * @param workers the machines that are up, by name; those that are deleted are removed from it
+   * @param booted is given each machine that comes up
+   */
+  FakeCloud(FakeTime time, TreeMap<String, FakeWorker> workers, Consumer<FakeWorker> booted) {
+    this.time = time;
+    this.workers = workers;
+    this.booted = booted;
+  }
+
+  /** Answers a request. */
+  Reply handle(String method, String path, byte[] body) {
+    if (down) {
+      return error("trouble");
+    }
+    if (path.equals("/machine_types")) {
+      return json("{\"flavors\":[{\"name\":\"g8\",\"cores\":48,\"cards\":8,\"mem_gb\":288,\"local_gb\":100,"
+          + "\"fetch_gb_per_s\":1.0,\"rate\":12.0,\"market_price\":4.0,\"boot_s\":60,\"rooms\":[\"z1\",\"z2\"]}]}");
+    }
+    if (path.equals("/machines") && method.equals("POST")) {
+      return rent(Json.parseObject(body));
+    }
+    if (path.equals("/machines/delete")) {
+      Json.parseObject(body).get("hearths").forEach(name -> delete(name.asText()));
+      return json("{}");
+    }
+    return list();
+  }
+
+  private Reply rent(ObjectNode request) {
+    String booking = request.get("booking").asText();
+    List<String> names = bookings.get(booking);
+    if (names == null && full) {
+      return error("no capacity");
+    }
+    if (names == null) {
+      names = new ArrayList<>();
+      int number = request.get("number").asInt();
+      rentals.add(number);
+      for (int i = 0; i < number; i++) {
+        names.add(boot(request.get("flavor").asText(), request.get("room").asText(), request.get("loaner").asBoolean()));
+      }
+      bookings.put(booking, names);
+    }
+    ObjectNode reply = Json.object();
+    ArrayNode list = reply.putArray("hearths");
+    names.forEach(list::add);
+    return new Reply(200, Json.bytes(reply));
+  }
+
+  private void delete(String name) {
+    FakeWorker machine = workers.remove(name);
+    if (machine != null) {
+      machine.delete();
+    }
+    deleted.add(name);
+  }
+
+  private Reply list() {
+    ObjectNode reply = Json.object().put("truncated", false);
+    ArrayNode list = reply.putArray("hearths");
+    for (FakeWorker w : workers.values()) {
+      if (!unlisted.contains(w.name)) {
+        list.addObject().put("ref", w.name).put("address", w.address).put("flavor", w.type).put("room", w.zone)
+            .put("loaner", w.spot).put("phase", "running").put("age_s", 10);
+      }
+    }
+    return new Reply(200, Json.bytes(reply));
+  }
+
+  /** Rents a machine for somebody; it is up after a while. Returns its name. */
+  String boot(String type, String zone, boolean spot) {
+    String name = String.format("n-%06d", nextMachine++);
+    String address = "10.1.0." + nextMachine + ":9000";
+    if (!noBoot) {
+      time.after(bootS, () -> {
+        if (!deleted.contains(name)) {
+          FakeWorker machine = new FakeWorker(name, type, zone, spot, address, time.now());
+          workers.put(name, machine);
+          booted.accept(machine);
+        }
+      });
+    }
+    return name;
+  }
+
+  private static Reply json(String body) {
+    return new Reply(200, body.getBytes(StandardCharsets.UTF_8));
+  }
+
+  private static Reply error(String what) {
+    return new Reply(503, ("{\"error\":\"" + what + "\"}").getBytes(StandardCharsets.UTF_8));
+  }
+}
--- a/src/test/java/io/embernotch/testkit/World.java
+++ b/src/test/java/io/embernotch/testkit/World.java
@@ -1,7 +1,6 @@
 package io.embernotch.testkit;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.embernotch.actor.Work;
 import io.embernotch.cloud.CloudClient;
@@ -30,8 +29,8 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
-import java.util.TreeSet;
 import java.util.function.BiConsumer;
+import java.util.function.IntFunction;
 
 /** Controllers, state service, cloud and workers on one fake clock, each to be disturbed at will. */
 public final class World {
@@ -52,8 +51,8 @@
   public final FakeTime time = new FakeTime();
   public final FakeState state = new FakeState(time);
   public final TreeMap<String, FakeWorker> workers = new TreeMap<>();
+  public final FakeCloud cloud = new FakeCloud(time, workers, this::booted);
   public final List<Node> nodes = new ArrayList<>();
-  private final Map<String, List<String>> bookings = new HashMap<>();
   private final List<Runnable> held = new ArrayList<>();
   /** What users, workers and the store saw, held against the rules. */
   public final Rules rules;
@@ -64,20 +63,10 @@
   private final Map<String, List<byte[]>> reports = new HashMap<>();
   /** The least that was left of a lease, as a share of it, when a worker that had gone on was answered again. */
   public double leastLeft = 1;
-  public final List<String> deleted = new ArrayList<>();
-  public final List<Integer> rentals = new ArrayList<>();
   public Fate directFate = Fate.ARRIVES;
   public Fate commitFate = Fate.ARRIVES;
   /** Only transactions with this in them meet {@link #commitFate}. */
   public String commitsWith = "run/";
-  public boolean cloudDown;
-  /** Names that machine lists leave out, as an old list would. */
-  public final TreeSet<String> unlisted = new TreeSet<>();
-  /** The cloud has no machine left. */
-  public boolean full;
-  /** Rented machines do not come up. */
-  public boolean noBoot;
-  public double bootS = 5;
   /** Draws what the two shares below hit; a seed makes a run repeat. */
   public SplittableRandom random = new SplittableRandom(1);
   /** This share of transactions gets no answer and is carried out {@link #LATE_LEAST_S} to {@link #LATE_MOST_S} later. */
@@ -90,9 +79,8 @@
   public double stateSlowS;
   /** A zone that is cut off from everything, or null. */
   public String cutZone;
-  private int nextMachine = 1;
   private int names;
-  private OperatorSettings operator = OperatorSettings.DEFAULTS;
+  private OperatorSettings operator;
 
   /** One controller, as long as it lives. */
   public final class Node {
@@ -211,98 +199,39 @@
     this(controllers, 1);
   }
 
-  private World(int controllers, int scale, String next) {
-    for (int i = 0; i < controllers; i++) {
-      nodes.add(new Node(i, SettingsReader.parse(toml(i, scale).replace("# next\n", next))));
-    }
-    rules = new Rules(nodes.get(0).settings);
-    nodes.forEach(Node::start);
-  }
-
   /** Three controllers whose operators have a file of their own. */
   public World(OperatorSettings operator) {
-    this.operator = operator;
-    for (int i = 0; i < 3; i++) {
-      nodes.add(new Node(i, SettingsReader.parse(toml(i, 10))));
-    }
-    rules = new Rules(nodes.get(0).settings);
-    nodes.forEach(Node::start);
+    this(3, i -> TestSettings.toml(i, 10, ""), operator);
   }
 
   /** A world in which teams may use {@code scale} times as much. */
   public World(int controllers, int scale) {
+    this(controllers, i -> TestSettings.toml(i, scale, ""), OperatorSettings.DEFAULTS);
+  }
+
+  private World(int controllers, IntFunction<String> toml, OperatorSettings operator) {
+    this.operator = operator;
     for (int i = 0; i < controllers; i++) {
-      nodes.add(new Node(i, SettingsReader.parse(toml(i, scale))));
+      nodes.add(new Node(i, SettingsReader.parse(toml.apply(i))));
     }
     rules = new Rules(nodes.get(0).settings);
     nodes.forEach(Node::start);
   }
 
   public static String toml(int index) {
-    return toml(index, 1);
+    return TestSettings.toml(index, 1, "");
   }
 
   /** A world in which the state service is going to lower its limits. */
   public static World lowering() {
-    return new World(3, 2, "[cluster.state.next]\nwrite_rps = 30.0\nvalue_kb = 1.0\ntxn_ops = 4\n");
-  }
-
-  private static String zone(int index) {
-    return index == 2 ? "z2" : "z1";
+    String next = "[cluster.state.next]\nwrite_rps = 30.0\nvalue_kb = 1.0\ntxn_ops = 4\n";
+    return new World(3, i -> TestSettings.toml(i, 2, next), OperatorSettings.DEFAULTS);
   }
 
   private boolean apart(String one, String other) {
     return cutZone != null && cutZone.equals(one) != cutZone.equals(other);
   }
 
-  private static String toml(int index, int scale) {
-    StringBuilder s = new StringBuilder();
-    s.append("node='c").append(index).append("'\nlocation='").append(zone(index)).append("'\nclient_listen='10.0.0.").append(index + 1)
-        .append(":8080'\nback='10.0.0.").append(index + 1).append(":8081'\n");
-    for (int i = 0; i < 3; i++) {
-      if (i != index) {
-        s.append("[[members]]\nnode='c").append(i).append("'\nlocation='").append(zone(i)).append("'\naddress='10.0.0.").append(i + 1).append(":8081'\n");
-      }
-    }
-    s.append("""
-        [external]
-        cloud = '10.2.0.2:8443'
-        state = '10.2.0.1:2379'
-        [cluster]
-        count = 3
-        zones = ['z1', 'z2']
-        time_bound_ms = 1000.0
-        [[cluster.teams]]
-        name = 'red'
-        gpus = 8.0
-        gpus_max = 24.0
-        [[cluster.teams]]
-        name = 'blue'
-        gpus = 8.0
-        gpus_max = 64.0
-        [cluster.workers]
-        report_s = 3.0
-        lease_s = 30.0
-        gang_wait_s = 30.0
-        gang_peer_s = 4.0
-        cancel_s = 50.0
-        [cluster.state]
-        rps = 250.0
-        write_rps = 100.0
-        value_kb = 8.0
-        txn_ops = 12
-        # next
-        [cluster.cloud]
-        rps = 10.0
-        list_lag_s = 3.0
-        [cluster.quota]
-        cpu_share = 0.3
-        memory_mb = 256.0
-        max_connections = 1000
-        """);
-    return s.toString().replace("gpus_max = 24.0", "gpus_max = " + 24.0 * scale);
-  }
-
   /** The file that processes started from now on are given. */
   public void operator(OperatorSettings newer) {
     operator = newer;
@@ -502,9 +431,7 @@
       return state.handle(method, path, body);
     }
     if (to.equals(from.settings.cloud())) {
-      return cloudDown
-          ? Future.succeededFuture(new Reply(503, "{\"error\":\"trouble\"}".getBytes(StandardCharsets.UTF_8)))
-          : Future.succeededFuture(cloud(method, path, body));
+      return Future.succeededFuture(cloud.handle(method, path, body));
     }
     FakeWorker w = at(to);
     if (w != null && w.deaf && !w.cut) {
@@ -569,75 +496,18 @@
     return held.size();
   }
 
-  // ---- the cloud
-
-  private Reply cloud(String method, String path, byte[] body) {
-    if (path.equals("/machine_types")) {
-      return json("{\"flavors\":[{\"name\":\"g8\",\"cores\":48,\"cards\":8,\"mem_gb\":288,\"local_gb\":100,"
-          + "\"fetch_gb_per_s\":1.0,\"rate\":12.0,\"market_price\":4.0,\"boot_s\":60,\"rooms\":[\"z1\",\"z2\"]}]}");
-    }
-    if (path.equals("/machines") && method.equals("POST")) {
-      ObjectNode o = Json.parseObject(body);
-      String booking = o.get("booking").asText();
-      List<String> names = bookings.get(booking);
-      if (names == null && full) {
-        return new Reply(503, "{\"error\":\"no capacity\"}".getBytes(StandardCharsets.UTF_8));
-      }
-      if (names == null) {
-        names = new ArrayList<>();
-        rentals.add(o.get("number").asInt());
-        for (int i = 0; i < o.get("number").asInt(); i++) {
-          names.add(boot(o.get("flavor").asText(), o.get("room").asText(), o.get("loaner").asBoolean()));
-        }
-        bookings.put(booking, names);
-      }
-      ObjectNode r = Json.object();
-      ArrayNode list = r.putArray("hearths");
-      names.forEach(list::add);
-      return new Reply(200, Json.bytes(r));
-    }
-    if (path.equals("/machines/delete")) {
-      for (JsonNode n : Json.parseObject(body).get("hearths")) {
-        FakeWorker w = workers.remove(n.asText());
-        if (w != null) {
-          w.delete();
-        }
-        deleted.add(n.asText());
-      }
-      return json("{}");
-    }
-    ObjectNode r = Json.object().put("truncated", false);
-    ArrayNode list = r.putArray("hearths");
-    for (FakeWorker w : workers.values()) {
-      if (!unlisted.contains(w.name)) {
-        list.addObject().put("ref", w.name).put("address", w.address).put("flavor", w.type).put("room", w.zone)
-            .put("loaner", w.spot).put("phase", "running").put("age_s", 10);
-      }
-    }
-    return new Reply(200, Json.bytes(r));
-  }
+  // ---- machines
 
-  private static Reply json(String s) {
-    return new Reply(200, s.getBytes(StandardCharsets.UTF_8));
+  /** A machine that somebody rented: it is up after a while, and reports. Returns its name. */
+  public String boot(String type, String zone, boolean spot) {
+    return cloud.boot(type, zone, spot);
   }
 
-  /** A machine that somebody rented: it is up after a while, and reports. */
-  public String boot(String type, String zone, boolean spot) {
-    String name = String.format("n-%06d", nextMachine++);
-    String address = "10.1.0." + nextMachine + ":9000";
-    if (!noBoot) {
-      time.after(bootS, () -> {
-        if (!deleted.contains(name)) {
-          FakeWorker w = new FakeWorker(name, type, zone, spot, address, time.now());
-          w.onStart = t -> rules.started(w, t, described(t), workers.values(), time.now());
-          w.onExit = rules::exited;
-          workers.put(name, w);
-          reportLoop(w);
-          leaseLoop(w);
-        }
-      });
-    }
-    return name;
+  private void booted(FakeWorker w) {
+    w.onStart = t -> rules.started(w, t, described(t), workers.values(), time.now());
+    w.onExit = rules::exited;
+    reportLoop(w);
+    leaseLoop(w);
   }
 
   /** The description that the store has of a task's job, or null. */
--- a/src/test/java/io/embernotch/weights/WeightsTest.java
+++ b/src/test/java/io/embernotch/weights/WeightsTest.java
@@ -61,7 +61,7 @@
     int after = world.state.writes.entrySet().stream().filter(e -> e.getKey().startsWith("shared/weights")).mapToInt(Map.Entry::getValue).sum();
     assertThat(after - before).isLessThanOrEqualTo(2);
     world.workers.remove(holder.name);
-    world.deleted.add(holder.name);
+    world.cloud.deleted.add(holder.name);
     world.nodes.forEach(Node::kill);
     world.pass(1);
     world.nodes.forEach(Node::start);
