A read that overtakes its submission is no sign of a loss; answers never go back

Also: a count of done tasks fell, a job that ran was told to be queued after a change of leader, and two repeats at one node were both told 201. Change: only a job that was accepted before its read was sent shows a loss. Users are told the done marks that the store is known to hold, and wait where a transaction with more is unanswered. What an earlier leader started, or what left without an answer, counts as running. A repeat that joins a submission gets 200.

--- a/src/main/java/io/embernotch/jobs/Takeover.java
+++ b/src/main/java/io/embernotch/jobs/Takeover.java
@@ -142,6 +142,7 @@
     // Numbers of attempts are never used twice, whatever an earlier steward left unwritten.
     job.nextAttempt = Math.max(job.nextAttempt, baseToken);
     ledger.jobs.put(ref, job);
+    job.storedDone.or(job.done);
     waitIfUnsure(job);
     for (Attempt a : job.open.values()) {
       Machine m = ledger.machine(a.machine, baseToken);
@@ -149,6 +150,7 @@
       m.open.put(Machine.taskKey(ref, a.task), a);
       m.touched();
       a.startToken = baseToken - 1;
+      a.inherited = true;
       a.createdAt = acquiredAt;
       job.restarted.set(a.task);
     }
--- a/src/main/java/io/embernotch/jobs/UserDesk.java
+++ b/src/main/java/io/embernotch/jobs/UserDesk.java
@@ -66,15 +66,16 @@
       // that we did not answer in time. So nothing older is told any more: a drawn run of losses once had
       // a job done, then running, then done.
       Answer later = Answer.later("its end is being written");
-      boolean waits = committer.whenWritten(job, 0, () -> {
-        if (!reply.future().isComplete()) {
-          poll(ref, reply);
-        }
-      });
+      boolean waits = committer.whenWritten(job, 0, () -> again(ref, reply));
       env.timers().after(waits ? env.settings().workers().reportS() / 6 : 0, () -> reply.tryComplete(later));
+    } else if (job.end == null && committer.whenDoneMarksAreKnown(job, () -> again(ref, reply))) {
+      // The same holds for the count of done tasks.
+      Answer later = Answer.later("what is done of it is being written");
+      env.timers().after(env.settings().workers().reportS() / 6, () -> reply.tryComplete(later));
     } else {
-      Phase phase = job.endKept ? job.end : job.running() > 0 ? Phase.RUNNING : Phase.QUEUED;
-      int done = job.done.cardinality();
+      double answered = env.clock().now() - env.settings().workers().reportS() / 6;
+      Phase phase = job.endKept ? job.end : job.mayRun(answered) ? Phase.RUNNING : Phase.QUEUED;
+      int done = (job.endKept ? job.done : job.storedDone).cardinality();
       reply.complete(
           Answer.of(
               200,
@@ -86,6 +87,12 @@
     }
   }
 
+  private void again(String ref, Promise<Answer> reply) {
+    if (!reply.future().isComplete()) {
+      poll(ref, reply);
+    }
+  }
+
   /** Only the store can tell that a job was never accepted. */
   private void lookUp(String ref, Promise<Answer> reply, Runnable found) {
     env.store()
--- a/src/main/java/io/embernotch/model/Attempt.java
+++ b/src/main/java/io/embernotch/model/Attempt.java
@@ -30,6 +30,8 @@
   public long startToken;
   public Start start = Start.UNCOMMITTED;
   public TaskState state;
+  /** An earlier leader opened it. */
+  public boolean inherited;
   public double createdAt;
   /** When it was first seen running; below 0 until then. */
   public double runningAt = -1;
@@ -60,6 +62,17 @@
     };
   }
 
+  /**
+   * It runs, or nothing is known but that it may: it was started by an earlier leader, or its command got no answer. A
+   * new leader that took what it had not heard of for queued once contradicted what users had been told before.
+   */
+  public boolean mayRun() {
+    if (state != null) {
+      return state == TaskState.RUNNING || state == TaskState.SAVING;
+    }
+    return inherited || start == Start.UNSURE || start == Start.IN_RESPONSE;
+  }
+
   @Override
   public String toString() {
     return job.spec.ref() + "/" + task + "#" + number + "@" + machine;
--- a/src/main/java/io/embernotch/model/Job.java
+++ b/src/main/java/io/embernotch/model/Job.java
@@ -50,6 +50,8 @@
   /** Set by the planner: the earlier, the sooner its turn among its like. */
   public long urgentMs;
   public final BitSet done = new BitSet();
+  /** Those of them that the store is known to hold: what users are told of, so that whoever reads the store tells no less. */
+  public final BitSet storedDone = new BitSet();
   public final Map<Integer, Attempt> open = new TreeMap<>();
   public long nextAttempt = 1;
   /** Nothing of it may start before this time: tasks of it may run of which nothing is known. */
@@ -119,20 +121,19 @@
     return end != null || cancelling || held() ? 0 : remaining() - open.size();
   }
 
+  /** Tasks that run, or may run: users may have been told so by whoever reads the store. */
   public int running() {
     int n = 0;
     for (Attempt a : open.values()) {
-      if (a.state == TaskState.RUNNING || a.state == TaskState.SAVING) {
+      if (a.mayRun()) {
         n++;
       }
     }
     return n;
   }
 
-  public Phase phase() {
-    if (end != null) {
-      return end;
-    }
-    return running() > 0 ? Phase.RUNNING : Phase.QUEUED;
+  /** Something of it runs or may run; a start that has been on its way since before {@code sentBefore} may have arrived. */
+  public boolean mayRun(double sentBefore) {
+    return open.values().stream().anyMatch(a -> a.mayRun() || (a.start == Attempt.Start.SENDING && a.createdAt < sentBefore));
   }
 }
--- a/src/main/java/io/embernotch/progress/Committer.java
+++ b/src/main/java/io/embernotch/progress/Committer.java
@@ -17,6 +17,7 @@
 import io.embernotch.store.StoreFailure;
 import io.embernotch.store.Txn;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -125,6 +126,21 @@
     return d != null && d.waiters.add(new Waiter(task, then));
   }
 
+  /** Runs {@code then} once it is known whether the store, and so whoever reads it, has the done marks last sent; false if it is known. */
+  public boolean whenDoneMarksAreKnown(Job job, Runnable then) {
+    int size = layout.size(job.spec.ref());
+    for (int task = 0; task < job.spec.tasks(); task += size) {
+      String key = layout.of(job, task).key();
+      for (Dirty d : Arrays.asList(inFlight.get(key), dirty.get(key))) {
+        if (d != null && d.mayBeStored()) {
+          d.waiters.add(new Waiter(task, then));
+          return true;
+        }
+      }
+    }
+    return false;
+  }
+
   /** Like {@link #now}, before everything else of usual rank. */
   public void soon(Job job, int task) {
     mark(job, task, Rank.USUAL, clock.now() - overdueS, null);
@@ -260,6 +276,7 @@
       return 0;
     }
     batch.keySet().forEach(dirty::remove);
+    batch.values().forEach(Dirty::sent);
     inFlight = batch;
     busy = true;
     transactions++;
@@ -279,6 +296,7 @@
       batch.keySet().forEach(key -> stamps.put(key, commit.epoch()));
       inFlight = Map.of();
       busy = false;
+      batch.values().forEach(Dirty::stored);
       for (Dirty d : batch.values()) {
         if (d.awaitedSince >= 0) {
           latencies.record(d.rank == Rank.FIRST ? "urgent commit" : "commit", clock.now() - d.awaitedSince);
@@ -294,6 +312,7 @@
       return;
     }
     LOG.info("commit failed on {}", commit.failed());
+    batch.values().forEach(Dirty::refused);
     reread(batch);
   }
 
@@ -303,11 +322,13 @@
     }
     LOG.debug("commit of {} pieces: {}", batch.size(), e.getMessage());
     StoreFailure.Kind kind = StoreFailure.kindOf(e);
+    boolean refused = kind == StoreFailure.Kind.REFUSED || kind == StoreFailure.Kind.MALFORMED;
+    batch.values().forEach(refused ? Dirty::refused : Dirty::unanswered);
     if (kind == StoreFailure.Kind.MALFORMED) {
       putBack(batch);
       explain(batch, e.getMessage());
     }
-    if (kind == StoreFailure.Kind.REFUSED || kind == StoreFailure.Kind.MALFORMED) {
+    if (refused) {
       if (kind == StoreFailure.Kind.REFUSED) {
         putBack(batch);
       }
@@ -373,6 +394,7 @@
         Dirty part = dirty.computeIfAbsent(piece.key(), k -> new Dirty(piece, d.rank, d.due));
         part.hurry(d.rank, d.due);
         part.tasks.set(task);
+        part.follows(d);
         part.awaitedSince = d.awaitedSince;
       }
       d.waiters.forEach(w -> dirty.get(layout.of(job, w.task()).key()).waiters.add(w));
@@ -391,6 +413,7 @@
             newer.hurry(d.rank, d.due);
             newer.awaitedSince = d.awaitedSince >= 0 ? d.awaitedSince : newer.awaitedSince;
             newer.tasks.or(d.tasks);
+            newer.follows(d);
             newer.suspect |= d.suspect;
             List<Waiter> all = new ArrayList<>(d.waiters);
             all.addAll(newer.waiters);
--- a/src/main/java/io/embernotch/progress/Dirty.java
+++ b/src/main/java/io/embernotch/progress/Dirty.java
@@ -21,12 +21,61 @@
   /** The store refused a transaction with it: it goes alone until that is explained. */
   boolean suspect;
 
+  /** Done marks that the last transaction carries, by the task's number in the job. */
+  private BitSet underWay = new BitSet();
+  /** Those that a transaction without an answer carried: it may have been applied, or be applied yet. */
+  private final BitSet unknown = new BitSet();
+
   Dirty(Layout.Piece piece, Rank rank, double due) {
     this.piece = piece;
     this.rank = rank;
     this.due = due;
   }
 
+  /** A transaction with the piece as it is now leaves. */
+  void sent() {
+    underWay = within(piece.job().done);
+  }
+
+  /** The transaction was applied. Done marks are never taken back, so it carried all that those before it did. */
+  void stored() {
+    piece.job().storedDone.or(underWay);
+    underWay = new BitSet();
+    unknown.clear();
+  }
+
+  /** The transaction was not carried out, and never will be. */
+  void refused() {
+    underWay = new BitSet();
+  }
+
+  /** The transaction got no answer. */
+  void unanswered() {
+    unknown.or(underWay);
+    underWay = new BitSet();
+  }
+
+  /** The same piece, or a larger one, was marked before: takes over what the store may hold of it. */
+  void follows(Dirty former) {
+    unknown.or(within(former.unknown));
+  }
+
+  /** The store may hold done marks that it is not known to hold. */
+  boolean mayBeStored() {
+    BitSet marks = (BitSet) unknown.clone();
+    marks.or(underWay);
+    marks.andNot(piece.job().storedDone);
+    return !marks.isEmpty();
+  }
+
+  private BitSet within(BitSet marks) {
+    int end = piece.from() + piece.size();
+    BitSet ours = (BitSet) marks.clone();
+    ours.clear(0, piece.from());
+    ours.clear(end, Math.max(end, ours.length()));
+    return ours;
+  }
+
   void hurry(Rank to, double by) {
     rank = to.compareTo(rank) < 0 ? to : rank;
     due = Math.min(due, by);
--- a/src/main/java/io/embernotch/progress/Layout.java
+++ b/src/main/java/io/embernotch/progress/Layout.java
@@ -19,6 +19,11 @@
       return part ? RunCodec.partKey(ref, size, index) : RunCodec.key(ref, index);
     }
 
+    /** Number of its first task. */
+    int from() {
+      return index * size;
+    }
+
     ObjectNode value() {
       return RunCodec.writeRun(job, size, index);
     }
--- a/src/main/java/io/embernotch/steward/Inquiries.java
+++ b/src/main/java/io/embernotch/steward/Inquiries.java
@@ -71,10 +71,12 @@
     if (env.store().failingForS() > env.settings().workers().reportS() / 6) {
       return answer(Answer.later("the state service does not answer"));
     }
-    // A read that waits for its turn is answered after its user has gone, and the next ones too.
-    return env.store().readWaitS() > env.settings().workers().reportS() / 12
-        ? answer(Answer.later("more is asked than the state service takes"))
-        : stored.of(ref).map(a -> a.status() == 404 ? denied(ref, a) : a);
+    if (env.store().readWaitS() > env.settings().workers().reportS() / 12) {
+      // A read that waits for its turn is answered after its user has gone, and the next ones too.
+      return answer(Answer.later("more is asked than the state service takes"));
+    }
+    boolean acceptedBefore = accepted.test(ref);
+    return stored.of(ref).map(a -> a.status() == 404 ? denied(ref, a, acceptedBefore) : a);
   }
 
   public Future<Answer> abort(String ref) {
@@ -85,12 +87,17 @@
     return known != null ? answer(known) : steward.ask(Frame.Ask.What.ABORT, ref, env.settings().workers().reportS());
   }
 
-  /** A job that was accepted here is not denied: that it is not there shows that data is lost. */
-  private Answer denied(String ref, Answer a) {
+  /**
+   * A job that was accepted here is not denied: that it is not there shows that data is lost. One that was accepted while
+   * the read was under way shows nothing: such a read was once taken for a loss, and an older copy restored.
+   */
+  private Answer denied(String ref, Answer a, boolean acceptedBefore) {
     if (!accepted.test(ref)) {
       return a;
     }
-    eras.missing(ref);
+    if (acceptedBefore) {
+      eras.missing(ref);
+    }
     return Answer.later("what the state service holds is not known yet");
   }
 
--- a/src/main/java/io/embernotch/users/Submissions.java
+++ b/src/main/java/io/embernotch/users/Submissions.java
@@ -113,7 +113,8 @@
     }
     Taking before = underWay.get(spec.ref());
     if (before != null) {
-      return before.reply.future();
+      // One submission creates the job; a repeat that joins it is told of a job that is known.
+      return before.reply.future().map(a -> a.status() == 201 ? Answer.of(200, a.body()) : a);
     }
     if (!host.sound()) {
       Answer refusal = Answer.later("what the state service holds is not known yet");
--- a/src/test/java/io/embernotch/meetings/MeetingsTest.java
+++ b/src/test/java/io/embernotch/meetings/MeetingsTest.java
@@ -16,53 +16,27 @@
 
 /** Two troubles that meet, one test for each row of {@code docs/design/meetings.md}, in its order. */
 class MeetingsTest {
-  private World world = new World(3);
-  private Told told = new Told(world);
+  private Scenario scenario = new Scenario(new World(3));
+  private World world = scenario.world;
+  private Told told = scenario.told;
 
   private double cancelS() {
-    return world.nodes.get(0).settings.workers().cancelS();
+    return scenario.cancelS();
   }
 
   private double leaseS() {
-    return world.nodes.get(0).settings.workers().leaseS();
+    return scenario.leaseS();
   }
 
   /** Many more machines and a larger limit than most of these need. */
   private void large() {
-    world = new World(3, 10);
-    told = new Told(world);
+    scenario = Scenario.large();
+    world = scenario.world;
+    told = scenario.told;
   }
 
-  /** Troubles are over: all that was accepted is answered for, nothing waits beside room, and no rule was broken. */
   private void allIsWell() {
-    world.directFate = Fate.ARRIVES;
-    world.commitFate = Fate.ARRIVES;
-    world.holdFrames = false;
-    world.lateWrites = 0;
-    world.lateReports = 0;
-    world.stateSlowS = 0;
-    world.cutZone = null;
-    if (world.state.outage) {
-      world.state.recover();
-    }
-    world.nodes.forEach(n -> {
-      n.noState = n.noPeers = n.noWorkers = false;
-      if (n.down) {
-        n.start();
-      }
-    });
-    world.workers.values().forEach(w -> {
-      w.cut = w.deaf = w.mute = false;
-      w.goOn();
-    });
-    world.releaseHeld();
-    world.pass(20);
-    world.rules.quiet = true;
-    world.pass(100);
-    told.atTheEnd();
-    assertThat(told.wrong).isEmpty();
-    assertThat(world.broken()).isEmpty();
-    assertThat(world.rules.startsAfterCancel).isEmpty();
+    scenario.allIsWell();
   }
 
   /**
--- a/src/test/java/io/embernotch/meetings/RulesCheckerTest.java
+++ b/src/test/java/io/embernotch/meetings/RulesCheckerTest.java
@@ -149,6 +149,72 @@
     assertThat(rules.broken()).hasSize(2);
   }
 
+  private void asked(String ref, Answer answer, double askedAt, double now) {
+    rules.polled(ref, answer, askedAt, now, true);
+  }
+
+  private static Answer running(String ref, int done) {
+    return Answer.of(200, JobCodec.status(ref, Phase.RUNNING, done, 1));
+  }
+
+  /** Answers whose times overlap may come in any order. */
+  @Test
+  void overlappingAnswersMayTellDifferentStates() {
+    accept(job("j-1", "array", 4));
+    asked("j-1", running("j-1", 2), 5.0, 5.1);
+    asked("j-1", running("j-1", 1), 5.05, 5.2);
+    rules.cancelAsked("j-1", 5.2);
+    told("j-1", Phase.CANCELLED, 6);
+    asked("j-1", running("j-1", 2), 5.9, 6.5);
+    assertThat(rules.broken()).isEmpty();
+  }
+
+  @Test
+  void aDenialOfWhatWasAcceptedBeforeItWasAsked() {
+    asked("j-1", Answer.error(404, "x"), 0.5, 0.9);
+    accept(job("j-1", "array", 1));
+    assertThat(rules.broken()).isEmpty();
+    asked("j-1", Answer.error(404, "x"), 0.01, 0.02);
+    reports("UNKNOWN");
+  }
+
+  @Test
+  void aCountOfDoneTasksThatFalls() {
+    accept(job("j-1", "array", 4));
+    asked("j-1", running("j-1", 3), 5, 5.1);
+    asked("j-1", running("j-1", 2), 5.2, 5.3);
+    reports("done=3");
+  }
+
+  @Test
+  void anEndThatIsTakenBackByALaterQuestion() {
+    accept(job("j-1", "array", 1));
+    rules.cancelAsked("j-1", 1);
+    told("j-1", Phase.CANCELLED, 2);
+    asked("j-1", running("j-1", 0), 2.001, 2.01);
+    reports("ENDED");
+  }
+
+  @Test
+  void aJobThatRunsOnAndIsToldToBeQueued() {
+    accept(job("j-1", "array", 2));
+    FakeWorker w = machine("z1", true);
+    start(w, "j-1/0", 1);
+    asked("j-1", running("j-1", 0), 2, 2.1);
+    Answer queued = Answer.of(200, JobCodec.status("j-1", Phase.QUEUED, 0, 0));
+    asked("j-1", queued, 2.05, 2.2);
+    assertThat(rules.broken()).isEmpty();
+    asked("j-1", queued, 2.3, 2.4);
+    reports("runs on, and is told to be queued");
+  }
+
+  @Test
+  void aJobThatIsCreatedTwice() {
+    accept(job("j-1", "array", 2));
+    accept(job("j-1", "array", 2));
+    reports("created twice");
+  }
+
   @Test
   void acceptedThoughItLacksAField() {
     String json = job("j-1", "array", 2).replace("\"flush_s\":2.0,", "");
--- /dev/null
+++ b/src/test/java/io/embernotch/meetings/SmallJobsTest.java
@@ -0,0 +1,80 @@
+package io.embernotch.meetings;
+
+import static io.embernotch.testkit.World.job;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.embernotch.codec.Json;
+import io.embernotch.testkit.World;
+import io.embernotch.testkit.World.Node;
+import java.util.ArrayDeque;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** One-task jobs come four a second for minutes, a quarter of them cancelled, at the limits of a small state service. */
+class SmallJobsTest {
+  private static final double EVERY_S = 0.25;
+  private static final int JOBS = 600;
+  private static final int RUNS_FOR = 60;
+  private static final double WRITES_PER_S = 30;
+
+  /** {@code troubles}: the leader ends twice, and the state service is away for 20 s in between. */
+  @ParameterizedTest
+  @CsvSource({"false", "true"})
+  void oneTaskJobsForMinutes(boolean troubles) {
+    World world = World.withStateLimits(100, WRITES_PER_S);
+    world.state.changesPerS = WRITES_PER_S;
+    Scenario scenario = new Scenario(world);
+    world.settle(3);
+    ArrayDeque<String> under = new ArrayDeque<>();
+    int mostKnown = 0;
+    for (int i = 0; i < JOBS; i++) {
+      String ref = "j-" + i;
+      world.askSubmit(i % 3, job(ref, "array", 1).replace("\"rank\":\"standard\"", "\"rank\":\"high\""));
+      under.add(ref);
+      if (i % 4 == 3) {
+        scenario.cancelUntilTold(ref, i % 3, 3);
+      }
+      if (under.size() > RUNS_FOR) {
+        world.finish(under.poll());
+      }
+      if (troubles && (i == JOBS / 4 || i == JOBS * 3 / 4)) {
+        Node leader = world.settle(4);
+        leader.kill();
+        world.time.after(8, leader::start);
+      }
+      if (troubles && i == JOBS / 2) {
+        world.state.outage = true;
+        world.time.after(20, world.state::recover);
+      }
+      world.pass(EVERY_S);
+      if (i % 40 == 39 && !troubles) {
+        mostKnown = Math.max(mostKnown, unfinished(world));
+      }
+    }
+    // What was refused for want of changes is sent again, as users do.
+    for (int i = 0; i < JOBS; i++) {
+      scenario.told.submit(i % 3, "j-" + i, "array", 1);
+      scenario.told.cancel((i + 1) % 3, i % 4 == 3 ? "j-" + i : "j-3");
+      world.finish("j-" + i);
+      world.pass(0.1);
+    }
+    if (!troubles) {
+      double mean = world.rules.cancelWaits.stream().mapToDouble(w -> w).average().orElseThrow();
+      assertThat(mean).isLessThan(scenario.settings().workers().reportS());
+      // Jobs that have ended are let go: what the leader knows does not grow with the minutes.
+      assertThat(mostKnown).isLessThan(3 * RUNS_FOR);
+    }
+    world.pass(30);
+    world.rules.quiet = true;
+    assertThat(world.rules.startsAfterCancel).isEmpty();
+    assertThat(world.state.malformed).isZero();
+    scenario.allIsWell();
+  }
+
+  private static int unfinished(World world) {
+    Node leader = world.settle(0);
+    ObjectNode overview = Json.parseObject(world.await(leader.controller.overview()).body());
+    return overview.path("cluster").path("queue").path("c").path("jobs").asInt();
+  }
+}
--- /dev/null
+++ b/src/test/java/io/embernotch/meetings/TeamLimitTest.java
@@ -0,0 +1,72 @@
+package io.embernotch.meetings;
+
+import static io.embernotch.testkit.World.job;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.embernotch.testkit.FakeWorker;
+import io.embernotch.testkit.World;
+import io.embernotch.testkit.World.Node;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Every team is at its limit while jobs are cancelled whose machines are cut off, hang or are deaf, and the leader
+ * changes. What may still run counts, in the former and in the next leader; what waits starts once that is over.
+ */
+class TeamLimitTest {
+  private static final int RED_LIMIT = 24;
+  private static final int BLUE_LIMIT = 64;
+
+  private final Scenario scenario = new Scenario(new World(3));
+  private final World world = scenario.world;
+
+  private void submit(String ref, String team, int tasks) {
+    String json = job(ref, "array", tasks).replace("\"owner\":\"red\"", "\"owner\":\"" + team + "\"");
+    assertThat(world.submit(ref.charAt(2) % 3, json).status()).isEqualTo(201);
+    scenario.told.accepted.add(ref);
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "cut,-2", "cut,1", "cut,12", "hung,-2", "hung,1", "hung,12", "deaf,-2", "deaf,1", "deaf,12"
+  })
+  void allTeamsAtTheirLimitsWhileJobsAreCancelledAndTheLeaderChanges(String how, int leaderEndsAtS) {
+    world.settle(3);
+    submit("j-1", "red", RED_LIMIT);
+    submit("j-2", "blue", BLUE_LIMIT);
+    world.pass(20);
+    submit("j-3", "red", RED_LIMIT);
+    submit("j-4", "blue", BLUE_LIMIT);
+    world.pass(5);
+    assertThat(world.running("j-1")).hasSize(RED_LIMIT);
+    assertThat(world.running("j-2")).hasSize(BLUE_LIMIT);
+    assertThat(world.running("j-3")).isEmpty();
+    List<FakeWorker> hit = world.workers.values().stream().limit(world.workers.size() / 2).toList();
+    world.cloud.down = true;
+    hit.forEach(w -> {
+      w.cut = how.equals("cut");
+      w.hung = how.equals("hung");
+      w.deaf = how.equals("deaf");
+    });
+    Node leader = world.steward();
+    world.time.after(3 + leaderEndsAtS, leader::kill);
+    world.time.after(20 + leaderEndsAtS, leader::start);
+    world.pass(3);
+    scenario.cancelUntilTold("j-1", 0, scenario.cancelS());
+    scenario.cancelUntilTold("j-2", 1, scenario.cancelS());
+    world.pass(scenario.leaseS() - 8);
+    // Within their leases: what is on them has run on, unless it was stopped.
+    hit.forEach(w -> {
+      w.cut = w.deaf = false;
+      w.goOn();
+    });
+    world.cloud.down = false;
+    world.pass(scenario.cancelS());
+    scenario.allIsWell();
+    assertThat(world.phase(0, "j-1")).isEqualTo("cancelled");
+    assertThat(world.phase(1, "j-2")).isEqualTo("cancelled");
+    assertThat(world.running("j-3")).hasSize(RED_LIMIT);
+    assertThat(world.running("j-4")).hasSize(BLUE_LIMIT);
+  }
+}
--- a/src/test/java/io/embernotch/testkit/FakeState.java
+++ b/src/test/java/io/embernotch/testkit/FakeState.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.embernotch.codec.Json;
+import io.embernotch.codec.RunCodec;
 import io.embernotch.http.Reply;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -55,6 +56,8 @@
   public int throttled;
   /** Jobs whose end was ever written as done, whatever became of it since. */
   public final Set<String> everDone = new HashSet<>();
+  /** Runs whenever somebody has become leader. */
+  Runnable onLeader = () -> {};
   /** How often each key was written. */
   public final Map<String, Integer> writes = new TreeMap<>();
 
@@ -269,6 +272,9 @@
         }
         data.put(key, new Value(v, epoch, a.path("permit").asLong(0)));
         changed(key, v);
+        if (key.equals(RunCodec.STEWARD)) {
+          onLeader.run();
+        }
       } else {
         data.remove(a.get("drop").asText());
         changed(a.get("drop").asText(), null);
--- a/src/test/java/io/embernotch/testkit/FakeWorker.java
+++ b/src/test/java/io/embernotch/testkit/FakeWorker.java
@@ -52,6 +52,8 @@
   /** Are told of each start that is carried out, and of each end with its cause. */
   Consumer<String> onStart = t -> {};
   BiConsumer<String, String> onExit = (t, cause) -> {};
+  /** Is told of each task that is no longer on the machine, however it ended. */
+  Consumer<String> onLeave = t -> {};
   double reportsAgainAt;
   /** Starts that were sent to it while it was deaf. */
   public int startsLost;
@@ -90,6 +92,12 @@
     tasks.get(task).phase = "exited";
     tasks.get(task).cause = cause;
     onExit.accept(task, cause);
+    onLeave.accept(task);
+  }
+
+  private void killAll() {
+    alive().forEach(onLeave);
+    tasks.clear();
   }
 
   /** A command reaches it while it hangs. */
@@ -106,13 +114,13 @@
 
   /** The cloud has deleted it, with all that was on it and on its way to it. */
   void delete() {
-    tasks.clear();
+    killAll();
     queued.clear();
     token = Long.MAX_VALUE;
   }
 
   void endSession(double now) {
-    tasks.clear();
+    killAll();
     session++;
     seq = 0;
     lastRenewed = now;
@@ -120,7 +128,7 @@
 
   /** Back at once without its tasks; {@code anew}: as if it had never been there. */
   public void back(boolean anew) {
-    tasks.clear();
+    killAll();
     if (anew) {
       session = 1;
       seq = 0;
@@ -188,6 +196,7 @@
             if (sick) {
               n.phase = "exited";
               n.cause = "error";
+              onLeave.accept(task);
             }
           }
         }
@@ -195,6 +204,7 @@
           if (t != null && t.attempt == attempt && !t.phase.equals("exited")) {
             t.phase = "exited";
             t.cause = "halted";
+            onLeave.accept(task);
           }
         }
         default -> {
--- a/src/test/java/io/embernotch/testkit/Rules.java
+++ b/src/test/java/io/embernotch/testkit/Rules.java
@@ -30,8 +30,13 @@
   private final Map<String, JobSpec> specs = new TreeMap<>();
   private final Set<String> sent = new TreeSet<>();
   private final Set<String> accepted = new TreeSet<>();
+  private final Set<String> created = new TreeSet<>();
+  private final Map<String, AnswerOrder> orders = new HashMap<>();
+  /** How many tasks of each job are on machines. */
+  private final Map<String, Integer> onMachines = new HashMap<>();
+  /** When a user was first told that a job runs, counted anew whenever a task of it leaves a machine. */
+  private final Map<String, Double> runningToldAt = new HashMap<>();
   private final Map<String, String> ends = new TreeMap<>();
-  private final Map<String, Double> endsAt = new TreeMap<>();
   private final Map<String, Double> cancelAskedAt = new TreeMap<>();
   private final Map<String, Double> cancelledAt = new TreeMap<>();
   private final Map<String, BitSet> done = new HashMap<>();
@@ -77,6 +82,9 @@
     String ref = spec.ref();
     sent.add(ref);
     specs.putIfAbsent(ref, spec);
+    if (a.status() == 201 && !created.add(ref)) {
+      breaks(ref + " is created twice");
+    }
     if (a.status() == 201 || a.status() == 200) {
       accepted.add(ref);
       heard(ref, a, askedAt, now);
@@ -86,8 +94,8 @@
   }
 
   public void polled(String ref, Answer a, double askedAt, double now, boolean inStore) {
-    if (a.status() == 404 && accepted.contains(ref)) {
-      breaks(ref + " is forgotten");
+    if (a.status() == 404) {
+      ordered(ref, new AnswerOrder.State(AnswerOrder.Stage.UNKNOWN, 0), askedAt, now);
     }
     if (a.status() == 200 && !sent.contains(ref) && !inStore) {
       breaks(ref + " is invented");
@@ -104,12 +112,16 @@
     if (a.status() != 200 && a.status() != 201) {
       return;
     }
-    String phase = Json.parseObject(a.body()).path("phase").asText();
+    ObjectNode body = Json.parseObject(a.body());
+    String phase = body.path("phase").asText();
     boolean isEnd = phase.equals("done") || phase.equals("cancelled");
     String end = ends.get(ref);
-    if (end != null && !end.equals(phase) && (isEnd || askedAt > endsAt.get(ref))) {
+    if (isEnd && end != null && !end.equals(phase)) {
       breaks(ref + " was " + end + " and is " + phase);
     }
+    int counted = body.path("done").asInt(Integer.MAX_VALUE);
+    ordered(ref, isEnd ? new AnswerOrder.State(AnswerOrder.Stage.ENDED, 0) : new AnswerOrder.State(AnswerOrder.Stage.ACCEPTED, counted), askedAt, now);
+    presence(ref, phase, askedAt, now);
     JobSpec spec = specs.get(ref);
     if (phase.equals("done") && spec != null && !allDone(ref, spec)) {
       breaks(ref + " is called done before all of its tasks are");
@@ -125,10 +137,36 @@
     }
     if (isEnd) {
       ends.put(ref, phase);
-      endsAt.putIfAbsent(ref, now);
     }
   }
 
+  private void ordered(String ref, AnswerOrder.State told, double askedAt, double now) {
+    AnswerOrder order = orders.computeIfAbsent(ref, r -> new AnswerOrder());
+    AnswerOrder.State later = order.contradicts(told, askedAt);
+    if (later != null) {
+      breaks(ref + " was told as " + later + " and then, asked after that, as " + told);
+    }
+    order.received(told, now);
+  }
+
+  /** A job that was told to run, and of which no task has left its machine since, is not told to be queued. */
+  private void presence(String ref, String phase, double askedAt, double now) {
+    if (onMachines.getOrDefault(ref, 0) == 0) {
+      return;
+    }
+    if (phase.equals("running")) {
+      runningToldAt.putIfAbsent(ref, now);
+    } else if (phase.equals("queued") && askedAt > runningToldAt.getOrDefault(ref, Double.MAX_VALUE)) {
+      breaks(ref + " was told to run, runs on, and is told to be queued");
+    }
+  }
+
+  /** A task is no longer on its machine. */
+  void left(String task) {
+    onMachines.merge(refOf(task), -1, Integer::sum);
+    runningToldAt.remove(refOf(task));
+  }
+
   private boolean allDone(String ref, JobSpec spec) {
     int n = done.getOrDefault(ref, new BitSet()).cardinality();
     return spec.shape() == Shape.GANG ? n > 0 : n >= spec.tasks();
@@ -153,6 +191,7 @@
   /** A task has started on a machine; {@code job} is its description as the store has it, or null. */
   public void started(FakeWorker on, String task, JsonNode job, Iterable<FakeWorker> workers, double now) {
     String ref = refOf(task);
+    onMachines.merge(ref, 1, Integer::sum);
     if (job != null) {
       specs.putIfAbsent(ref, JobCodec.read(job));
     }
--- a/src/test/java/io/embernotch/testkit/World.java
+++ b/src/test/java/io/embernotch/testkit/World.java
@@ -30,6 +30,7 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
+import java.util.function.Function;
 import java.util.function.IntFunction;
 
 /** Controllers, state service, cloud and workers on one fake clock, each to be disturbed at will. */
@@ -40,7 +41,9 @@
     /** It is never carried out, and no answer comes. */
     LOST,
     /** The sender gives up; {@link #releaseHeld()} delivers it later. */
-    HELD
+    HELD,
+    /** It is carried out at once, and only its answer is lost. */
+    ANSWER_LOST
   }
 
   private static final double HOP_S = 0.002;
@@ -75,6 +78,18 @@
   private static final double LATE_MOST_S = 12;
   /** Of this share of the reports a copy arrives again, up to two leases later, at any controller. */
   public double lateReports;
+  /** This share of transactions is carried out at once, and gets no answer. */
+  public double lostAnswers;
+  /** This share of reads of the state service gets no answer. */
+  public double lostReads;
+  /** This share of direct commands gets no answer and is carried out once, {@link #LATE_LEAST_S} to {@link #LATE_COMMAND_S} later. */
+  public double lateCommands;
+  private static final double LATE_COMMAND_S = 16;
+  /** Of this share of the reports a copy is kept, and arrives at every controller as the next leader begins. */
+  public double reportsForNext;
+  private final List<byte[]> keptForNext = new ArrayList<>();
+  /** Questions of users and answers to them take up to this long on their way, each by itself. */
+  public double userDelayS;
   /** Every answer of the state service takes so much longer. */
   public double stateSlowS;
   /** A zone that is cut off from everything, or null. */
@@ -215,6 +230,7 @@
       nodes.add(new Node(i, SettingsReader.parse(toml.apply(i))));
     }
     rules = new Rules(nodes.get(0).settings);
+    state.onLeader = this::deliverKept;
     nodes.forEach(Node::start);
   }
 
@@ -232,6 +248,11 @@
     return cutZone != null && cutZone.equals(one) != cutZone.equals(other);
   }
 
+  /** A world whose state service takes so many requests and changes a second. */
+  public static World withStateLimits(double rps, double writeRps) {
+    return new World(3, i -> TestSettings.toml(i, 10, "").replace("\nrps = 250.0", "\nrps = " + rps).replace("write_rps = 100.0", "write_rps = " + writeRps), OperatorSettings.DEFAULTS);
+  }
+
   /** The file that processes started from now on are given. */
   public void operator(OperatorSettings newer) {
     operator = newer;
@@ -295,35 +316,71 @@
 
   // ---- users
 
+  private static final Answer NONE = Answer.of(504, "{}".getBytes(StandardCharsets.UTF_8));
+
+  /** What a user makes of no answer. */
+  private static Answer orNone(Answer a) {
+    return a == null ? NONE : a;
+  }
+
   public Answer submit(int node, String json) {
     byte[] body = json.getBytes(StandardCharsets.UTF_8);
     double askedAt = time.now();
-    Answer a = await(nodes.get(node).controller.submit(body));
-    if (a != null) {
-      rules.submitted(body, a, askedAt, time.now());
-    }
+    Answer a = orNone(await(nodes.get(node).controller.submit(body)));
+    rules.submitted(body, a, askedAt, time.now());
     return a;
   }
 
   public Answer poll(int node, String ref) {
     double askedAt = time.now();
-    Answer a = await(nodes.get(node).controller.poll(ref));
-    if (a != null) {
-      rules.polled(ref, a, askedAt, time.now(), state.value("job/" + ref) != null);
-    }
+    Answer a = orNone(await(nodes.get(node).controller.poll(ref)));
+    rules.polled(ref, a, askedAt, time.now(), state.value("job/" + ref) != null);
     return a;
   }
 
   public Answer abort(int node, String ref) {
     double askedAt = time.now();
     rules.cancelAsked(ref, askedAt);
-    Answer a = await(nodes.get(node).controller.abort(ref));
-    if (a != null) {
-      rules.heard(ref, a, askedAt, time.now());
-    }
+    Answer a = orNone(await(nodes.get(node).controller.abort(ref)));
+    rules.heard(ref, a, askedAt, time.now());
     return a;
   }
 
+  private static final double POLL_PATIENCE_S = 2;
+  private static final double SUBMIT_PATIENCE_S = 5;
+
+  /** Asks for a job's state and goes on; the answer is held against the rules when it comes, if the user still waits. */
+  public void askPoll(int node, String ref) {
+    askLater(node, POLL_PATIENCE_S, n -> n.controller.poll(ref),
+        (askedAt, a) -> rules.polled(ref, a, askedAt, time.now(), state.value("job/" + ref) != null));
+  }
+
+  /** Submits a job and goes on, like {@link #askPoll}. */
+  public void askSubmit(int node, String json) {
+    byte[] body = json.getBytes(StandardCharsets.UTF_8);
+    askLater(node, SUBMIT_PATIENCE_S, n -> n.controller.submit(body), (askedAt, a) -> rules.submitted(body, a, askedAt, time.now()));
+  }
+
+  private double userDelay() {
+    return userDelayS > 0 ? random.nextDouble(userDelayS) : 0;
+  }
+
+  private void askLater(int node, double patienceS, Function<Node, Future<Answer>> question, BiConsumer<Double, Answer> heard) {
+    Node n = nodes.get(node);
+    double askedAt = time.now();
+    time.after(userDelay(), () -> {
+      if (n.down) {
+        return;
+      }
+      int life = n.life;
+      question.apply(n).onSuccess(a -> time.after(userDelay(), () -> {
+        if (n.life == life && time.now() - askedAt < patienceS) {
+          heard.accept(askedAt, a);
+        }
+      }));
+    });
+  }
+
   /** Asks for a cancellation and goes on; whoever answers is heard when the answer comes, as a user would be. */
   public void askCancel(int node, String ref) {
     Node n = nodes.get(node);
@@ -413,6 +470,13 @@
       if (from.noState) {
         return from.silentState ? null : Future.succeededFuture(new Reply(503, "{}".getBytes(StandardCharsets.UTF_8)));
       }
+      if (lostReads > 0 && path.startsWith("/store") && random.nextDouble() < lostReads) {
+        return null;
+      }
+      if (lostAnswers > 0 && path.equals("/commit") && random.nextDouble() < lostAnswers) {
+        state.handle(method, path, body);
+        return null;
+      }
       if (path.equals("/commit") && random.nextDouble() < lateWrites) {
         time.after(LATE_LEAST_S + random.nextDouble(LATE_MOST_S - LATE_LEAST_S), () -> state.handle(method, path, body));
         return null;
@@ -426,6 +490,9 @@
         if (commitFate == Fate.HELD) {
           held.add(() -> state.handle(method, path, body));
         }
+        if (commitFate == Fate.ANSWER_LOST) {
+          state.handle(method, path, body);
+        }
         return null;
       }
       return state.handle(method, path, body);
@@ -446,6 +513,14 @@
       return null;
     }
     directs += path.equals("/do") ? 1 : 0;
+    if (lateCommands > 0 && path.equals("/do") && random.nextDouble() < lateCommands) {
+      time.after(LATE_LEAST_S + random.nextDouble(LATE_COMMAND_S - LATE_LEAST_S), () -> arriveLate(w, body));
+      return null;
+    }
+    if (directFate == Fate.ANSWER_LOST && path.equals("/do")) {
+      w.direct(body);
+      return null;
+    }
     if (directFate == Fate.HELD && path.equals("/do")) {
       held.add(() -> w.direct(body));
       return null;
@@ -456,6 +531,27 @@
     return Future.succeededFuture(path.equals("/do") ? w.direct(body) : new Reply(200, w.report()));
   }
 
+  /** A command that was held up on its way; a machine that hangs by then carries it out once it goes on. */
+  private void arriveLate(FakeWorker w, byte[] body) {
+    if (w.hung) {
+      w.queue(body);
+    } else if (workers.get(w.name) == w) {
+      w.direct(body);
+    }
+  }
+
+  /** The key of a leader has just been written. */
+  private void deliverKept() {
+    List<byte[]> kept = List.copyOf(keptForNext);
+    keptForNext.clear();
+    for (byte[] report : kept) {
+      for (Node to : nodes) {
+        // Before the leader has read the store, while it reads, and after.
+        time.after(random.nextDouble(2), () -> late(to, report));
+      }
+    }
+  }
+
   private static int starts(byte[] orders) {
     return new String(orders, StandardCharsets.UTF_8).split("\"verb\":\"run\"", -1).length - 1;
   }
@@ -506,6 +602,7 @@
   private void booted(FakeWorker w) {
     w.onStart = t -> rules.started(w, t, described(t), workers.values(), time.now());
     w.onExit = rules::exited;
+    w.onLeave = rules::left;
     reportLoop(w);
     leaseLoop(w);
   }
@@ -552,6 +649,9 @@
         n.controller.report(WorkerCodec.read(said));
       }
     });
+    if (reportsForNext > 0 && random.nextDouble() < reportsForNext) {
+      keptForNext.add(said);
+    }
     if (random.nextDouble() < lateReports) {
       int to = random.nextInt(nodes.size());
       time.after(LATE_LEAST_S + random.nextDouble(2 * n.settings.workers().leaseS()), () -> late(nodes.get(to), said));
