--- a/src/test/java/io/embernotch/meetings/CloseLooksTest.java
+++ b/src/test/java/io/embernotch/meetings/CloseLooksTest.java
@@ -5,6 +5,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.embernotch.codec.Json;
+import io.embernotch.http.Answer;
 import io.embernotch.testkit.World;
 import io.embernotch.testkit.World.Fate;
 import io.embernotch.testkit.World.Node;
@@ -14,8 +15,9 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /**
- * Users ask at all nodes, again and again within milliseconds, repeat the submission and cancel, right after a job was
- * accepted, ended or confirmed as cancelled. No node may then answer something older.
+ * Users ask at all nodes, again and again within milliseconds, repeat the submission and cancel,
+ * right after a job was accepted, ended or confirmed as cancelled. No node may then answer
+ * something older.
  */
 class CloseLooksTest {
   private static final double LOOKS_S = 2;
@@ -37,23 +39,33 @@
 
   private void trouble(String kind, Node leader) {
     switch (kind) {
-      case "leader ends" -> later(LOOKS_S, () -> {
-        leader.kill();
-        world.time.after(3, leader::start);
-      });
+      case "leader ends" ->
+          later(
+              LOOKS_S,
+              () -> {
+                leader.kill();
+                world.time.after(3, leader::start);
+              });
       case "leader refused" -> later(LOOKS_S, () -> leader.noState = true);
       case "leader alone" -> later(LOOKS_S, () -> leader.noState = leader.noPeers = true);
       case "follower alone" -> world.other(leader).noPeers = true;
       case "slow store" -> world.stateSlowS = 0.2;
       case "answers lost" -> world.lostAnswers = 0.3;
       case "late writes" -> world.lateWrites = 0.3;
-      default -> { }
+      default -> {}
     }
   }
 
   @ParameterizedTest
   @CsvSource({
-    "none", "leader ends", "leader refused", "leader alone", "follower alone", "slow store", "answers lost", "late writes"
+    "none",
+    "leader ends",
+    "leader refused",
+    "leader alone",
+    "follower alone",
+    "slow store",
+    "answers lost",
+    "late writes"
   })
   void noNodeAnswersOlderThanWhatWasTold(String kind) {
     world.settle(3);
@@ -75,7 +87,8 @@
       world.pass(LOOKS_S + 4);
       world.time.after(0.5, () -> world.finish(ref));
       if (i % 4 == 2) {
-        world.time.after(0.4 + world.random.nextDouble(0.3), () -> scenario.cancelUntilTold(ref, i(ref), 4));
+        world.time.after(
+            0.4 + world.random.nextDouble(0.3), () -> scenario.cancelUntilTold(ref, i(ref), 4));
       }
       look(ref);
       world.time.after(1, () -> look(ref));
@@ -86,7 +99,17 @@
     world.pass(5);
     // A submission whose every answer was lost is repeated by its user until one comes.
     for (int i = 0; i < 10; i++) {
-      assertThat(world.submit(i % 3, job("j-" + i, List.of("array", "group", "standing").get(i % 3), 1 + i % 3)).status() / 100).isEqualTo(2);
+      assertThat(
+              world
+                      .submit(
+                          i % 3,
+                          job(
+                              "j-" + i,
+                              List.of("array", "group", "standing").get(i % 3),
+                              1 + i % 3))
+                      .status()
+                  / 100)
+          .isEqualTo(2);
     }
     scenario.allIsWell();
   }
@@ -121,7 +144,10 @@
     scenario.allIsWell();
   }
 
-  /** Done marks are written in their own time; what was told of them is told by the next leader and by the store too. */
+  /**
+   * Done marks are written in their own time; what was told of them is told by the next leader and
+   * by the store too.
+   */
   @Test
   void aCountOfDoneTasksThatWasToldIsNotTakenBack() {
     Node leader = world.settle(3);
@@ -142,6 +168,34 @@
     scenario.allIsWell();
   }
 
+  /** Another node reads more done marks in the store than the leader knows to be there. */
+  @Test
+  void aCountThatAnotherNodeHasReadIsNotDeniedByItsLeader() {
+    Node leader = world.settle(3);
+    Node alone = world.other(leader);
+    scenario.told.submit(leader.index, "j-1", "array", 4);
+    world.pass(12);
+    alone.noPeers = true;
+    world.pass(4);
+    world.commitFate = Fate.ANSWER_LOST;
+    world.running("j-1").get("j-1/0").exit("j-1/0", "done");
+    int counted = 0;
+    for (int i = 0; i < 60; i++) {
+      Answer elsewhere = world.poll(alone.index, "j-1");
+      counted =
+          Math.max(
+              counted,
+              elsewhere.status() == 200
+                  ? Json.parseObject(elsewhere.body()).path("done").asInt()
+                  : 0);
+      world.poll(leader.index, "j-1");
+      world.pass(0.25);
+    }
+    assertThat(counted).isEqualTo(1);
+    world.commitFate = Fate.ARRIVES;
+    scenario.allIsWell();
+  }
+
   /** A new leader that has not heard the machines yet. */
   @Test
   void aJobThatRunsIsNotToldToBeQueuedByTheNextLeader() {
@@ -162,7 +216,10 @@
     assertThat(world.running("j-1")).hasSize(4);
   }
 
-  /** The question finds nothing yet, and its answer comes when the job has just been accepted by the same node. */
+  /**
+   * The question finds nothing yet, and its answer comes when the job has just been accepted by the
+   * same node.
+   */
   @Test
   void aQuestionThatOvertakesItsSubmissionIsNoSignOfALoss() {
     Node leader = world.settle(3);
@@ -180,7 +237,9 @@
     scenario.allIsWell();
   }
 
-  /** The first submission is under way at a node that then ends; it is repeated there and elsewhere. */
+  /**
+   * The first submission is under way at a node that then ends; it is repeated there and elsewhere.
+   */
   @ParameterizedTest
   @CsvSource({"ANSWER_LOST", "HELD", "LOST"})
   void aRepeatMeetsTheFirstSubmissionUnderWay(Fate fate) {
