--- a/src/main/java/io/embernotch/actor/Actor.java
+++ b/src/main/java/io/embernotch/actor/Actor.java
@@ -35,7 +35,8 @@
       try {
         receive(message);
       } catch (RuntimeException e) {
-        LOG.error("{} failed on {}", getClass().getSimpleName(), message.getClass().getSimpleName(), e);
+        LOG.error(
+            "{} failed on {}", getClass().getSimpleName(), message.getClass().getSimpleName(), e);
       }
     }
   }
--- a/src/main/java/io/embernotch/actor/Latencies.java
+++ b/src/main/java/io/embernotch/actor/Latencies.java
@@ -23,7 +23,10 @@
         (kind, h) -> {
           if (h.getTotalCount() > 0) {
             s.append(s.isEmpty() ? "" : "; ").append(kind).append(' ').append(h.getTotalCount());
-            s.append(": p50 ").append(h.getValueAtPercentile(50)).append(", p95 ").append(h.getValueAtPercentile(95));
+            s.append(": p50 ")
+                .append(h.getValueAtPercentile(50))
+                .append(", p95 ")
+                .append(h.getValueAtPercentile(95));
             s.append(", max ").append(h.getMaxValue()).append(" ms");
           }
           h.reset();
--- a/src/main/java/io/embernotch/actor/VertxTimers.java
+++ b/src/main/java/io/embernotch/actor/VertxTimers.java
@@ -21,11 +21,15 @@
       return () -> vertx.cancelTimer(id);
     }
     boolean[] cancelled = new boolean[1];
-    loop.runOnContext(v -> vertx.setTimer(ms, w -> {
-      if (!cancelled[0]) {
-        task.run();
-      }
-    }));
+    loop.runOnContext(
+        v ->
+            vertx.setTimer(
+                ms,
+                w -> {
+                  if (!cancelled[0]) {
+                    task.run();
+                  }
+                }));
     return () -> cancelled[0] = true;
   }
 }
--- a/src/main/java/io/embernotch/actor/Work.java
+++ b/src/main/java/io/embernotch/actor/Work.java
@@ -12,9 +12,9 @@
 
 /**
  * What the turns of a loop go to, by cause. The time is that which goes by: on a share of a core it
- * holds what other threads, collections and the compiler took meanwhile, and {@link #process} tells how
- * much that may be. For one loop, and used by that loop alone. It measures only while its logger is at
- * info, and costs nothing otherwise.
+ * holds what other threads, collections and the compiler took meanwhile, and {@link #process} tells
+ * how much that may be. For one loop, and used by that loop alone. It measures only while its
+ * logger is at info, and costs nothing otherwise.
  */
 public final class Work {
   private static final Logger LOG = LoggerFactory.getLogger(Work.class);
@@ -26,10 +26,13 @@
 
   private final LongSupplier steadyNanos;
   private final Map<String, Share> shares = new TreeMap<>();
+
   /** What causes inside the present one have taken. */
   private long inner;
 
-  /** @param steadyNanos steady time in nanoseconds, or null to measure nothing */
+  /**
+   * @param steadyNanos steady time in nanoseconds, or null to measure nothing
+   */
   public Work(LongSupplier steadyNanos) {
     this.steadyNanos = steadyNanos;
   }
@@ -39,7 +42,10 @@
     return LOG.isInfoEnabled() ? new Work(System::nanoTime) : NONE;
   }
 
-  /** Runs {@code task}, and counts its time for {@code cause}; what it runs for another cause counts there alone. */
+  /**
+   * Runs {@code task}, and counts its time for {@code cause}; what it runs for another cause counts
+   * there alone.
+   */
   public void run(String cause, Runnable task) {
     if (steadyNanos == null) {
       task.run();
@@ -64,26 +70,43 @@
     return steadyNanos == null ? timers : (s, task) -> timers.after(s, () -> run(cause, task));
   }
 
-  /** Times and milliseconds by cause since the last line, or null if there is nothing; starts anew. */
+  /**
+   * Times and milliseconds by cause since the last line, or null if there is nothing; starts anew.
+   */
   public String line() {
     StringBuilder s = new StringBuilder();
     shares.forEach(
         (cause, share) -> {
-          s.append(s.isEmpty() ? "" : ", ").append(cause).append(' ').append(share.times.sumThenReset());
+          s.append(s.isEmpty() ? "" : ", ")
+              .append(cause)
+              .append(' ')
+              .append(share.times.sumThenReset());
           s.append(" in ").append(Math.round(share.nanos.sumThenReset() / 1e6)).append(" ms");
         });
     shares.clear();
     return s.isEmpty() ? null : s.toString();
   }
 
-  /** What the whole process has used so far, in milliseconds: of a share of a core in all, and elapsed for what the machine needs itself. */
+  /**
+   * What the whole process has used so far, in milliseconds: of a share of a core in all, and
+   * elapsed for what the machine needs itself.
+   */
   public static String process() {
     double all =
-        ManagementFactory.getOperatingSystemMXBean() instanceof OperatingSystemMXBean os ? os.getProcessCpuTime() / 1e6 : 0;
+        ManagementFactory.getOperatingSystemMXBean() instanceof OperatingSystemMXBean os
+            ? os.getProcessCpuTime() / 1e6
+            : 0;
     long collections =
-        ManagementFactory.getGarbageCollectorMXBeans().stream().mapToLong(GarbageCollectorMXBean::getCollectionTime).sum();
+        ManagementFactory.getGarbageCollectorMXBeans().stream()
+            .mapToLong(GarbageCollectorMXBean::getCollectionTime)
+            .sum();
     long compiling = ManagementFactory.getCompilationMXBean().getTotalCompilationTime();
-    return Math.round(all) + " ms of processor; " + collections + " ms went by in collections, " + compiling + " ms in compilation";
+    return Math.round(all)
+        + " ms of processor; "
+        + collections
+        + " ms went by in collections, "
+        + compiling
+        + " ms in compilation";
   }
 
   /** Logs what there is since the last time, if anybody reads it. */
--- a/src/main/java/io/embernotch/app/CalendarCommand.java
+++ b/src/main/java/io/embernotch/app/CalendarCommand.java
@@ -19,17 +19,32 @@
 import picocli.CommandLine.Spec;
 
 /** Exits with 2 on a mistake in the file, like everything that reads it. */
-@Command(name = "calendar", description = "Prints when releases come out, and starts nothing.", mixinStandardHelpOptions = true)
+@Command(
+    name = "calendar",
+    description = "Prints when releases come out, and starts nothing.",
+    mixinStandardHelpOptions = true)
 final class CalendarCommand implements Callable<Integer> {
   @Spec private CommandSpec spec;
 
-  @Option(names = "--operator", required = true, paramLabel = "FILE", description = "The operators' file.")
+  @Option(
+      names = "--operator",
+      required = true,
+      paramLabel = "FILE",
+      description = "The operators' file.")
   private Path operator;
 
-  @Option(names = "--from", required = true, paramLabel = "DATE", description = "The first day, by UTC.")
+  @Option(
+      names = "--from",
+      required = true,
+      paramLabel = "DATE",
+      description = "The first day, by UTC.")
   private LocalDate from;
 
-  @Option(names = "--days", defaultValue = "7", paramLabel = "N", description = "So many days; 7 by default.")
+  @Option(
+      names = "--days",
+      defaultValue = "7",
+      paramLabel = "N",
+      description = "So many days; 7 by default.")
   private int days;
 
   @Override
@@ -40,15 +55,25 @@
     List<Release> releases = OperatorSettings.read(operator).calendar().releases();
     List<Occurrences.Occurrence> all = new ArrayList<>();
     releases.forEach(r -> all.addAll(Occurrences.between(r, begin, end)));
-    all.sort(Comparator.comparing(Occurrences.Occurrence::at).thenComparing(Occurrences.Occurrence::name));
+    all.sort(
+        Comparator.comparing(Occurrences.Occurrence::at)
+            .thenComparing(Occurrences.Occurrence::name));
     for (Occurrences.Occurrence o : all) {
-      out.printf("%s  %s%s%s%n", o.at(), o.name(), o.lifted() ? "  lifted" : "", o.note() == null ? "" : "  (" + o.note() + ")");
+      out.printf(
+          "%s  %s%s%s%n",
+          o.at(),
+          o.name(),
+          o.lifted() ? "  lifted" : "",
+          o.note() == null ? "" : "  (" + o.note() + ")");
     }
     for (Release r : releases) {
-      r.also().keySet().stream().filter(d -> d.isBefore(from)).forEach(d -> out.printf("%s: %s is past%n", r.id(), d));
+      r.also().keySet().stream()
+          .filter(d -> d.isBefore(from))
+          .forEach(d -> out.printf("%s: %s is past%n", r.id(), d));
       for (Release other : releases.subList(0, releases.indexOf(r))) {
         if (r.orders().stream().anyMatch(s -> other.orders().stream().anyMatch(s::overlaps))) {
-          out.printf("%s and %s may order the same work: %s counts%n", other.id(), r.id(), other.id());
+          out.printf(
+              "%s and %s may order the same work: %s counts%n", other.id(), r.id(), other.id());
         }
       }
     }
--- a/src/main/java/io/embernotch/app/CheckCommand.java
+++ b/src/main/java/io/embernotch/app/CheckCommand.java
@@ -7,7 +7,10 @@
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Spec;
 
-@Command(name = "check", description = "Checks settings without starting anything.", mixinStandardHelpOptions = true)
+@Command(
+    name = "check",
+    description = "Checks settings without starting anything.",
+    mixinStandardHelpOptions = true)
 final class CheckCommand implements Callable<Integer> {
   @Spec private CommandSpec spec;
 
@@ -17,9 +20,11 @@
   public Integer call() {
     Settings s = files.platform();
     files.operator().against(s);
-    spec.commandLine().getOut().printf(
-        "ok: %s in %s, %d other controllers, %d teams%n",
-        s.node(), s.location(), s.members().size(), s.teams().size());
+    spec.commandLine()
+        .getOut()
+        .printf(
+            "ok: %s in %s, %d other controllers, %d teams%n",
+            s.node(), s.location(), s.members().size(), s.teams().size());
     return 0;
   }
 }
--- a/src/main/java/io/embernotch/app/ClientCommand.java
+++ b/src/main/java/io/embernotch/app/ClientCommand.java
@@ -49,11 +49,25 @@
             new VertxOptions()
                 .setEventLoopPoolSize(1)
                 .setFileSystemOptions(
-                    new FileSystemOptions().setClassPathResolvingEnabled(false).setFileCachingEnabled(false)));
+                    new FileSystemOptions()
+                        .setClassPathResolvingEnabled(false)
+                        .setFileCachingEnabled(false)));
     try {
-      VertxCaller caller = new VertxCaller(vertx, new SystemClock(), new VertxTimers(vertx, vertx.getOrCreateContext()), 1, 1, TIMEOUT_S, TIMEOUT_S);
+      VertxCaller caller =
+          new VertxCaller(
+              vertx,
+              new SystemClock(),
+              new VertxTimers(vertx, vertx.getOrCreateContext()),
+              1,
+              1,
+              TIMEOUT_S,
+              TIMEOUT_S);
       Reply reply =
-          caller.call(method, address, path, body, TIMEOUT_S).toCompletionStage().toCompletableFuture().get();
+          caller
+              .call(method, address, path, body, TIMEOUT_S)
+              .toCompletionStage()
+              .toCompletableFuture()
+              .get();
       String text = new String(reply.body(), StandardCharsets.UTF_8);
       if (reply.status() / 100 == 2) {
         spec.commandLine().getOut().println(text);
@@ -66,7 +80,10 @@
         default -> REFUSED;
       };
     } catch (ExecutionException e) {
-      String why = e.getCause() instanceof CallFailed ? e.getCause().getMessage() : String.valueOf(e.getCause());
+      String why =
+          e.getCause() instanceof CallFailed
+              ? e.getCause().getMessage()
+              : String.valueOf(e.getCause());
       err.println("embernotch: cannot reach " + address + ": " + why);
       return UNREACHABLE;
     } catch (InterruptedException e) {
--- a/src/main/java/io/embernotch/app/LogSetup.java
+++ b/src/main/java/io/embernotch/app/LogSetup.java
@@ -9,7 +9,10 @@
 import ch.qos.logback.core.ConsoleAppender;
 import ch.qos.logback.core.spi.ContextAwareBase;
 
-/** Logs to standard error, as much as {@code LOG_LEVEL} says. In code, since reading XML costs a start. */
+/**
+ * Logs to standard error, as much as {@code LOG_LEVEL} says. In code, since reading XML costs a
+ * start.
+ */
 public final class LogSetup extends ContextAwareBase implements Configurator {
   @Override
   public ExecutionStatus configure(LoggerContext context) {
--- a/src/main/java/io/embernotch/app/OverviewCommand.java
+++ b/src/main/java/io/embernotch/app/OverviewCommand.java
@@ -3,7 +3,10 @@
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 
-@Command(name = "overview", description = "Shows leadership, fleet and queue.", mixinStandardHelpOptions = true)
+@Command(
+    name = "overview",
+    description = "Shows leadership, fleet and queue.",
+    mixinStandardHelpOptions = true)
 final class OverviewCommand extends ClientCommand implements Callable<Integer> {
   @Override
   public Integer call() {
--- a/src/main/java/io/embernotch/app/RehearseCommand.java
+++ b/src/main/java/io/embernotch/app/RehearseCommand.java
@@ -18,7 +18,10 @@
  * service and cloud. A class archive that the JVM writes at the end of this holds what a start
  * needs, and starting is what costs a controller with a share of a core most.
  */
-@Command(name = "rehearse", hidden = true, description = "Runs briefly, for the JVM to record what a start loads.")
+@Command(
+    name = "rehearse",
+    hidden = true,
+    description = "Runs briefly, for the JVM to record what a start loads.")
 final class RehearseCommand implements Callable<Integer> {
   private static final double FOR_S = 4;
 
@@ -29,7 +32,11 @@
     int services = freePort();
     Vertx vertx = Vertx.vertx();
     HttpServer standIn = vertx.createHttpServer().requestHandler(RehearseCommand::answer);
-    standIn.listen(services, "127.0.0.1").toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
+    standIn
+        .listen(services, "127.0.0.1")
+        .toCompletionStage()
+        .toCompletableFuture()
+        .get(5, TimeUnit.SECONDS);
     Server.start(SettingsReader.parse(settings(client, back, services)), OperatorSettings.DEFAULTS);
     long end = System.nanoTime() + (long) (FOR_S * 1e9);
     while (System.nanoTime() < end) {
@@ -44,7 +51,11 @@
   }
 
   private static void ask(Vertx vertx, int port, HttpMethod method, String path, String body) {
-    vertx.createHttpClient().request(method, port, "127.0.0.1", path).compose(r -> r.send(body)).compose(r -> r.body());
+    vertx
+        .createHttpClient()
+        .request(method, port, "127.0.0.1", path)
+        .compose(r -> r.send(body))
+        .compose(r -> r.body());
   }
 
   private static int freePort() throws IOException {
@@ -55,15 +66,19 @@
 
   private static void answer(HttpServerRequest r) {
     String path = r.path();
-    r.body().onSuccess(b -> {
-      if (path.startsWith("/store/") || path.equals("/machines/delete")) {
-        r.response().setStatusCode(path.startsWith("/store/") ? 404 : 200).end("{\"epoch\":1}");
-      } else if (path.equals("/changes")) {
-        r.response().closeHandler(v -> {});
-      } else {
-        r.response().end(ALL);
-      }
-    });
+    r.body()
+        .onSuccess(
+            b -> {
+              if (path.startsWith("/store/") || path.equals("/machines/delete")) {
+                r.response()
+                    .setStatusCode(path.startsWith("/store/") ? 404 : 200)
+                    .end("{\"epoch\":1}");
+              } else if (path.equals("/changes")) {
+                r.response().closeHandler(v -> {});
+              } else {
+                r.response().end(ALL);
+              }
+            });
   }
 
   /** Every answer in one: readers ignore the fields that they do not know. */
@@ -82,9 +97,19 @@
           + "\"tenure\":1,\"tick\":1,\"baton\":0,\"shards\":[]}";
 
   private static String settings(int client, int back, int services) {
-    return "node='r'\nlocation='a'\nclient_listen='127.0.0.1:" + client + "'\nback='127.0.0.1:" + back + "'\n"
-        + "[[members]]\nnode='s'\nlocation='a'\naddress='127.0.0.1:" + back + "'\n"
-        + "[external]\ncloud='127.0.0.1:" + services + "'\nstate='127.0.0.1:" + services + "'\n"
+    return "node='r'\nlocation='a'\nclient_listen='127.0.0.1:"
+        + client
+        + "'\nback='127.0.0.1:"
+        + back
+        + "'\n"
+        + "[[members]]\nnode='s'\nlocation='a'\naddress='127.0.0.1:"
+        + back
+        + "'\n"
+        + "[external]\ncloud='127.0.0.1:"
+        + services
+        + "'\nstate='127.0.0.1:"
+        + services
+        + "'\n"
         + "[cluster]\ncount=1\nzones=['a']\n[[cluster.teams]]\nname='t'\n"
         + "[cluster.workers]\nreport_s=1\nlease_s=10\ngang_wait_s=10\ngang_peer_s=4\ncancel_s=20\n"
         + "[cluster.state]\nrps=100\nwrite_rps=100\nvalue_kb=8\ntxn_ops=10\n"
--- a/src/main/java/io/embernotch/app/ServeCommand.java
+++ b/src/main/java/io/embernotch/app/ServeCommand.java
@@ -4,7 +4,10 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 
-@Command(name = "serve", description = "Runs a controller until it is killed.", mixinStandardHelpOptions = true)
+@Command(
+    name = "serve",
+    description = "Runs a controller until it is killed.",
+    mixinStandardHelpOptions = true)
 final class ServeCommand implements Callable<Integer> {
   /** Not an exit code: the controller goes on after the command line has been carried out. */
   static final int KEEP_RUNNING = -1;
--- a/src/main/java/io/embernotch/app/Server.java
+++ b/src/main/java/io/embernotch/app/Server.java
@@ -25,7 +25,10 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Puts a controller together: a loop for what it decides, one for the crowd that it answers, one for its lease. */
+/**
+ * Puts a controller together: a loop for what it decides, one for the crowd that it answers, one
+ * for its lease.
+ */
 final class Server {
   private static final Logger LOG = LoggerFactory.getLogger(Server.class);
 
@@ -45,7 +48,8 @@
     loop.runOnContext(v -> wire(vertx, loop, settings, operator));
   }
 
-  private static void wire(Vertx vertx, Context loop, Settings settings, OperatorSettings operator) {
+  private static void wire(
+      Vertx vertx, Context loop, Settings settings, OperatorSettings operator) {
     SystemClock clock = new SystemClock();
     Work work = Work.read();
     Timers timers = work.around("timer", new VertxTimers(vertx, loop));
@@ -68,10 +72,12 @@
             new CloudClient(cloud, clock, timers, settings),
             workers,
             () -> UUID.randomUUID().toString(),
-            task -> vertx.executeBlocking(() -> {
-              task.run();
-              return null;
-            }));
+            task ->
+                vertx.executeBlocking(
+                    () -> {
+                      task.run();
+                      return null;
+                    }));
     Promise<LeaseKeeper> keeper = Promise.promise();
     vertx
         .deployVerticle(
@@ -81,16 +87,27 @@
                   return Future.succeededFuture();
                 })
         .compose(v -> keeper.future())
-        .onSuccess(kept -> loop.runOnContext(v -> listen(vertx, env, peers, new Controller(env, peers, kept))));
+        .onSuccess(
+            kept ->
+                loop.runOnContext(
+                    v -> listen(vertx, env, peers, new Controller(env, peers, kept))));
   }
 
   private static LeaseKeeper keeper(Vertx vertx, Context lease, Env env) {
     Settings settings = env.settings();
     VertxTimers timers = new VertxTimers(vertx, lease);
-    VertxCaller caller = new VertxCaller(vertx, env.clock(), timers, 1, 1, settings.workers().reportS() / 3, KEEP_S);
+    VertxCaller caller =
+        new VertxCaller(vertx, env.clock(), timers, 1, 1, settings.workers().reportS() / 3, KEEP_S);
     return new LeaseKeeper(
-        caller, settings.state(), env.clock(), timers, task -> lease.runOnContext(v -> task.run()), env.loop(),
-        settings.stewardLeaseS(env.operator()), Settings.DRIFT, settings.contactS());
+        caller,
+        settings.state(),
+        env.clock(),
+        timers,
+        task -> lease.runOnContext(v -> task.run()),
+        env.loop(),
+        settings.stewardLeaseS(env.operator()),
+        Settings.DRIFT,
+        settings.contactS());
   }
 
   private static void listen(Vertx vertx, Env env, VertxPeerLink peers, Controller controller) {
@@ -100,7 +117,11 @@
         .compose(v -> peers.start(vertx, settings.back()))
         .onSuccess(
             v -> {
-              LOG.info("{} listens on {} and {}", settings.node(), settings.clientListen(), settings.back());
+              LOG.info(
+                  "{} listens on {} and {}",
+                  settings.node(),
+                  settings.clientListen(),
+                  settings.back());
               controller.start();
             })
         .onFailure(
@@ -113,7 +134,8 @@
   /** A deployment is given a loop of its own while there is one. */
   private static Future<?> front(Vertx vertx, Context loop, Env env, Controller controller) {
     Settings settings = env.settings();
-    return new HttpFront(controller, env.loop(), env.clock(), new VertxTimers(vertx, loop), settings)
+    return new HttpFront(
+            controller, env.loop(), env.clock(), new VertxTimers(vertx, loop), settings)
         .listen(vertx, settings.clientListen());
   }
 }
--- a/src/main/java/io/embernotch/app/SettingsFiles.java
+++ b/src/main/java/io/embernotch/app/SettingsFiles.java
@@ -8,10 +8,17 @@
 
 /** The two settings files, for the commands that read them. */
 final class SettingsFiles {
-  @Option(names = "--operator", paramLabel = "FILE", description = "the operators' own settings (protobuf text format)")
+  @Option(
+      names = "--operator",
+      paramLabel = "FILE",
+      description = "the operators' own settings (protobuf text format)")
   private Path operator;
 
-  @Option(names = "--config", paramLabel = "FILE", required = true, description = "the platform's settings (TOML)")
+  @Option(
+      names = "--config",
+      paramLabel = "FILE",
+      required = true,
+      description = "the platform's settings (TOML)")
   private Path config;
 
   Settings platform() {
--- a/src/main/java/io/embernotch/app/SnapshotCommand.java
+++ b/src/main/java/io/embernotch/app/SnapshotCommand.java
@@ -19,7 +19,10 @@
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 
-/** Looks at snapshots. Exit codes: 0 done, 1 damaged, unreadable or (diff) not the same, 2 wrong usage. */
+/**
+ * Looks at snapshots. Exit codes: 0 done, 1 damaged, unreadable or (diff) not the same, 2 wrong
+ * usage.
+ */
 @Command(
     name = "snapshot",
     description = "Looks at snapshots: list DIR, show FILE, verify FILE, diff FILE FILE.",
@@ -37,7 +40,11 @@
   @Parameters(index = "0", paramLabel = "WHAT", description = "list, show, verify or diff")
   private What what;
 
-  @Parameters(index = "1..*", arity = "1..2", paramLabel = "FILE", description = "a directory to list, else snapshots")
+  @Parameters(
+      index = "1..*",
+      arity = "1..2",
+      paramLabel = "FILE",
+      description = "a directory to list, else snapshots")
   private List<Path> files;
 
   @Option(names = "--json", description = "prints JSON, an object a line")
@@ -46,7 +53,8 @@
   @Override
   public Integer call() {
     if (files.size() != (what == What.diff ? 2 : 1)) {
-      throw new CommandLine.ParameterException(spec.commandLine(), what + " takes " + (what == What.diff ? "two files" : "one"));
+      throw new CommandLine.ParameterException(
+          spec.commandLine(), what + " takes " + (what == What.diff ? "two files" : "one"));
     }
     try {
       return switch (what) {
@@ -90,7 +98,9 @@
   }
 
   private int diff() throws IOException {
-    List<ObjectNode> lines = SnapshotDiff.of(SnapshotDir.read(files.get(0)).copy(), SnapshotDir.read(files.get(1)).copy());
+    List<ObjectNode> lines =
+        SnapshotDiff.of(
+            SnapshotDir.read(files.get(0)).copy(), SnapshotDir.read(files.get(1)).copy());
     lines.forEach(this::say);
     return lines.isEmpty() ? 0 : 1;
   }
@@ -110,7 +120,13 @@
       return;
     }
     StringBuilder line = new StringBuilder();
-    o.fields().forEachRemaining(f -> line.append(line.length() == 0 ? "" : "  ").append(f.getKey()).append(' ').append(f.getValue().asText()));
+    o.fields()
+        .forEachRemaining(
+            f ->
+                line.append(line.length() == 0 ? "" : "  ")
+                    .append(f.getKey())
+                    .append(' ')
+                    .append(f.getValue().asText()));
     out.println(line);
   }
 }
--- a/src/main/java/io/embernotch/app/StatusCommand.java
+++ b/src/main/java/io/embernotch/app/StatusCommand.java
@@ -4,7 +4,10 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Parameters;
 
-@Command(name = "status", description = "Shows how a job is doing.", mixinStandardHelpOptions = true)
+@Command(
+    name = "status",
+    description = "Shows how a job is doing.",
+    mixinStandardHelpOptions = true)
 final class StatusCommand extends ClientCommand implements Callable<Integer> {
   @Parameters(paramLabel = "JOB", description = "the job's id")
   private String ref;
--- a/src/main/java/io/embernotch/app/SubmitCommand.java
+++ b/src/main/java/io/embernotch/app/SubmitCommand.java
@@ -8,7 +8,10 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Parameters;
 
-@Command(name = "submit", description = "Submits a job described in a JSON file.", mixinStandardHelpOptions = true)
+@Command(
+    name = "submit",
+    description = "Submits a job described in a JSON file.",
+    mixinStandardHelpOptions = true)
 final class SubmitCommand extends ClientCommand implements Callable<Integer> {
   @Parameters(paramLabel = "FILE", description = "the job, as POST /api/jobs takes it")
   private Path file;
--- a/src/main/java/io/embernotch/calendar/CalendarKeeper.java
+++ b/src/main/java/io/embernotch/calendar/CalendarKeeper.java
@@ -30,10 +30,11 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The embargo calendar: which releases come out when, as the store is known to hold it, and which of them each job is
- * for. A coming out orders nothing before it is in the store. A job is for the first one after its submission, by the
- * deadline that was written first, so moving it changes no job's release; once that is settled it is kept with the job.
- * The time of day decides nothing here but which days ahead are written, so controllers' clocks may differ.
+ * The embargo calendar: which releases come out when, as the store is known to hold it, and which
+ * of them each job is for. A coming out orders nothing before it is in the store. A job is for the
+ * first one after its submission, by the deadline that was written first, so moving it changes no
+ * job's release; once that is settled it is kept with the job. The time of day decides nothing here
+ * but which days ahead are written, so controllers' clocks may differ.
  */
 public final class CalendarKeeper {
   private static final Logger LOG = LoggerFactory.getLogger(CalendarKeeper.class);
@@ -62,7 +63,10 @@
   private final Map<String, Set<String>> atRisk = new HashMap<>();
   private long keptOf = -1;
 
-  /** {@code settled} is told of each job whose release has been settled: it is to be written with the job. */
+  /**
+   * {@code settled} is told of each job whose release has been settled: it is to be written with
+   * the job.
+   */
   public CalendarKeeper(Env env, Ledger ledger, SharedState shared, Consumer<Job> settled) {
     this.env = env;
     this.ledger = ledger;
@@ -71,8 +75,13 @@
     OperatorSettings.Calendar own = env.operator().calendar();
     this.inForce =
         new InForce<>(
-            shared, CALENDAR, own.releases(), own.generation(), CalendarCodec.writeReleases(own.generation(), own.releases()),
-            CalendarCodec::readReleases, r -> {});
+            shared,
+            CALENDAR,
+            own.releases(),
+            own.generation(),
+            CalendarCodec.writeReleases(own.generation(), own.releases()),
+            CalendarCodec::readReleases,
+            r -> {});
   }
 
   /** The shared facts have been read. */
@@ -87,13 +96,16 @@
     }
     keptOf = shared.edition();
     kept.clear();
-    shared.all(PREFIX).forEach((name, value) -> {
-      try {
-        kept.put(name.substring(PREFIX.length()), CalendarCodec.read(value));
-      } catch (BadInput e) {
-        LOG.error("{} can't be read: {}", name, e.getMessage());
-      }
-    });
+    shared
+        .all(PREFIX)
+        .forEach(
+            (name, value) -> {
+              try {
+                kept.put(name.substring(PREFIX.length()), CalendarCodec.read(value));
+              } catch (BadInput e) {
+                LOG.error("{} can't be read: {}", name, e.getMessage());
+              }
+            });
   }
 
   /** Time goes by: days that come into sight are written, and what came of those that are over. */
@@ -105,7 +117,9 @@
     Instant now = Instant.ofEpochMilli(wallMs);
     for (Release r : inForce.value()) {
       LocalDate today = now.atZone(r.zone()).toLocalDate();
-      for (LocalDate d = today.minusDays(DAYS_BACK); !d.isAfter(today.plusDays(DAYS_AHEAD)); d = d.plusDays(1)) {
+      for (LocalDate d = today.minusDays(DAYS_BACK);
+          !d.isAfter(today.plusDays(DAYS_AHEAD));
+          d = d.plusDays(1)) {
         Occurrence o = Occurrences.on(r, d);
         if (o != null) {
           write(o);
@@ -123,13 +137,18 @@
     String name = PREFIX + o.name();
     Kept there = kept.get(o.name());
     long at = o.at().toEpochMilli();
-    boolean same = there != null && (there.generation() >= inForce.generation() || (there.atMs() == at && there.lifted() == o.lifted()));
+    boolean same =
+        there != null
+            && (there.generation() >= inForce.generation()
+                || (there.atMs() == at && there.lifted() == o.lifted()));
     if (same || shared.pending(name) || (there != null && there.over())) {
       return;
     }
     long first = there == null ? at : there.firstMs();
-    shared.put(name, CalendarCodec.write(new Kept(inForce.generation(), at, first, o.lifted(), 0, 0, false)), () ->
-        LOG.info("release {}: {}", o.name(), o.lifted() ? "lifted" : "due at " + o.at()));
+    shared.put(
+        name,
+        CalendarCodec.write(new Kept(inForce.generation(), at, first, o.lifted(), 0, 0, false)),
+        () -> LOG.info("release {}: {}", o.name(), o.lifted() ? "lifted" : "due at " + o.at()));
   }
 
   private void close(String occurrence, Kept k) {
@@ -143,7 +162,11 @@
     }
     Kept over = new Kept(k.generation(), k.atMs(), k.firstMs(), k.lifted(), all, inTime, true);
     int of = all;
-    shared.put(PREFIX + occurrence, CalendarCodec.write(over), () -> LOG.info("release {} is out: {} of {} jobs were done in time", occurrence, inTime, of));
+    shared.put(
+        PREFIX + occurrence,
+        CalendarCodec.write(over),
+        () ->
+            LOG.info("release {} is out: {} of {} jobs were done in time", occurrence, inTime, of));
   }
 
   /** Settles what new jobs are for, and by when each is to start; before each plan. */
@@ -162,16 +185,31 @@
       if (k != null && j.end == Phase.DONE && j.endedMs <= k.atMs()) {
         served.computeIfAbsent(j.release, x -> new HashSet<>()).add(j.spec.ref());
       }
-      if (k != null && j.end == null && !k.lifted() && !k.over() && wallMs + j.restMs > j.releaseByMs
+      if (k != null
+          && j.end == null
+          && !k.lifted()
+          && !k.over()
+          && wallMs + j.restMs > j.releaseByMs
           && atRisk.computeIfAbsent(j.release, x -> new HashSet<>()).add(j.spec.ref())) {
-        LOG.info("release {} is at risk: {} needs {} s more, {} s are left", j.release, j.spec.ref(), j.restMs / 1000, (j.releaseByMs - wallMs) / 1000);
+        LOG.info(
+            "release {} is at risk: {} needs {} s more, {} s are left",
+            j.release,
+            j.spec.ref(),
+            j.restMs / 1000,
+            (j.releaseByMs - wallMs) / 1000);
       }
     }
   }
 
   private long leadMs(Job j) {
     String id = j.release.substring(0, j.release.indexOf('/'));
-    return Math.round(1000 * inForce.value().stream().filter(r -> r.id().equals(id)).mapToDouble(Release::leadS).findFirst().orElse(0));
+    return Math.round(
+        1000
+            * inForce.value().stream()
+                .filter(r -> r.id().equals(id))
+                .mapToDouble(Release::leadS)
+                .findFirst()
+                .orElse(0));
   }
 
   private void settle(Job j) {
@@ -183,7 +221,10 @@
       long bestMs = Long.MAX_VALUE;
       for (Map.Entry<String, Kept> e : kept.entrySet()) {
         Kept k = e.getValue();
-        if (e.getKey().startsWith(r.id() + "/") && k.firstMs() > j.submittedMs && k.firstMs() < bestMs && !k.lifted()) {
+        if (e.getKey().startsWith(r.id() + "/")
+            && k.firstMs() > j.submittedMs
+            && k.firstMs() < bestMs
+            && !k.lifted()) {
           best = e.getKey();
           bestMs = k.firstMs();
         }
@@ -196,24 +237,44 @@
     }
   }
 
-  /** Seconds that the job still needs once it starts: its run, estimates being what they are, and its image's fetch. */
+  /**
+   * Seconds that the job still needs once it starts: its run, estimates being what they are, and
+   * its image's fetch.
+   */
   private double restS(Job j) {
     double run = DOUBT * Math.max(j.spec.expectS(), 0);
     run = j.meanS() > 0 ? Math.max(j.meanS(), run / DOUBT) : run;
-    double fetch = ledger.types.values().stream().filter(t -> t.fits(j.spec)).mapToDouble(t -> t.fetchS(j.spec)).min().orElse(0);
+    double fetch =
+        ledger.types.values().stream()
+            .filter(t -> t.fits(j.spec))
+            .mapToDouble(t -> t.fetchS(j.spec))
+            .min()
+            .orElse(0);
     return run + (j.open.isEmpty() ? fetch : 0);
   }
 
-  /** Whether room for such live services is needed earlier than usual: one of their releases is near. */
+  /**
+   * Whether room for such live services is needed earlier than usual: one of their releases is
+   * near.
+   */
   public boolean near(JobSpec like, long wallMs) {
     if (like.priority() != Priority.PRODUCTION) {
       return false;
     }
-    double boot = ledger.types.values().stream().filter(t -> t.fits(like)).mapToDouble(MachineType::bootS).min().orElse(0);
+    double boot =
+        ledger.types.values().stream()
+            .filter(t -> t.fits(like))
+            .mapToDouble(MachineType::bootS)
+            .min()
+            .orElse(0);
     for (Release r : inForce.value()) {
-      for (Map.Entry<String, Kept> e : r.orders(like) ? kept.entrySet() : Set.<Map.Entry<String, Kept>>of()) {
+      for (Map.Entry<String, Kept> e :
+          r.orders(like) ? kept.entrySet() : Set.<Map.Entry<String, Kept>>of()) {
         double left = (e.getValue().atMs() - wallMs) / 1000.0 - r.leadS();
-        if (e.getKey().startsWith(r.id() + "/") && !e.getValue().lifted() && left > 0 && left < NEAR_BOOTS * boot) {
+        if (e.getKey().startsWith(r.id() + "/")
+            && !e.getValue().lifted()
+            && left > 0
+            && left < NEAR_BOOTS * boot) {
           return true;
         }
       }
@@ -233,28 +294,35 @@
       return;
     }
     long slack = j.releaseByMs - wallMs - j.restMs;
-    into.put("deadline", Instant.ofEpochMilli(k.atMs()).toString()).put("slack_s", Math.floorDiv(slack, 1000)).put("in_time", slack >= 0);
+    into.put("deadline", Instant.ofEpochMilli(k.atMs()).toString())
+        .put("slack_s", Math.floorDiv(slack, 1000))
+        .put("in_time", slack >= 0);
   }
 
   /** For operators: what is coming out, and what came of what is out. */
   public void overview(ObjectNode into, long wallMs) {
     into.put("generation", inForce.generation());
     ArrayNode list = into.putArray("releases");
-    kept.forEach((name, k) -> {
-      ObjectNode o = list.addObject().put("release", name).put("deadline", Instant.ofEpochMilli(k.atMs()).toString()).put("lifted", k.lifted());
-      if (k.over()) {
-        o.put("jobs", k.jobs()).put("in_time", k.inTime());
-        return;
-      }
-      int jobs = 0;
-      int late = 0;
-      for (Job j : ledger.jobs.values()) {
-        if (name.equals(j.release) && j.end == null) {
-          jobs++;
-          late += wallMs + j.restMs > j.releaseByMs ? 1 : 0;
-        }
-      }
-      o.put("jobs", jobs + served.getOrDefault(name, Set.of()).size()).put("at_risk", late);
-    });
+    kept.forEach(
+        (name, k) -> {
+          ObjectNode o =
+              list.addObject()
+                  .put("release", name)
+                  .put("deadline", Instant.ofEpochMilli(k.atMs()).toString())
+                  .put("lifted", k.lifted());
+          if (k.over()) {
+            o.put("jobs", k.jobs()).put("in_time", k.inTime());
+            return;
+          }
+          int jobs = 0;
+          int late = 0;
+          for (Job j : ledger.jobs.values()) {
+            if (name.equals(j.release) && j.end == null) {
+              jobs++;
+              late += wallMs + j.restMs > j.releaseByMs ? 1 : 0;
+            }
+          }
+          o.put("jobs", jobs + served.getOrDefault(name, Set.of()).size()).put("at_risk", late);
+        });
   }
 }
--- a/src/main/java/io/embernotch/calendar/Occurrences.java
+++ b/src/main/java/io/embernotch/calendar/Occurrences.java
@@ -10,8 +10,8 @@
 import java.util.List;
 
 /**
- * When releases come out; pure. A time that a change of the clocks skips is taken as much later as they skip, one that
- * they repeat for the first of the two, as {@link ZonedDateTime} has it.
+ * When releases come out; pure. A time that a change of the clocks skips is taken as much later as
+ * they skip, one that they repeat for the first of the two, as {@link ZonedDateTime} has it.
  */
 public final class Occurrences {
   /**
@@ -22,7 +22,8 @@
    * @param lifted the embargo is lifted: nothing is due
    * @param note what is odd about its time, or null
    */
-  public record Occurrence(String release, LocalDate date, Instant at, boolean lifted, String note) {
+  public record Occurrence(
+      String release, LocalDate date, Instant at, boolean lifted, String note) {
     public String name() {
       return release + "/" + date;
     }
@@ -35,7 +36,9 @@
     List<Occurrence> out = new ArrayList<>();
     // A date's deadline is at most a day from it, whatever the zone's clocks do.
     LocalDate last = to.atZone(r.zone()).toLocalDate().plusDays(1);
-    for (LocalDate d = from.atZone(r.zone()).toLocalDate().minusDays(1); !d.isAfter(last); d = d.plusDays(1)) {
+    for (LocalDate d = from.atZone(r.zone()).toLocalDate().minusDays(1);
+        !d.isAfter(last);
+        d = d.plusDays(1)) {
       Occurrence o = on(r, d);
       if (o != null && !o.at.isBefore(from) && o.at.isBefore(to)) {
         out.add(o);
@@ -46,7 +49,9 @@
 
   /** That of a date; null if it does not come out on it. */
   public static Occurrence on(Release r, LocalDate date) {
-    boolean comes = r.also().containsKey(date) || (r.days().contains(date.getDayOfWeek()) && !r.except().contains(date));
+    boolean comes =
+        r.also().containsKey(date)
+            || (r.days().contains(date.getDayOfWeek()) && !r.except().contains(date));
     if (!comes) {
       return null;
     }
--- a/src/main/java/io/embernotch/cloud/CloudClient.java
+++ b/src/main/java/io/embernotch/cloud/CloudClient.java
@@ -53,7 +53,8 @@
   }
 
   public Future<Void> delete(List<String> names, boolean urgent) {
-    return send("POST", "/machines/delete", CloudCodec.delete(names), urgent ? Rank.FIRST : Rank.SPARE)
+    return send(
+            "POST", "/machines/delete", CloudCodec.delete(names), urgent ? Rank.FIRST : Rank.SPARE)
         .compose(r -> r.status() == 200 ? Future.succeededFuture() : odd(r));
   }
 
@@ -69,13 +70,18 @@
             page -> {
               sofar.addAll(page.machines());
               boolean more = page.more() && !page.machines().isEmpty();
-              return more ? listFrom(sofar.get(sofar.size() - 1).name(), sofar) : Future.succeededFuture(sofar);
+              return more
+                  ? listFrom(sofar.get(sofar.size() - 1).name(), sofar)
+                  : Future.succeededFuture(sofar);
             });
   }
 
   private Future<Reply> send(String method, String path, byte[] body, Rank rank) {
     Promise<Reply> promise = Promise.promise();
-    pacer.pass(1, rank, () -> caller.call(method, settings.cloud(), path, body, timeoutS).onComplete(promise));
+    pacer.pass(
+        1,
+        rank,
+        () -> caller.call(method, settings.cloud(), path, body, timeoutS).onComplete(promise));
     return promise.future();
   }
 
--- a/src/main/java/io/embernotch/codec/CalendarCodec.java
+++ b/src/main/java/io/embernotch/codec/CalendarCodec.java
@@ -18,29 +18,58 @@
 import java.util.Set;
 import java.util.TreeSet;
 
-/** The embargo calendar as facts that controllers share: its releases, and each coming out with its deadline. */
+/**
+ * The embargo calendar as facts that controllers share: its releases, and each coming out with its
+ * deadline.
+ */
 public final class CalendarCodec {
   private CalendarCodec() {}
 
-  /** One coming out as it is kept: {@code firstMs} is its deadline when it was first written, which never changes. */
-  public record Kept(long generation, long atMs, long firstMs, boolean lifted, int jobs, int inTime, boolean over) {}
+  /**
+   * One coming out as it is kept: {@code firstMs} is its deadline when it was first written, which
+   * never changes.
+   */
+  public record Kept(
+      long generation,
+      long atMs,
+      long firstMs,
+      boolean lifted,
+      int jobs,
+      int inTime,
+      boolean over) {}
 
   public static ObjectNode write(Kept k) {
-    return Json.object().put("gen", k.generation()).put("at", k.atMs()).put("first", k.firstMs()).put("lifted", k.lifted())
-        .put("jobs", k.jobs()).put("in_time", k.inTime()).put("over", k.over());
+    return Json.object()
+        .put("gen", k.generation())
+        .put("at", k.atMs())
+        .put("first", k.firstMs())
+        .put("lifted", k.lifted())
+        .put("jobs", k.jobs())
+        .put("in_time", k.inTime())
+        .put("over", k.over());
   }
 
   public static Kept read(JsonNode o) {
     return new Kept(
-        Json.whole(o, "gen"), Json.whole(o, "at"), Json.whole(o, "first"), o.path("lifted").asBoolean(),
-        o.path("jobs").asInt(), o.path("in_time").asInt(), o.path("over").asBoolean());
+        Json.whole(o, "gen"),
+        Json.whole(o, "at"),
+        Json.whole(o, "first"),
+        o.path("lifted").asBoolean(),
+        o.path("jobs").asInt(),
+        o.path("in_time").asInt(),
+        o.path("over").asBoolean());
   }
 
   public static ObjectNode writeReleases(long generation, List<Release> releases) {
     ObjectNode o = Json.object().put("gen", generation);
     ArrayNode list = o.putArray("releases");
     for (Release r : releases) {
-      ObjectNode n = list.addObject().put("id", r.id()).put("zone", r.zone().getId()).put("time", r.time().toString()).put("lead", r.leadS());
+      ObjectNode n =
+          list.addObject()
+              .put("id", r.id())
+              .put("zone", r.zone().getId())
+              .put("time", r.time().toString())
+              .put("lead", r.leadS());
       ArrayNode days = n.putArray("days");
       r.days().forEach(d -> days.add(d.getValue()));
       ArrayNode except = n.putArray("except");
@@ -67,9 +96,17 @@
         n.path("except").forEach(d -> except.add(LocalDate.parse(d.asText())));
         List<Selector> orders = new ArrayList<>();
         n.path("orders").forEach(s -> orders.add(ReserveCodec.readSelector(s)));
-        out.add(new Release(
-            Json.need(n, "id").asText(), ZoneId.of(Json.need(n, "zone").asText()), LocalTime.parse(Json.need(n, "time").asText()),
-            days, except, times(n.path("also")), times(n.path("moved")), orders, n.path("lead").asDouble()));
+        out.add(
+            new Release(
+                Json.need(n, "id").asText(),
+                ZoneId.of(Json.need(n, "zone").asText()),
+                LocalTime.parse(Json.need(n, "time").asText()),
+                days,
+                except,
+                times(n.path("also")),
+                times(n.path("moved")),
+                orders,
+                n.path("lead").asDouble()));
       }
     } catch (DateTimeException e) {
       throw new BadInput("releases: " + e.getMessage());
@@ -79,7 +116,12 @@
 
   private static Map<LocalDate, LocalTime> times(JsonNode o) {
     Map<LocalDate, LocalTime> out = new LinkedHashMap<>();
-    o.fields().forEachRemaining(e -> out.put(LocalDate.parse(e.getKey()), e.getValue().isNull() ? null : LocalTime.parse(e.getValue().asText())));
+    o.fields()
+        .forEachRemaining(
+            e ->
+                out.put(
+                    LocalDate.parse(e.getKey()),
+                    e.getValue().isNull() ? null : LocalTime.parse(e.getValue().asText())));
     return out;
   }
 }
--- a/src/main/java/io/embernotch/codec/CloudCodec.java
+++ b/src/main/java/io/embernotch/codec/CloudCodec.java
@@ -14,8 +14,15 @@
 
   /** One machine in a list. */
   public record Listed(
-      String name, String address, String type, String zone, boolean spot, String phase, double ageS) {}
+      String name,
+      String address,
+      String type,
+      String zone,
+      boolean spot,
+      String phase,
+      double ageS) {}
 
+  /** One page of the machine list; {@code more}: another page follows. */
   public record Page(List<Listed> machines, boolean more) {}
 
   public static List<MachineType> types(JsonNode o) {
@@ -48,7 +55,10 @@
     ArrayNode list = o.putArray("flavors");
     for (MachineType t : types) {
       ObjectNode n = list.addObject();
-      n.put("name", t.name()).put("cores", t.cpus()).put("cards", t.gpus()).put("mem_gb", t.memGb());
+      n.put("name", t.name())
+          .put("cores", t.cpus())
+          .put("cards", t.gpus())
+          .put("mem_gb", t.memGb());
       n.put("local_gb", t.cacheGb()).put("fetch_gb_per_s", t.fetchGbPerS());
       n.put("rate", t.price()).put("market_price", t.spotPrice()).put("boot_s", t.bootS());
       ArrayNode zones = n.putArray("rooms");
--- a/src/main/java/io/embernotch/codec/EraCodec.java
+++ b/src/main/java/io/embernotch/codec/EraCodec.java
@@ -9,8 +9,9 @@
 import java.util.List;
 
 /**
- * Eras as the state service keeps them: {@code era} tells the present one, {@code era/NAME} is there as
- * long as it lasts, and {@code block/NAME/K} is the K-th block of the copy that it began with.
+ * Eras as the state service keeps them: {@code era} tells the present one, {@code era/NAME} is
+ * there as long as it lasts, and {@code block/NAME/K} is the K-th block of the copy that it began
+ * with.
  */
 public final class EraCodec {
   public static final String POINTER = "era";
@@ -37,14 +38,19 @@
   public static ObjectNode write(Era era) {
     ObjectNode o = Json.object().put("name", era.name()).put("floor", era.floor());
     if (era.base() != null) {
-      o.put("base", era.base()).put("blocks", era.blocks()).put("crc", era.crc()).put("since", era.since());
+      o.put("base", era.base())
+          .put("blocks", era.blocks())
+          .put("crc", era.crc())
+          .put("since", era.since());
     }
     ArrayNode after = o.putArray("after");
     era.after().forEach(after::add);
     return o;
   }
 
-  /** @throws BadInput if the value is not an era's */
+  /**
+   * @throws BadInput if the value is not an era's
+   */
   public static Era read(JsonNode o, long stamp) {
     List<String> after = new ArrayList<>();
     for (JsonNode n : Json.need(o, "after")) {
@@ -52,8 +58,14 @@
     }
     boolean based = Json.opt(o, "base") != null;
     return new Era(
-        Json.text(o, "name"), stamp, Json.whole(o, "floor"), based ? Json.text(o, "base") : null,
-        based ? (int) Json.whole(o, "blocks") : 0, based ? Json.whole(o, "crc") : 0, based ? Json.whole(o, "since") : 0, after);
+        Json.text(o, "name"),
+        stamp,
+        Json.whole(o, "floor"),
+        based ? Json.text(o, "base") : null,
+        based ? (int) Json.whole(o, "blocks") : 0,
+        based ? Json.whole(o, "crc") : 0,
+        based ? Json.whole(o, "since") : 0,
+        after);
   }
 
   /** The value of a new job's key with the era and the revision that wrote it, for the steward. */
@@ -79,7 +91,9 @@
     return Json.whole(o, "crc");
   }
 
-  /** @throws BadInput if it is not base64 */
+  /**
+   * @throws BadInput if it is not base64
+   */
   public static byte[] readBlock(JsonNode o) {
     try {
       return Base64.getDecoder().decode(Json.text(o, "z"));
--- a/src/main/java/io/embernotch/codec/JobCodec.java
+++ b/src/main/java/io/embernotch/codec/JobCodec.java
@@ -67,17 +67,21 @@
     o.put("ref", j.ref());
     o.put("jobclass", j.jobClass());
     o.put("owner", j.team());
-    o.put("shape", switch (j.shape()) {
-      case ARRAY -> "array";
-      case GANG -> "group";
-      case SERVICE -> "standing";
-    });
-    o.put("rank", switch (j.priority()) {
-      case LOW -> "idle";
-      case NORMAL -> "standard";
-      case HIGH -> "high";
-      case PRODUCTION -> "production";
-    });
+    o.put(
+        "shape",
+        switch (j.shape()) {
+          case ARRAY -> "array";
+          case GANG -> "group";
+          case SERVICE -> "standing";
+        });
+    o.put(
+        "rank",
+        switch (j.priority()) {
+          case LOW -> "idle";
+          case NORMAL -> "standard";
+          case HIGH -> "high";
+          case PRODUCTION -> "production";
+        });
     o.put("shards", j.tasks());
     o.put("cores", j.cpus());
     o.put("cards", j.gpus());
@@ -118,20 +122,43 @@
 
   /** What a poll is answered. */
   public static byte[] status(String ref, Phase phase, int done, int running) {
-    return ("{\"ref\":\"" + ref + "\",\"phase\":\"" + phase(phase) + "\",\"done\":" + done + ",\"running\":" + running + "}")
+    return ("{\"ref\":\""
+            + ref
+            + "\",\"phase\":\""
+            + phase(phase)
+            + "\",\"done\":"
+            + done
+            + ",\"running\":"
+            + running
+            + "}")
         .getBytes(StandardCharsets.UTF_8);
   }
 
   /** The same with more that is to be told. */
-  public static byte[] status(String ref, Phase phase, int done, int running, Consumer<ObjectNode> more) {
-    ObjectNode o = Json.object().put("ref", ref).put("phase", phase(phase)).put("done", done).put("running", running);
+  public static byte[] status(
+      String ref, Phase phase, int done, int running, Consumer<ObjectNode> more) {
+    ObjectNode o =
+        Json.object()
+            .put("ref", ref)
+            .put("phase", phase(phase))
+            .put("done", done)
+            .put("running", running);
     more.accept(o);
     return Json.bytes(o);
   }
 
-  /** The same for a job that fails wherever it goes, and on which machines it has; the last few are named. */
-  public static byte[] failing(String ref, Phase phase, int done, int running, Collection<String> machines) {
-    ObjectNode o = Json.object().put("ref", ref).put("phase", phase(phase)).put("done", done).put("running", running);
+  /**
+   * The same for a job that fails wherever it goes, and on which machines it has; the last few are
+   * named.
+   */
+  public static byte[] failing(
+      String ref, Phase phase, int done, int running, Collection<String> machines) {
+    ObjectNode o =
+        Json.object()
+            .put("ref", ref)
+            .put("phase", phase(phase))
+            .put("done", done)
+            .put("running", running);
     ArrayNode on = o.putObject("failing").put("machines", machines.size()).putArray("last");
     machines.stream().skip(Math.max(0, machines.size() - MOST_NAMED)).forEach(on::add);
     return Json.bytes(o);
@@ -139,13 +166,18 @@
 
   /** What a poll is answered for a job that waits for so many others. */
   public static byte[] waiting(String ref, int others) {
-    return ("{\"ref\":\"" + ref + "\",\"phase\":\"queued\",\"done\":0,\"running\":0,\"awaited\":" + others + "}")
+    return ("{\"ref\":\""
+            + ref
+            + "\",\"phase\":\"queued\",\"done\":0,\"running\":0,\"awaited\":"
+            + others
+            + "}")
         .getBytes(StandardCharsets.UTF_8);
   }
 
   /** What a submission or an abort is answered. */
   public static byte[] brief(String ref, Phase phase) {
-    return ("{\"ref\":\"" + ref + "\",\"phase\":\"" + phase(phase) + "\"}").getBytes(StandardCharsets.UTF_8);
+    return ("{\"ref\":\"" + ref + "\",\"phase\":\"" + phase(phase) + "\"}")
+        .getBytes(StandardCharsets.UTF_8);
   }
 
   private static String name(JsonNode o, String field) {
--- a/src/main/java/io/embernotch/codec/ReserveCodec.java
+++ b/src/main/java/io/embernotch/codec/ReserveCodec.java
@@ -13,7 +13,9 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-/** Reservations as facts that controllers share: their terms, and what is held on which machines. */
+/**
+ * Reservations as facts that controllers share: their terms, and what is held on which machines.
+ */
 public final class ReserveCodec {
   private ReserveCodec() {}
 
@@ -21,8 +23,15 @@
     ObjectNode o = Json.object().put("gen", generation);
     ArrayNode list = o.putArray("terms");
     for (Reservation r : terms) {
-      ObjectNode t = list.addObject().put("name", r.name()).put("machines", r.machines()).put("cpus", r.cpus())
-          .put("gpus", r.gpus()).put("mem", r.memGb()).put("share", r.share()).put("dev", r.deviations());
+      ObjectNode t =
+          list.addObject()
+              .put("name", r.name())
+              .put("machines", r.machines())
+              .put("cpus", r.cpus())
+              .put("gpus", r.gpus())
+              .put("mem", r.memGb())
+              .put("share", r.share())
+              .put("dev", r.deviations());
       ArrayNode serves = t.putArray("serves");
       r.serves().forEach(s -> serves.add(writeSelector(s)));
       ArrayNode types = t.putArray("types");
@@ -49,7 +58,8 @@
       return new Selector(
           s.has("priority") ? Priority.valueOf(s.get("priority").asText()) : null,
           s.has("shape") ? Shape.valueOf(s.get("shape").asText()) : null,
-          s.path("team").asText(null), s.path("class").asText(null));
+          s.path("team").asText(null),
+          s.path("class").asText(null));
     } catch (IllegalArgumentException e) {
       throw new BadInput("selector: " + e.getMessage());
     }
@@ -63,10 +73,21 @@
       List<String> types = new ArrayList<>();
       t.path("types").forEach(x -> types.add(x.asText()));
       Map<String, Double> zones = new LinkedHashMap<>();
-      t.path("zones").fields().forEachRemaining(z -> zones.put(z.getKey(), z.getValue().asDouble()));
-      out.add(new Reservation(
-          Json.need(t, "name").asText(), serves, t.path("machines").asInt(), t.path("cpus").asDouble(),
-          t.path("gpus").asDouble(), t.path("mem").asDouble(), t.path("share").asDouble(), t.path("dev").asDouble(), types, zones));
+      t.path("zones")
+          .fields()
+          .forEachRemaining(z -> zones.put(z.getKey(), z.getValue().asDouble()));
+      out.add(
+          new Reservation(
+              Json.need(t, "name").asText(),
+              serves,
+              t.path("machines").asInt(),
+              t.path("cpus").asDouble(),
+              t.path("gpus").asDouble(),
+              t.path("mem").asDouble(),
+              t.path("share").asDouble(),
+              t.path("dev").asDouble(),
+              types,
+              zones));
     }
     return out;
   }
@@ -75,24 +96,29 @@
   public static ObjectNode writeHeld(Map<String, double[]> held) {
     ObjectNode o = Json.object();
     ObjectNode on = o.putObject("on");
-    new TreeMap<>(held).forEach((machine, a) -> {
-      ArrayNode list = on.putArray(machine);
-      for (double d : a) {
-        list.add(Math.round(d * 1000));
-      }
-    });
+    new TreeMap<>(held)
+        .forEach(
+            (machine, a) -> {
+              ArrayNode list = on.putArray(machine);
+              for (double d : a) {
+                list.add(Math.round(d * 1000));
+              }
+            });
     return o;
   }
 
   public static Map<String, double[]> readHeld(JsonNode o) {
     Map<String, double[]> out = new TreeMap<>();
-    o.path("on").fields().forEachRemaining(e -> {
-      double[] a = new double[3];
-      for (int i = 0; i < 3; i++) {
-        a[i] = e.getValue().path(i).asLong() / 1000.0;
-      }
-      out.put(e.getKey(), a);
-    });
+    o.path("on")
+        .fields()
+        .forEachRemaining(
+            e -> {
+              double[] a = new double[3];
+              for (int i = 0; i < 3; i++) {
+                a[i] = e.getValue().path(i).asLong() / 1000.0;
+              }
+              out.put(e.getKey(), a);
+            });
     return out;
   }
 }
--- a/src/main/java/io/embernotch/codec/RunCodec.java
+++ b/src/main/java/io/embernotch/codec/RunCodec.java
@@ -17,9 +17,9 @@
  * store's limit, however many tasks a job has.
  *
  * <p>The size of these pieces is fixed when the job is accepted. Should a piece not fit any more,
- * since the store has lowered its limits, {@code part/REF/SIZE/K} holds the K-th piece of SIZE tasks
- * instead. A part tells everything of its tasks, so it overrides what any larger piece says of them,
- * and larger pieces are never written again.
+ * since the store has lowered its limits, {@code part/REF/SIZE/K} holds the K-th piece of SIZE
+ * tasks instead. A part tells everything of its tasks, so it overrides what any larger piece says
+ * of them, and larger pieces are never written again.
  */
 public final class RunCodec {
   public static final String JOB = "job/";
@@ -33,7 +33,10 @@
   /** The key that whoever is steward holds. */
   public static final String STEWARD = "steward";
 
-  /** An open attempt takes so many bytes besides its zone's name, and its done mark less than two more. */
+  /**
+   * An open attempt takes so many bytes besides its zone's name, and its done mark less than two
+   * more.
+   */
   private static final int BYTES_PER_TASK = 46;
 
   /** What a piece takes besides its tasks. */
@@ -164,7 +167,8 @@
     if (open != null) {
       for (JsonNode a : open) {
         Attempt attempt =
-            new Attempt(job, a.get(0).asInt(), a.get(1).asLong(), a.get(2).asText(), a.get(3).asText(), 0);
+            new Attempt(
+                job, a.get(0).asInt(), a.get(1).asLong(), a.get(2).asText(), a.get(3).asText(), 0);
         attempt.start = Attempt.Start.UNSURE;
         job.open.put(attempt.task, attempt);
         if (a.size() > 4) {
--- a/src/main/java/io/embernotch/codec/WorkerCodec.java
+++ b/src/main/java/io/embernotch/codec/WorkerCodec.java
@@ -110,11 +110,13 @@
     ArrayNode list = o.putArray("orders");
     for (Order order : orders) {
       ObjectNode n = list.addObject();
-      n.put("verb", switch (order.verb()) {
-        case START -> "run";
-        case STOP -> "stop";
-        case FORGET -> "reap";
-      });
+      n.put(
+          "verb",
+          switch (order.verb()) {
+            case START -> "run";
+            case STOP -> "stop";
+            case FORGET -> "reap";
+          });
       n.put("shard", order.ref() + "/" + order.task());
       n.put("try", order.attempt());
       if (order.verb() == Order.Verb.STOP) {
--- a/src/main/java/io/embernotch/copy/Base.java
+++ b/src/main/java/io/embernotch/copy/Base.java
@@ -19,9 +19,9 @@
 import java.util.TreeMap;
 
 /**
- * What an era began with. It lies in the state service as blocks and stands beneath its keys: a key that
- * was written in this era is newer than the base, one that was left from before is older. Of a job that the
- * base says has ended nothing else counts.
+ * What an era began with. It lies in the state service as blocks and stands beneath its keys: a key
+ * that was written in this era is newer than the base, one that was left from before is older. Of a
+ * job that the base says has ended nothing else counts.
  */
 public final class Base {
   /** An era that began with nothing. */
@@ -29,12 +29,16 @@
 
   private final boolean complete;
   private final long since;
+
   /** Packed: jobs that nobody asks for are never taken apart. */
   private final Map<String, byte[]> jobs = new LinkedHashMap<>();
+
   private final Map<String, Ledger.Ended> ended = new HashMap<>();
   private final Map<String, ObjectNode> shared = new TreeMap<>();
 
-  /** @param since keys with a higher stamp are newer than the copy */
+  /**
+   * @param since keys with a higher stamp are newer than the copy
+   */
   public Base(Copy copy, long since) {
     this.complete = copy.getComplete();
     this.since = since;
@@ -44,7 +48,8 @@
     for (EndedCopy e : copy.getEndedList()) {
       ended.put(e.getRef(), Copies.ended(e));
     }
-    copy.getSharedList().forEach(s -> shared.put(s.getName(), Json.parseObject(s.getValue().toByteArray())));
+    copy.getSharedList()
+        .forEach(s -> shared.put(s.getName(), Json.parseObject(s.getValue().toByteArray())));
   }
 
   /** False if tasks may run of which neither it nor the keys left in the store know. */
@@ -84,14 +89,23 @@
     return new Changes(stored.epoch(), List.copyOf(out.values()));
   }
 
-  /** The store's shared facts with what stands beneath them: of each the later value, under the stamp that the store has. */
+  /**
+   * The store's shared facts with what stands beneath them: of each the later value, under the
+   * stamp that the store has.
+   */
   public List<Entry> beneathShared(Changes stored) {
     Map<String, Entry> out = new TreeMap<>();
-    shared.forEach((name, value) -> out.put(RunCodec.SHARED + name, new Entry(RunCodec.SHARED + name, value, 0)));
+    shared.forEach(
+        (name, value) ->
+            out.put(RunCodec.SHARED + name, new Entry(RunCodec.SHARED + name, value, 0)));
     for (Entry e : stored.events()) {
       if (e.present()) {
         Entry below = out.get(e.key());
-        out.put(e.key(), below == null ? e : new Entry(e.key(), Versions.later(below.value(), e.value()), e.stamp()));
+        out.put(
+            e.key(),
+            below == null
+                ? e
+                : new Entry(e.key(), Versions.later(below.value(), e.value()), e.stamp()));
       }
     }
     return List.copyOf(out.values());
--- a/src/main/java/io/embernotch/copy/Blocks.java
+++ b/src/main/java/io/embernotch/copy/Blocks.java
@@ -13,7 +13,8 @@
 import java.util.zip.Inflater;
 
 /**
- * A copy packed into blocks that fit the state service's values, each with a checksum, and one over all.
+ * A copy packed into blocks that fit the state service's values, each with a checksum, and one over
+ * all.
  *
  * @param crc over the blocks in their order
  */
@@ -23,7 +24,9 @@
   /** Bytes that a block's value takes besides its base64: names, checksum, quotes. */
   private static final int BESIDES = 64;
 
-  /** @param valueBytes what a value may have at the most */
+  /**
+   * @param valueBytes what a value may have at the most
+   */
   public static Blocks pack(Copy copy, int valueBytes) {
     Deflater zip = new Deflater(Deflater.BEST_SPEED);
     ByteArrayOutputStream all = new ByteArrayOutputStream();
@@ -50,7 +53,9 @@
     return crc.getValue();
   }
 
-  /** @throws BadInput if the copy is damaged, with what is wrong: it is never used in part */
+  /**
+   * @throws BadInput if the copy is damaged, with what is wrong: it is never used in part
+   */
   public Copy unpack() {
     ByteArrayOutputStream all = new ByteArrayOutputStream();
     blocks.forEach(b -> all.write(b, 0, b.length));
--- a/src/main/java/io/embernotch/copy/Copies.java
+++ b/src/main/java/io/embernotch/copy/Copies.java
@@ -28,21 +28,28 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Copies of what the state service is to hold: made from a steward's ledger, and read back as its keys. */
+/**
+ * Copies of what the state service is to hold: made from a steward's ledger, and read back as its
+ * keys.
+ */
 public final class Copies {
   private static final Logger LOG = LoggerFactory.getLogger(Copies.class);
 
   private Copies() {}
 
   /**
-   * What a steward's ledger says, which is all that its store held and what it had not written yet. Every
-   * attempt that was sent is in it, since starts are committed before they are sent.
+   * What a steward's ledger says, which is all that its store held and what it had not written yet.
+   * Every attempt that was sent is in it, since starts are committed before they are sent.
    *
    * @param pieceOf tasks in a piece of the job with this id
    * @param shared facts beside jobs, by name
    */
   public static Copy of(
-      Ledger ledger, ToIntFunction<String> pieceOf, Map<String, ObjectNode> shared, long epoch, long wallMs) {
+      Ledger ledger,
+      ToIntFunction<String> pieceOf,
+      Map<String, ObjectNode> shared,
+      long epoch,
+      long wallMs) {
     Copy.Builder out = Copy.newBuilder().setEpoch(epoch).setWallMs(wallMs).setComplete(true);
     shared.forEach((name, value) -> out.addShared(fact(name, value)));
     ledger.jobs.forEach((ref, job) -> out.addJob(job(job, pieceOf.applyAsInt(ref))));
@@ -51,43 +58,54 @@
   }
 
   /**
-   * What is left in the store, of whatever moment each key is. Values that can't be read are left out, and
-   * pieces without their job.
+   * What is left in the store, of whatever moment each key is. Values that can't be read are left
+   * out, and pieces without their job.
    */
   public static Copy of(Changes jobs, Changes runs, Changes parts, Changes shared) {
     Map<String, Job> all = new LinkedHashMap<>();
     Map<String, Integer> sizes = new HashMap<>();
-    read(jobs, e -> {
-      Job job = RunCodec.readJob(e.value());
-      sizes.put(job.spec.ref(), RunCodec.readPiece(e.value()));
-      all.put(job.spec.ref(), job);
-    });
-    read(runs, e -> {
-      Job job = all.get(e.key().split("/")[1]);
-      if (job != null) {
-        RunCodec.readRun(e.value(), job, sizes.get(job.spec.ref()), RunCodec.pieceOf(e.key()));
-      }
-    });
+    read(
+        jobs,
+        e -> {
+          Job job = RunCodec.readJob(e.value());
+          sizes.put(job.spec.ref(), RunCodec.readPiece(e.value()));
+          all.put(job.spec.ref(), job);
+        });
+    read(
+        runs,
+        e -> {
+          Job job = all.get(e.key().split("/")[1]);
+          if (job != null) {
+            RunCodec.readRun(e.value(), job, sizes.get(job.spec.ref()), RunCodec.pieceOf(e.key()));
+          }
+        });
     Map<String, List<StoredPart>> partsOf = new LinkedHashMap<>();
-    read(parts, e -> {
-      StoredPart part = StoredPart.of(e);
-      if (all.containsKey(part.ref())) {
-        partsOf.computeIfAbsent(part.ref(), r -> new ArrayList<>()).add(part);
-      }
-    });
-    partsOf.forEach((ref, list) -> {
-      StoredPart.add(all.get(ref), list);
-      list.forEach(p -> sizes.merge(ref, p.size(), Math::min));
-    });
+    read(
+        parts,
+        e -> {
+          StoredPart part = StoredPart.of(e);
+          if (all.containsKey(part.ref())) {
+            partsOf.computeIfAbsent(part.ref(), r -> new ArrayList<>()).add(part);
+          }
+        });
+    partsOf.forEach(
+        (ref, list) -> {
+          StoredPart.add(all.get(ref), list);
+          list.forEach(p -> sizes.merge(ref, p.size(), Math::min));
+        });
     Copy.Builder out = Copy.newBuilder().setComplete(false);
-    shared.events().stream().filter(Entry::present)
+    shared.events().stream()
+        .filter(Entry::present)
         .forEach(e -> out.addShared(fact(e.key().substring(RunCodec.SHARED.length()), e.value())));
     all.forEach((ref, job) -> out.addJob(job(job, sizes.get(ref))));
     return out.build();
   }
 
   private static SharedCopy fact(String name, ObjectNode value) {
-    return SharedCopy.newBuilder().setName(name).setValue(ByteString.copyFrom(Json.bytes(value))).build();
+    return SharedCopy.newBuilder()
+        .setName(name)
+        .setValue(ByteString.copyFrom(Json.bytes(value)))
+        .build();
   }
 
   private static void read(Changes entries, Consumer<Entry> take) {
@@ -111,22 +129,33 @@
       b.setEnd(end(job.end)).setEndedMs(job.endedMs);
     }
     for (Attempt a : job.open.values()) {
-      b.addOpen(OpenCopy.newBuilder().setTask(a.task).setNumber(a.number).setMachine(a.machine).setZone(a.zone));
+      b.addOpen(
+          OpenCopy.newBuilder()
+              .setTask(a.task)
+              .setNumber(a.number)
+              .setMachine(a.machine)
+              .setZone(a.zone));
     }
     // A wish outlives the attempt that it is about, until the task is placed anew.
-    job.wishes.forEach((task, machine) -> {
-      for (OpenCopy.Builder o : b.getOpenBuilderList()) {
-        if (o.getTask() == task) {
-          o.setWish(machine);
-        }
-      }
-    });
+    job.wishes.forEach(
+        (task, machine) -> {
+          for (OpenCopy.Builder o : b.getOpenBuilderList()) {
+            if (o.getTask() == task) {
+              o.setWish(machine);
+            }
+          }
+        });
     return b.build();
   }
 
   private static EndedCopy ended(String ref, Ledger.Ended e) {
     return EndedCopy.newBuilder()
-        .setRef(ref).setEnd(end(e.phase())).setTasks(e.tasks()).setDone(e.done()).setAtMs(e.atMs()).build();
+        .setRef(ref)
+        .setEnd(end(e.phase()))
+        .setTasks(e.tasks())
+        .setDone(e.done())
+        .setAtMs(e.atMs())
+        .build();
   }
 
   private static End end(Phase phase) {
@@ -141,7 +170,10 @@
     return new Ledger.Ended(phase(e.getEnd()), e.getTasks(), e.getDone(), e.getAtMs());
   }
 
-  /** The keys of a job as the store would hold them, with stamp 0: its submission first, then its pieces. */
+  /**
+   * The keys of a job as the store would hold them, with stamp 0: its submission first, then its
+   * pieces.
+   */
   static List<Entry> entries(JobCopy c) {
     var value = Json.parseObject(c.getValue().toByteArray());
     Job job = RunCodec.readJob(value);
@@ -158,7 +190,9 @@
       if (o.getTask() >= job.spec.tasks()) {
         continue;
       }
-      job.open.put(o.getTask(), new Attempt(job, o.getTask(), o.getNumber(), o.getMachine(), o.getZone(), 0));
+      job.open.put(
+          o.getTask(),
+          new Attempt(job, o.getTask(), o.getNumber(), o.getMachine(), o.getZone(), 0));
       if (o.hasWish()) {
         job.wishes.put(o.getTask(), o.getWish());
       }
--- a/src/main/java/io/embernotch/copy/Merge.java
+++ b/src/main/java/io/embernotch/copy/Merge.java
@@ -17,12 +17,12 @@
 import java.util.function.BinaryOperator;
 
 /**
- * Two copies of the same jobs, of which neither need be the newer one in everything, made one that takes
- * nothing back: ends are final, done marks are united, attempt numbers are the highest, and of each task the
- * open attempt of the highest number stays, since a later one is only begun once those before it are proven
- * gone. That an attempt is missing from one copy proves nothing. A job of which only its end is left, since
- * all its attempts were proven gone, stays so. Commutative, associative, idempotent, and no less than either
- * ({@code MergeTest}).
+ * Two copies of the same jobs, of which neither need be the newer one in everything, made one that
+ * takes nothing back: ends are final, done marks are united, attempt numbers are the highest, and
+ * of each task the open attempt of the highest number stays, since a later one is only begun once
+ * those before it are proven gone. That an attempt is missing from one copy proves nothing. A job
+ * of which only its end is left, since all its attempts were proven gone, stays so. Commutative,
+ * associative, idempotent, and no less than either ({@code MergeTest}).
  */
 public final class Merge {
   private static final Comparator<OpenCopy> LATER =
@@ -60,10 +60,19 @@
   private static Map<String, SharedCopy> shared(Copy a, Copy b) {
     TreeMap<String, SharedCopy> out = new TreeMap<>();
     for (Copy c : new Copy[] {a, b}) {
-      c.getSharedList().forEach(s -> out.merge(s.getName(), s, (x, y) -> {
-        ObjectNode one = Json.parseObject(x.getValue().toByteArray());
-        return Versions.later(one, Json.parseObject(y.getValue().toByteArray())) == one ? x : y;
-      }));
+      c.getSharedList()
+          .forEach(
+              s ->
+                  out.merge(
+                      s.getName(),
+                      s,
+                      (x, y) -> {
+                        ObjectNode one = Json.parseObject(x.getValue().toByteArray());
+                        return Versions.later(one, Json.parseObject(y.getValue().toByteArray()))
+                                == one
+                            ? x
+                            : y;
+                      }));
     }
     return out;
   }
@@ -78,7 +87,10 @@
         .build();
   }
 
-  /** Both can't be: an end is decided once. Were it so all the same, the choice does not depend on the order. */
+  /**
+   * Both can't be: an end is decided once. Were it so all the same, the choice does not depend on
+   * the order.
+   */
   private static End end(End a, End b) {
     return a.compareTo(b) >= 0 ? a : b;
   }
@@ -92,7 +104,9 @@
     }
     // Descriptions never change; only the size of the pieces that they are kept in may.
     ByteString value =
-        ByteString.unsignedLexicographicalComparator().compare(a.getValue(), b.getValue()) >= 0 ? a.getValue() : b.getValue();
+        ByteString.unsignedLexicographicalComparator().compare(a.getValue(), b.getValue()) >= 0
+            ? a.getValue()
+            : b.getValue();
     JobCopy.Builder out =
         JobCopy.newBuilder()
             .setRef(a.getRef())
--- a/src/main/java/io/embernotch/env/Env.java
+++ b/src/main/java/io/embernotch/env/Env.java
@@ -12,8 +12,8 @@
 import java.util.function.Supplier;
 
 /**
- * What a controller is given to work with; {@code names} makes names that nobody else ever has, {@code
- * blocking} runs what waits for a disk.
+ * What a controller is given to work with; {@code names} makes names that nobody else ever has,
+ * {@code blocking} runs what waits for a disk.
  */
 public record Env(
     Settings settings,
--- a/src/main/java/io/embernotch/era/Restore.java
+++ b/src/main/java/io/embernotch/era/Restore.java
@@ -16,15 +16,19 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Writes a copy of what was lost into the state service, as blocks under a name that no era has had, so
- * that nothing there can be taken for part of another copy. It counts only once an era is begun with it.
+ * Writes a copy of what was lost into the state service, as blocks under a name that no era has
+ * had, so that nothing there can be taken for part of another copy. It counts only once an era is
+ * begun with it.
  */
 public final class Restore {
   private static final Logger LOG = LoggerFactory.getLogger(Restore.class);
 
   /** Where the copy comes from. */
   public interface Source {
-    /** What this node was steward of when the data was lost; null if it was not, or another has been since. */
+    /**
+     * What this node was steward of when the data was lost; null if it was not, or another has been
+     * since.
+     */
     Copy copy();
 
     /** The newest snapshot that may be used; null if there is none. Blocks. */
@@ -40,10 +44,13 @@
   private final BooleanSupplier needed;
   private Prepared prepared;
   private boolean ownStewardship;
+
   /** Attempts are numbered: a later one ends those before it. */
   private int attempt;
 
-  /** @param lifeS life of a steward's lease in seconds */
+  /**
+   * @param lifeS life of a steward's lease in seconds
+   */
   Restore(Env env, Source source, double lifeS, BooleanSupplier needed) {
     this.env = env;
     this.source = source;
@@ -66,7 +73,10 @@
     return ownStewardship ? 0 : lifeS * (1 + 2 * Settings.DRIFT);
   }
 
-  /** Data was lost. Whoever was steward goes first: it knows most, and nobody else can have led meanwhile. */
+  /**
+   * Data was lost. Whoever was steward goes first: it knows most, and nobody else can have led
+   * meanwhile.
+   */
   void begin() {
     prepared = null;
     int mine = ++attempt;
@@ -76,16 +86,21 @@
       lead(mine, copy);
       return;
     }
-    env.timers().after(env.settings().workers().leaseS() / 3, () -> {
-      if (mine == attempt && needed.getAsBoolean()) {
-        // Tasks may run of which nobody here knows, so nothing that was left is started for long.
-        Copy kept = source.kept();
-        LOG.warn(
-            "nobody who was steward has restored the state service's data: going on with what is left there and {}",
-            kept == null ? "no snapshot" : "a snapshot of epoch " + kept.getEpoch());
-        leadWithRemains(mine, kept == null ? Copy.newBuilder().setComplete(false).build() : kept);
-      }
-    });
+    env.timers()
+        .after(
+            env.settings().workers().leaseS() / 3,
+            () -> {
+              if (mine == attempt && needed.getAsBoolean()) {
+                // Tasks may run of which nobody here knows, so nothing that was left is started for
+                // long.
+                Copy kept = source.kept();
+                LOG.warn(
+                    "nobody who was steward has restored the state service's data: going on with what is left there and {}",
+                    kept == null ? "no snapshot" : "a snapshot of epoch " + kept.getEpoch());
+                leadWithRemains(
+                    mine, kept == null ? Copy.newBuilder().setComplete(false).build() : kept);
+              }
+            });
   }
 
   /** Neither a snapshot nor what is left in the store need be the newer one: both count. */
@@ -95,14 +110,28 @@
         .list(RunCodec.JOB)
         .compose(
             jobs ->
-                store.list(RunCodec.RUN).compose(runs -> store.list(RunCodec.PART).compose(parts ->
-                    store.list(RunCodec.SHARED).map(shared -> Copies.of(jobs, runs, parts, shared)))))
+                store
+                    .list(RunCodec.RUN)
+                    .compose(
+                        runs ->
+                            store
+                                .list(RunCodec.PART)
+                                .compose(
+                                    parts ->
+                                        store
+                                            .list(RunCodec.SHARED)
+                                            .map(shared -> Copies.of(jobs, runs, parts, shared)))))
         .onSuccess(left -> lead(mine, Merge.of(left, kept)))
-        .onFailure(e -> env.timers().after(lifeS / 4, () -> {
-          if (mine == attempt && needed.getAsBoolean()) {
-            leadWithRemains(mine, kept);
-          }
-        }));
+        .onFailure(
+            e ->
+                env.timers()
+                    .after(
+                        lifeS / 4,
+                        () -> {
+                          if (mine == attempt && needed.getAsBoolean()) {
+                            leadWithRemains(mine, kept);
+                          }
+                        }));
   }
 
   void over() {
@@ -114,7 +143,10 @@
     String name = env.names().get();
     Blocks packed = Blocks.pack(copy, (int) (env.settings().stateFloor().valueKb() * 1024));
     LOG.info(
-        "restoring {} jobs and {} ends in {} blocks", copy.getJobCount(), copy.getEndedCount(), packed.blocks().size());
+        "restoring {} jobs and {} ends in {} blocks",
+        copy.getJobCount(),
+        copy.getEndedCount(),
+        packed.blocks().size());
     write(mine, new Prepared(name, copy, packed.blocks().size(), packed.crc(), 0), packed, 0);
   }
 
@@ -141,7 +173,9 @@
     // Written again after an answer that did not come, it is the same.
     env.store()
         .commit(txn, Rank.FIRST)
-        .onSuccess(c -> write(mine, new Prepared(p.name, p.copy, p.blocks, p.crc, c.epoch()), packed, next))
+        .onSuccess(
+            c ->
+                write(mine, new Prepared(p.name, p.copy, p.blocks, p.crc, c.epoch()), packed, next))
         .onFailure(e -> env.timers().after(lifeS / 16, () -> write(mine, p, packed, from)));
   }
 }
--- a/src/main/java/io/embernotch/fleet/FailureRates.java
+++ b/src/main/java/io/embernotch/fleet/FailureRates.java
@@ -5,14 +5,23 @@
 import io.embernotch.plan.Risk;
 import io.embernotch.settings.Settings;
 
-/** How often machines and zones fail, from what this steward has seen and what is to be expected before. */
+/**
+ * How often machines and zones fail, from what this steward has seen and what is to be expected
+ * before.
+ */
 final class FailureRates {
-  /** What is expected: one failure of a machine in so many workers' leases of its time, of a zone in so many. */
+  /**
+   * What is expected: one failure of a machine in so many workers' leases of its time, of a zone in
+   * so many.
+   */
   private static final double MACHINE_LEASES = 1000;
 
   private static final double ZONE_LEASES = 4000;
 
-  /** Leases for which a replica is counted on, and from a failure until what ran there may start elsewhere. */
+  /**
+   * Leases for which a replica is counted on, and from a failure until what ran there may start
+   * elsewhere.
+   */
   private static final double HORIZON_LEASES = 5;
 
   private static final double NOTICED_LEASES = 1;
@@ -48,7 +57,9 @@
   Risk risk() {
     double lease = settings.workers().leaseS();
     return new Risk(
-        (machines + 1) / (machineS + MACHINE_LEASES * lease), (zones + 1) / (zoneS + ZONE_LEASES * lease),
-        HORIZON_LEASES * lease, NOTICED_LEASES * lease);
+        (machines + 1) / (machineS + MACHINE_LEASES * lease),
+        (zones + 1) / (zoneS + ZONE_LEASES * lease),
+        HORIZON_LEASES * lease,
+        NOTICED_LEASES * lease);
   }
 }
--- a/src/main/java/io/embernotch/fleet/FleetKeeper.java
+++ b/src/main/java/io/embernotch/fleet/FleetKeeper.java
@@ -164,7 +164,8 @@
         m.address = l.address() == null ? m.address : l.address();
         m.bornAt = Math.min(m.bornAt == 0 ? now : m.bornAt, now - l.ageS());
         // One that ran under an earlier steward is given time to find us.
-        double findUs = l.phase().equals("running") ? startedAt + env.settings().workers().leaseS() / 2 : 0;
+        double findUs =
+            l.phase().equals("running") ? startedAt + env.settings().workers().leaseS() / 2 : 0;
         double boot = m.type == null ? 0 : COUNTED_BOOTS * m.type.bootS();
         m.countUntil = Math.max(m.countUntil, Math.max(findUs, m.bornAt + boot));
       }
--- a/src/main/java/io/embernotch/fleet/Rentals.java
+++ b/src/main/java/io/embernotch/fleet/Rentals.java
@@ -111,7 +111,13 @@
       }
     }
     if (r.refused() || r.machines().size() < b.number) {
-      LOG.info("no more {} in {}{}: got {} of {}", b.type, b.zone, b.spot ? " (spot)" : "", r.machines().size(), b.number);
+      LOG.info(
+          "no more {} in {}{}: got {} of {}",
+          b.type,
+          b.zone,
+          b.spot ? " (spot)" : "",
+          r.machines().size(),
+          b.number);
       fullUntil.put(pool(b.type, b.zone, b.spot), now + 5 * env.settings().workers().reportS());
     }
     changed.run();
--- a/src/main/java/io/embernotch/fleet/Returns.java
+++ b/src/main/java/io/embernotch/fleet/Returns.java
@@ -74,7 +74,10 @@
                 batch.forEach(gone);
               } else {
                 LOG.debug("could not return {}: {}", names, r.cause().getMessage());
-                batch.forEach(m -> m.deleteRetryAt = env.clock().now() + env.settings().workers().reportS() / 3);
+                batch.forEach(
+                    m ->
+                        m.deleteRetryAt =
+                            env.clock().now() + env.settings().workers().reportS() / 3);
               }
             });
   }
--- a/src/main/java/io/embernotch/fleet/Silence.java
+++ b/src/main/java/io/embernotch/fleet/Silence.java
@@ -15,7 +15,10 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Machines that do not report: whether they are cut off, hang or are dead, and when they are given up. */
+/**
+ * Machines that do not report: whether they are cut off, hang or are dead, and when they are given
+ * up.
+ */
 final class Silence {
   private static final Logger LOG = LoggerFactory.getLogger(Silence.class);
 
@@ -26,9 +29,9 @@
   private static final double SILENT_REPORTS = 2.2;
 
   /**
-   * So large a share of the machines must be silent for us to be the ones who are cut off. A zone can
-   * hold more than half of them: at half, stewards that heard the rest well gave leadership to each
-   * other, and none of them started anything.
+   * So large a share of the machines must be silent for us to be the ones who are cut off. A zone
+   * can hold more than half of them: at half, stewards that heard the rest well gave leadership to
+   * each other, and none of them started anything.
    */
   private static final double DEAF_SHARE = 0.8;
 
@@ -43,10 +46,17 @@
   private final FailureRates rates;
   private final double startedAt;
   private Set<String> cutZones = Set.of();
+
   /** When zones were last back from a cut. */
   private final Map<String, Double> backAt = new HashMap<>();
 
-  Silence(Env env, Ledger ledger, Workers workers, FleetKeeper.Outcome outcome, Consumer<Machine> giveBack, FailureRates rates) {
+  Silence(
+      Env env,
+      Ledger ledger,
+      Workers workers,
+      FleetKeeper.Outcome outcome,
+      Consumer<Machine> giveBack,
+      FailureRates rates) {
     this.env = env;
     this.ledger = ledger;
     this.workers = workers;
@@ -63,9 +73,10 @@
   /**
    * When the machine last gave a sign of life. One that ran under an earlier steward is given a
    * report's time-out longer to find us; before, such a machine was taken for a booting one, and
-   * its services stayed down until its lease and the old steward's hold were over. One that has only
-   * just come up is given the same time: it was once returned in the second before its first report.
-   * So is one whose zone is back from a cut: 238 were once returned as the first controller was back.
+   * its services stayed down until its lease and the old steward's hold were over. One that has
+   * only just come up is given the same time: it was once returned in the second before its first
+   * report. So is one whose zone is back from a cut: 238 were once returned as the first controller
+   * was back.
    */
   private double lastSign(Machine m) {
     double report = env.settings().workers().reportS();
@@ -103,7 +114,10 @@
       double limit = m.probeFailedAt > lastSign(m) ? SILENT_REPORTS : SILENT_REPORTS + 1;
       if (now - lastSign(m) > limit * report && !worthWaitingFor(m, now)) {
         LOG.info(
-            "machine {} has been silent for {} s with {} tasks, {}", m.name, Math.round(now - lastSign(m)), m.open.size(),
+            "machine {} has been silent for {} s with {} tasks, {}",
+            m.name,
+            Math.round(now - lastSign(m)),
+            m.open.size(),
             m.probeConnected ? "takes connections" : "takes no connection");
         rates.machineFailed();
         giveBack.accept(m);
@@ -116,8 +130,9 @@
   }
 
   /**
-   * Zones that are cut off: a controller there is silent, and more than half of the machines. It renews
-   * their workers for as long as it may, so what runs there is let run, and nothing new is rented.
+   * Zones that are cut off: a controller there is silent, and more than half of the machines. It
+   * renews their workers for as long as it may, so what runs there is let run, and nothing new is
+   * rented.
    */
   private Set<String> cutZones(List<Machine> silent) {
     Set<String> live = outcome.controllers();
@@ -127,7 +142,10 @@
         continue;
       }
       long gone = silent.stream().filter(m -> c.location().equals(m.zone)).count();
-      long there = ledger.machines.values().stream().filter(m -> c.location().equals(m.zone) && mayBeUp(m)).count();
+      long there =
+          ledger.machines.values().stream()
+              .filter(m -> c.location().equals(m.zone) && mayBeUp(m))
+              .count();
       if (gone * 2 > there) {
         out.add(c.location());
       }
@@ -135,24 +153,30 @@
     if (!out.equals(cutZones)) {
       LOG.info("zones that are cut off: {}", out);
       out.stream().filter(z -> !cutZones.contains(z)).forEach(z -> rates.zoneFailed());
-      cutZones.stream().filter(z -> !out.contains(z)).forEach(z -> backAt.put(z, env.clock().now()));
+      cutZones.stream()
+          .filter(z -> !out.contains(z))
+          .forEach(z -> backAt.put(z, env.clock().now()));
     }
     return out;
   }
 
   /**
    * A live service on a machine that only lost the network runs on until its lease is over, and
-   * would have to start anew elsewhere if the machine were returned before. One that takes a connection
-   * and does not answer is not cut off: it hangs, and so does the service. One that nothing has proven alive in
-   * this stewardship is not waited for: what was heard of it may be copies of what it said before it ended.
+   * would have to start anew elsewhere if the machine were returned before. One that takes a
+   * connection and does not answer is not cut off: it hangs, and so does the service. One that
+   * nothing has proven alive in this stewardship is not waited for: what was heard of it may be
+   * copies of what it said before it ended.
    */
   private boolean worthWaitingFor(Machine m, double now) {
     if (m.probeConnected && m.probeFailedAt > lastSign(m)) {
       return false;
     }
     if (cutZones.contains(m.zone)) {
-      return now - lastSign(m) < env.settings().holdS() + PATIENCE * env.settings().workers().leaseS();
+      return now - lastSign(m)
+          < env.settings().holdS() + PATIENCE * env.settings().workers().leaseS();
     }
-    return m.load().pinned && m.provenAt >= 0 && now - m.renewedAt < PATIENCE * env.settings().workers().leaseS();
+    return m.load().pinned
+        && m.provenAt >= 0
+        && now - m.renewedAt < PATIENCE * env.settings().workers().leaseS();
   }
 }
--- a/src/main/java/io/embernotch/fleet/Unreached.java
+++ b/src/main/java/io/embernotch/fleet/Unreached.java
@@ -9,12 +9,16 @@
 import java.util.function.Consumer;
 
 /**
- * Machines whose reports arrive, and which neither answers nor commands reach. What runs there runs until its
- * worker's lease ends, and may be done before; what has not begun there goes elsewhere as soon as that is proven.
- * Once nothing runs there any more the machine is returned, which proves all else on it gone.
+ * Machines whose reports arrive, and which neither answers nor commands reach. What runs there runs
+ * until its worker's lease ends, and may be done before; what has not begun there goes elsewhere as
+ * soon as that is proven. Once nothing runs there any more the machine is returned, which proves
+ * all else on it gone.
  */
 final class Unreached {
-  /** From so large a share of the machines on it is rather we who are not heard: none is returned for it. */
+  /**
+   * From so large a share of the machines on it is rather we who are not heard: none is returned
+   * for it.
+   */
   private static final double OURS = 0.2;
 
   /** Share of a lease, counted from its last renewal, for which what runs there is waited for. */
@@ -29,7 +33,12 @@
   private final FleetKeeper.Outcome outcome;
   private final Consumer<Machine> giveBack;
 
-  Unreached(Env env, Ledger ledger, Workers workers, FleetKeeper.Outcome outcome, Consumer<Machine> giveBack) {
+  Unreached(
+      Env env,
+      Ledger ledger,
+      Workers workers,
+      FleetKeeper.Outcome outcome,
+      Consumer<Machine> giveBack) {
     this.env = env;
     this.ledger = ledger;
     this.workers = workers;
@@ -38,7 +47,8 @@
   }
 
   void watch(double now) {
-    List<Machine> deaf = ledger.machines.values().stream().filter(m -> m.deafSince >= 0 && !m.deleting).toList();
+    List<Machine> deaf =
+        ledger.machines.values().stream().filter(m -> m.deafSince >= 0 && !m.deleting).toList();
     if (deaf.isEmpty()) {
       return;
     }
@@ -63,9 +73,11 @@
   }
 
   private boolean worthWaitingFor(Machine m, double now) {
-    boolean runs = m.open.values().stream().anyMatch(a -> a.start == Attempt.Start.HELD && !a.stopping);
+    boolean runs =
+        m.open.values().stream().anyMatch(a -> a.start == Attempt.Start.HELD && !a.stopping);
     double left =
-        PATIENCE * env.settings().workers().leaseS() - NOTICED_REPORTS * env.settings().workers().reportS();
+        PATIENCE * env.settings().workers().leaseS()
+            - NOTICED_REPORTS * env.settings().workers().reportS();
     return runs && now - m.deafSince < left;
   }
 }
--- a/src/main/java/io/embernotch/http/CallFailed.java
+++ b/src/main/java/io/embernotch/http/CallFailed.java
@@ -4,6 +4,7 @@
 public final class CallFailed extends RuntimeException {
   private static final long serialVersionUID = 1L;
   public final boolean sent;
+
   /** False if this side had no room to try: then it says nothing of the other side. */
   public final boolean tried;
 
--- a/src/main/java/io/embernotch/http/HttpFront.java
+++ b/src/main/java/io/embernotch/http/HttpFront.java
@@ -27,13 +27,14 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The server that users, workers and health checks reach. It has a loop of its own: after a change of
- * steward a thousand workers connect to a process with a fifth of a core, and while connections,
+ * The server that users, workers and health checks reach. It has a loop of its own: after a change
+ * of steward a thousand workers connect to a process with a fifth of a core, and while connections,
  * requests and JSON shared a loop with leadership, the lease ran out behind them.
  *
- * <p>A worker's connection is closed with the answer while there are too many. A controller that is left alone
- * may have more workers than sockets; those that come later would find none, and lose what they run, live
- * services too. So all of them take turns, and none depends on having come first.
+ * <p>A worker's connection is closed with the answer while there are too many. A controller that is
+ * left alone may have more workers than sockets; those that come later would find none, and lose
+ * what they run, live services too. So all of them take turns, and none depends on having come
+ * first.
  *
  * <p>What nobody waits for any more when the core comes to it is dropped there: users and workers
  * come again, and answering the gone would keep the core from those who wait.
@@ -44,7 +45,9 @@
   private static final String JOBS = "/api/jobs";
   private static final String ABORT = "/abort";
 
-  /** Seconds after which a worker, a poller and one who submits have given up ("Users", "Workers"). */
+  /**
+   * Seconds after which a worker, a poller and one who submits have given up ("Users", "Workers").
+   */
   private static final double REPORT_S = 4;
 
   private static final double POLL_S = 2;
@@ -112,17 +115,18 @@
   }
 
   /**
-   * After a process has stood still for longer than anybody waits, what lies in its buffers is told to nobody:
-   * reports that were as old as that once made a thousand tasks and machines that were gone look alive to a new
-   * steward. All that was sent so far is given up, and so is what connects in the next moment, which is what
-   * has waited to be accepted. True within that moment.
+   * After a process has stood still for longer than anybody waits, what lies in its buffers is told
+   * to nobody: reports that were as old as that once made a thousand tasks and machines that were
+   * gone look alive to a new steward. All that was sent so far is given up, and so is what connects
+   * in the next moment, which is what has waited to be accepted. True within that moment.
    */
   private boolean stale() {
     double now = clock.now();
     double stood = now - turnAt;
     turnAt = now;
     if (stood > SUBMIT_S) {
-      LOG.info("stood still for {} s, {} connections are closed", Math.round(stood), connections.size());
+      LOG.info(
+          "stood still for {} s, {} connections are closed", Math.round(stood), connections.size());
       staleUntil = now + READY_S;
       List.copyOf(connections).forEach(HttpConnection::close);
     }
@@ -191,7 +195,10 @@
                   if (parts) {
                     request.response().putHeader("connection", "close");
                   }
-                  Future<Void> written = write(request.response(), r.succeeded() ? r.result() : Answer.error(500, "internal error"));
+                  Future<Void> written =
+                      write(
+                          request.response(),
+                          r.succeeded() ? r.result() : Answer.error(500, "internal error"));
                   if (parts) {
                     written.onComplete(v -> request.connection().close());
                   }
--- a/src/main/java/io/embernotch/http/VertxCaller.java
+++ b/src/main/java/io/embernotch/http/VertxCaller.java
@@ -26,6 +26,7 @@
   private final Clock clock;
   private final Timers timers;
   private final int most;
+
   /** Hosts with a connection, or one being made, that which was called longest ago first. */
   private final Map<String, Host> hosts = new LinkedHashMap<>(16, 0.75f, true);
 
@@ -39,7 +40,13 @@
    * @param keepS idle connections are closed after this time
    */
   public VertxCaller(
-      Vertx vertx, Clock clock, Timers timers, int connectionsPerHost, int most, double connectS, double keepS) {
+      Vertx vertx,
+      Clock clock,
+      Timers timers,
+      int connectionsPerHost,
+      int most,
+      double connectS,
+      double keepS) {
     this.clock = clock;
     this.timers = timers;
     this.most = most;
@@ -70,10 +77,13 @@
     Host called = known;
     called.calls++;
     Call call = new Call(clock.now() + timeoutS);
-    call.promise.future().onComplete(r -> {
-      called.calls--;
-      forget(host, called);
-    });
+    call.promise
+        .future()
+        .onComplete(
+            r -> {
+              called.calls--;
+              forget(host, called);
+            });
     call.cancelTimer = timers.after(timeoutS, call::timeOut);
     RequestOptions options =
         new RequestOptions()
@@ -89,13 +99,15 @@
   }
 
   private void opened(HttpConnection connection) {
-    String host = connection.remoteAddress().hostAddress() + ":" + connection.remoteAddress().port();
+    String host =
+        connection.remoteAddress().hostAddress() + ":" + connection.remoteAddress().port();
     Host to = hosts.computeIfAbsent(host, k -> new Host());
     to.open.add(connection);
-    connection.closeHandler(v -> {
-      to.open.remove(connection);
-      forget(host, to);
-    });
+    connection.closeHandler(
+        v -> {
+          to.open.remove(connection);
+          forget(host, to);
+        });
   }
 
   private void forget(String name, Host host) {
@@ -130,8 +142,10 @@
 
     void send(HttpClientRequest req, byte[] body) {
       if (settled || clock.now() >= until) {
-        // Given up while it waited for a connection, or about to be: a process that stood still may find the
-        // connection before the timer. Nothing has left yet, and nothing may. Without a handler the library
+        // Given up while it waited for a connection, or about to be: a process that stood still may
+        // find the
+        // connection before the timer. Nothing has left yet, and nothing may. Without a handler the
+        // library
         // logs the reset as an error of its own.
         req.exceptionHandler(e -> {});
         req.reset();
--- a/src/main/java/io/embernotch/jobs/Cancels.java
+++ b/src/main/java/io/embernotch/jobs/Cancels.java
@@ -19,13 +19,13 @@
 import java.util.Map;
 
 /**
- * Cancellations on their way. From the moment one is asked for, nothing of the job starts and all that
- * runs is stopped; it is decided, and so told to anybody, only once no task of it can outlive {@code
- * cancel_s} from then on: each is proven gone, or its machine's worker must kill it in time whoever
- * renews the worker's lease. Behind a cut, that takes until the renewals there end.
+ * Cancellations on their way. From the moment one is asked for, nothing of the job starts and all
+ * that runs is stopped; it is decided, and so told to anybody, only once no task of it can outlive
+ * {@code cancel_s} from then on: each is proven gone, or its machine's worker must kill it in time
+ * whoever renews the worker's lease. Behind a cut, that takes until the renewals there end.
  *
- * <p>Nor is it decided while a start of ours may yet be carried out, or a task waits for its image: a cancelled
- * job once started on a machine that had hung, seconds after its user had been told.
+ * <p>Nor is it decided while a start of ours may yet be carried out, or a task waits for its image:
+ * a cancelled job once started on a machine that had hung, seconds after its user had been told.
  */
 public final class Cancels {
   private final Env env;
@@ -46,7 +46,10 @@
   /** A user wants the job cancelled; its tasks have been told to stop. */
   public void ask(Job job, Promise<Answer> reply) {
     asked.computeIfAbsent(job, j -> new ArrayList<>()).add(reply);
-    env.timers().after(env.settings().workers().reportS() / 2, () -> reply.tryComplete(Answer.later("tasks of it cannot be reached yet")));
+    env.timers()
+        .after(
+            env.settings().workers().reportS() / 2,
+            () -> reply.tryComplete(Answer.later("tasks of it cannot be reached yet")));
     check(job);
   }
 
--- a/src/main/java/io/embernotch/jobs/Chains.java
+++ b/src/main/java/io/embernotch/jobs/Chains.java
@@ -42,10 +42,13 @@
   private final Env env;
   private final Ledger ledger;
   private final Sink sink;
+
   /** The jobs that name a job, by the id of the named one, while that has not ended. */
   private final Map<String, Set<Job>> needing = new HashMap<>();
+
   /** Named jobs that the ledger does not know, and that are to be looked up in the store. */
   private final Set<String> unknown = new LinkedHashSet<>();
+
   private final Set<String> lookingUp = new LinkedHashSet<>();
   private boolean changed;
 
@@ -201,7 +204,8 @@
         if (before == null || before.end != null) {
           continue;
         }
-        long startBy = job.startByMs == Long.MAX_VALUE ? Long.MAX_VALUE : job.startByMs - runMs(before);
+        long startBy =
+            job.startByMs == Long.MAX_VALUE ? Long.MAX_VALUE : job.startByMs - runMs(before);
         if (before.rank.compareTo(rank) < 0 || startBy < before.startByMs) {
           before.rank = before.rank.compareTo(rank) < 0 ? rank : before.rank;
           before.startByMs = Math.min(before.startByMs, startBy);
--- a/src/main/java/io/embernotch/jobs/Endings.java
+++ b/src/main/java/io/embernotch/jobs/Endings.java
@@ -11,18 +11,28 @@
 import java.util.Set;
 import java.util.function.BiConsumer;
 
-/** How jobs end: decided once, told once the store holds it, and let go when nothing of them is left. */
+/**
+ * How jobs end: decided once, told once the store holds it, and let go when nothing of them is
+ * left.
+ */
 public final class Endings {
   private final Env env;
   private final Ledger ledger;
   private final Committer committer;
   private final Chains chains;
+
   /** Is told of ends with nothing open or unwritten behind them. */
   private final BiConsumer<String, Ledger.Ended> letGo;
+
   /** Jobs whose end is decided, until nothing of them is open or unwritten. */
   private final Set<Job> ending = new LinkedHashSet<>();
 
-  public Endings(Env env, Ledger ledger, Committer committer, Chains chains, BiConsumer<String, Ledger.Ended> letGo) {
+  public Endings(
+      Env env,
+      Ledger ledger,
+      Committer committer,
+      Chains chains,
+      BiConsumer<String, Ledger.Ended> letGo) {
     this.env = env;
     this.ledger = ledger;
     this.committer = committer;
@@ -41,10 +51,14 @@
     job.end = end;
     job.endedMs = env.clock().wallMs();
     ending.add(job);
-    committer.now(job, 0, Rank.FIRST, () -> {
-      job.endKept = true;
-      chains.ended(job);
-    });
+    committer.now(
+        job,
+        0,
+        Rank.FIRST,
+        () -> {
+          job.endKept = true;
+          chains.ended(job);
+        });
   }
 
   /** The end of a job follows from one that is kept; it is written for those who read the store. */
--- a/src/main/java/io/embernotch/jobs/Outcomes.java
+++ b/src/main/java/io/embernotch/jobs/Outcomes.java
@@ -32,10 +32,17 @@
 
   /**
    * @param remembered finished tasks that a machine's performance is counted from
-   * @param closed is told of each job that has one attempt less open; {@code changed} asks for a plan
+   * @param closed is told of each job that has one attempt less open; {@code changed} asks for a
+   *     plan
    */
   public Outcomes(
-      Env env, Ledger ledger, Committer committer, Endings endings, int remembered, Consumer<Job> closed, Runnable changed) {
+      Env env,
+      Ledger ledger,
+      Committer committer,
+      Endings endings,
+      int remembered,
+      Consumer<Job> closed,
+      Runnable changed) {
     this.env = env;
     this.ledger = ledger;
     this.committer = committer;
@@ -57,7 +64,9 @@
     for (Job job : ledger.jobs.values()) {
       if (job.end == Phase.CANCELLED) {
         List.copyOf(job.open.values()).forEach(a -> stops.want(a, 0));
-      } else if (job.spec.shape() == Shape.GANG && job.open.size() < job.spec.tasks() && !job.open.isEmpty()) {
+      } else if (job.spec.shape() == Shape.GANG
+          && job.open.size() < job.spec.tasks()
+          && !job.open.isEmpty()) {
         stops.breakGang(job, 0);
       }
     }
@@ -69,9 +78,13 @@
     double now = env.clock().now();
     if (LOG.isDebugEnabled()) {
       LOG.debug(
-          "{} exited: {}{}; {} s after its start, {} s of them running, {} s expected", a, cause,
-          saved ? ", saved" : "", Math.round(now - a.createdAt),
-          a.runningAt < 0 ? 0 : Math.round(now - a.runningAt), Math.round(job.spec.expectS()));
+          "{} exited: {}{}; {} s after its start, {} s of them running, {} s expected",
+          a,
+          cause,
+          saved ? ", saved" : "",
+          Math.round(now - a.createdAt),
+          a.runningAt < 0 ? 0 : Math.round(now - a.runningAt),
+          Math.round(job.spec.expectS()));
     }
     if (cause == Cause.DONE && job.spec.shape() != Shape.SERVICE) {
       finished(a, m, now);
@@ -116,7 +129,7 @@
       case ERROR -> blame.failed(a, m, now);
       case NO_ROOM, BUSY -> m.avoidUntil = now + report;
       case UNKNOWN -> job.backoffUntil = now + report / 3;
-      default -> { }
+      default -> {}
     }
     if (job.spec.shape() == Shape.GANG && job.end == null) {
       stops.breakGang(job, a.stopping ? a.stopGraceS : 0);
--- a/src/main/java/io/embernotch/jobs/Reading.java
+++ b/src/main/java/io/embernotch/jobs/Reading.java
@@ -39,14 +39,29 @@
     StoreClient store = env.store();
     store
         .list(RunCodec.JOB)
-        .compose(jobs -> store.list(RunCodec.RUN).compose(runs -> store.list(RunCodec.PART).compose(parts -> store.list(RunCodec.SHARED).map(shared -> {
-          if (!over.getAsBoolean()) {
-            sink.read(
-                base.beneath(RunCodec.JOB, jobs), base.beneath(RunCodec.RUN, runs), base.beneath(RunCodec.PART, parts),
-                base.beneathShared(shared));
-          }
-          return null;
-        }))))
+        .compose(
+            jobs ->
+                store
+                    .list(RunCodec.RUN)
+                    .compose(
+                        runs ->
+                            store
+                                .list(RunCodec.PART)
+                                .compose(
+                                    parts ->
+                                        store
+                                            .list(RunCodec.SHARED)
+                                            .map(
+                                                shared -> {
+                                                  if (!over.getAsBoolean()) {
+                                                    sink.read(
+                                                        base.beneath(RunCodec.JOB, jobs),
+                                                        base.beneath(RunCodec.RUN, runs),
+                                                        base.beneath(RunCodec.PART, parts),
+                                                        base.beneathShared(shared));
+                                                  }
+                                                  return null;
+                                                }))))
         .onFailure(
             e -> {
               LOG.info("reading the store failed: {}", e.getMessage());
--- a/src/main/java/io/embernotch/jobs/Takeover.java
+++ b/src/main/java/io/embernotch/jobs/Takeover.java
@@ -41,7 +41,16 @@
   private final double acquiredAt;
   private final Base base;
 
-  public Takeover(Env env, Ledger ledger, Committer committer, Layout layout, Chains chains, Demand demand, long baseToken, double acquiredAt, Base base) {
+  public Takeover(
+      Env env,
+      Ledger ledger,
+      Committer committer,
+      Layout layout,
+      Chains chains,
+      Demand demand,
+      long baseToken,
+      double acquiredAt,
+      Base base) {
     this.env = env;
     this.ledger = ledger;
     this.committer = committer;
@@ -63,19 +72,24 @@
     ledger.unreadable.clear();
     for (Entry e : jobs.events()) {
       String ref = e.key().substring(RunCodec.JOB.length());
-      if (!readable(e, () -> {
-        Job job = RunCodec.readJob(e.value());
-        sizes.put(ref, RunCodec.readPiece(e.value()));
-        all.put(ref, job);
-        job.again |= e.stamp() <= base.since();
-      })) {
+      if (!readable(
+          e,
+          () -> {
+            Job job = RunCodec.readJob(e.value());
+            sizes.put(ref, RunCodec.readPiece(e.value()));
+            all.put(ref, job);
+            job.again |= e.stamp() <= base.since();
+          })) {
         ledger.unreadable.add(ref);
       }
     }
     for (Entry e : runs.events()) {
       String ref = e.key().split("/")[1];
       Job job = all.get(ref);
-      if (job != null && !readable(e, () -> RunCodec.readRun(e.value(), job, sizes.get(ref), RunCodec.pieceOf(e.key())))) {
+      if (job != null
+          && !readable(
+              e,
+              () -> RunCodec.readRun(e.value(), job, sizes.get(ref), RunCodec.pieceOf(e.key())))) {
         // What runs of it is not known, so it waits until nothing can.
         job.notBefore = acquiredAt + Leases.longestS(env.settings());
       }
@@ -85,14 +99,15 @@
       StoredPart part = StoredPart.of(e);
       partsOf.computeIfAbsent(part.ref(), r -> new ArrayList<>()).add(part);
     }
-    partsOf.forEach((ref, list) -> {
-      Job job = all.get(ref);
-      if (job != null) {
-        committer.limitsAreLowered();
-        StoredPart.add(job, list);
-        list.forEach(p -> layout.knowPart(ref, p.size()));
-      }
-    });
+    partsOf.forEach(
+        (ref, list) -> {
+          Job job = all.get(ref);
+          if (job != null) {
+            committer.limitsAreLowered();
+            StoredPart.add(job, list);
+            list.forEach(p -> layout.knowPart(ref, p.size()));
+          }
+        });
     Stream.concat(runs.events().stream(), parts.events().stream())
         .filter(e -> isLeft(all.get(e.key().split("/")[1])))
         .forEach(e -> committer.know(e.key(), e.stamp()));
@@ -103,10 +118,16 @@
     all.values().stream()
         .filter(j -> !j.held())
         .sorted(Comparator.comparingLong(j -> j.sinceMs))
-        .forEach(j -> demand.seen(j.spec, acquiredAt - Math.max(0, env.clock().wallMs() - j.sinceMs) / 1000.0));
+        .forEach(
+            j ->
+                demand.seen(
+                    j.spec, acquiredAt - Math.max(0, env.clock().wallMs() - j.sinceMs) / 1000.0));
   }
 
-  /** One value that can't be read keeps no other from being taken over; a new steward once tried again for good. */
+  /**
+   * One value that can't be read keeps no other from being taken over; a new steward once tried
+   * again for good.
+   */
   private static boolean readable(Entry e, Runnable read) {
     try {
       read.run();
@@ -123,8 +144,8 @@
   }
 
   /**
-   * After a loss of which no steward's copy is left, tasks that were started before it may run where nobody
-   * knows. They are over once no worker can have been renewed for them any more.
+   * After a loss of which no steward's copy is left, tasks that were started before it may run
+   * where nobody knows. They are over once no worker can have been renewed for them any more.
    */
   public void waitIfUnsure(Job job) {
     if (job.again && !base.complete()) {
--- a/src/main/java/io/embernotch/jobs/UserDesk.java
+++ b/src/main/java/io/embernotch/jobs/UserDesk.java
@@ -62,12 +62,16 @@
     } else if (job.end == null && job.held()) {
       reply.complete(Answer.of(200, JobCodec.waiting(ref, job.waitingFor.size())));
     } else if (job.end != null && !job.endKept) {
-      // Its end may be in the store before we have the answer, and be told from there by another controller
-      // that we did not answer in time. So nothing older is told any more: a drawn run of losses once had
+      // Its end may be in the store before we have the answer, and be told from there by another
+      // controller
+      // that we did not answer in time. So nothing older is told any more: a drawn run of losses
+      // once had
       // a job done, then running, then done.
       Answer later = Answer.later("its end is being written");
       boolean waits = committer.whenWritten(job, 0, () -> again(ref, reply));
-      env.timers().after(waits ? env.settings().workers().reportS() / 6 : 0, () -> reply.tryComplete(later));
+      env.timers()
+          .after(
+              waits ? env.settings().workers().reportS() / 6 : 0, () -> reply.tryComplete(later));
     } else if (job.end == null && committer.whenDoneMarksAreKnown(job, () -> again(ref, reply))) {
       // The same holds for the count of done tasks.
       Answer later = Answer.later("what is done of it is being written");
@@ -131,7 +135,10 @@
       reply.complete(answer);
     } else {
       committer.now(job, 0, Rank.FIRST, () -> reply.tryComplete(answer));
-      env.timers().after(env.settings().workers().reportS(), () -> reply.tryComplete(Answer.later("not in the store yet")));
+      env.timers()
+          .after(
+              env.settings().workers().reportS(),
+              () -> reply.tryComplete(Answer.later("not in the store yet")));
     }
   }
 }
--- a/src/main/java/io/embernotch/leadership/Election.java
+++ b/src/main/java/io/embernotch/leadership/Election.java
@@ -17,8 +17,8 @@
 
 /**
  * Leadership: whoever holds the key {@code steward}, attached to its own short lease, is the one
- * that writes. The key's stamp names the stewardship: every commit of the steward conditions on
- * it, so nothing that an earlier steward sent can be applied later.
+ * that writes. The key's stamp names the stewardship: every commit of the steward conditions on it,
+ * so nothing that an earlier steward sent can be applied later.
  */
 public final class Election {
   private static final Logger LOG = LoggerFactory.getLogger(Election.class);
@@ -26,18 +26,26 @@
 
   /** What is told of leadership. */
   public interface Listener {
-    /** This node is steward; {@code stamp} is that of the key, {@code epoch} names the stewardship in all eras. */
+    /**
+     * This node is steward; {@code stamp} is that of the key, {@code epoch} names the stewardship
+     * in all eras.
+     */
     void acquired(long epoch, long stamp);
 
     void lost(String why);
 
-    /** The steward is {@code node} now, or nobody if null; whether it takes reports that others pass on. */
+    /**
+     * The steward is {@code node} now, or nobody if null; whether it takes reports that others pass
+     * on.
+     */
     void stewardIs(String node, long epoch, boolean relays);
 
     /** The controller has been heard from lately. */
     boolean isLive(String node);
 
-    /** True if another controller is better placed to contend, so that this one lets it go first. */
+    /**
+     * True if another controller is better placed to contend, so that this one lets it go first.
+     */
     boolean yieldFirst();
   }
 
@@ -61,13 +69,21 @@
   private double actsFrom;
   private long watchedStamp;
   private double watchedSince;
+
   /** A key of ours that is still there once its lease has been ended hangs on no lease. */
   private long revokedStamp = -1;
+
   private double avoidUntil = -1;
   private boolean looking;
 
   public Election(
-      Settings settings, StoreClient store, LeaseKeeper keeper, Clock clock, Timers timers, Terms terms, Listener listener) {
+      Settings settings,
+      StoreClient store,
+      LeaseKeeper keeper,
+      Clock clock,
+      Timers timers,
+      Terms terms,
+      Listener listener) {
     this.terms = terms;
     this.node = settings.node();
     this.store = store;
@@ -183,8 +199,10 @@
     }
     String holder = entry.value().path("node").asText();
     if (holder.equals(node)) {
-      // Left by this node's former process, which is dead: its lease need not be waited for. Or put back,
-      // in which case there may be no lease that could end, and no answer that shows how old the key is.
+      // Left by this node's former process, which is dead: its lease need not be waited for. Or put
+      // back,
+      // in which case there may be no lease that could end, and no answer that shows how old the
+      // key is.
       if (entry.stamp() == revokedStamp) {
         terms.orphaned(node);
       }
@@ -196,13 +214,18 @@
       return;
     }
     watchOver(entry, holder);
-    listener.stewardIs(holder, entry.value().path("floor").asLong(0) + entry.stamp(), entry.value().path("relay").asBoolean());
-    store.watch(KEY, entry.stamp(), 2 * lifeS).onComplete(r -> timers.after(r.failed() ? lifeS / 8 : 0.001, this::look));
+    listener.stewardIs(
+        holder,
+        entry.value().path("floor").asLong(0) + entry.stamp(),
+        entry.value().path("relay").asBoolean());
+    store
+        .watch(KEY, entry.stamp(), 2 * lifeS)
+        .onComplete(r -> timers.after(r.failed() ? lifeS / 8 : 0.001, this::look));
   }
 
   /**
-   * A key whose lease is gone without it would never be dropped, and nobody could ever lead. So when its
-   * holder is not heard for far longer than its lease lasts, the lease is looked for.
+   * A key whose lease is gone without it would never be dropped, and nobody could ever lead. So
+   * when its holder is not heard for far longer than its lease lasts, the lease is looked for.
    */
   private void watchOver(Entry entry, String holder) {
     double now = clock.now();
@@ -211,11 +234,14 @@
       watchedSince = now;
     } else if (now - watchedSince > 4 * lifeS) {
       watchedSince = now;
-      store.leaseThere(entry.value().path("permit").asLong()).onSuccess(there -> {
-        if (!there) {
-          terms.orphaned(holder);
-        }
-      });
+      store
+          .leaseThere(entry.value().path("permit").asLong())
+          .onSuccess(
+              there -> {
+                if (!there) {
+                  terms.orphaned(holder);
+                }
+              });
     }
   }
 
@@ -255,7 +281,12 @@
     Txn txn = new Txn().when(KEY, there.stamp());
     Terms.Claim claim = terms.claim(txn);
     ObjectNode value =
-        Json.object().put("node", node).put("permit", granted).put("relay", true).put("era", claim.era()).put("floor", claim.floor());
+        Json.object()
+            .put("node", node)
+            .put("permit", granted)
+            .put("relay", true)
+            .put("era", claim.era())
+            .put("floor", claim.floor());
     store
         .commit(txn.write(KEY, value, granted), Rank.URGENT)
         .onSuccess(
@@ -320,7 +351,9 @@
     if (claim.waitS() <= 0) {
       act(granted, stamp);
     } else {
-      LOG.info("steward of a new era in {} s, when one from before cannot be live any more", claim.waitS());
+      LOG.info(
+          "steward of a new era in {} s, when one from before cannot be live any more",
+          claim.waitS());
       timers.after(claim.waitS(), () -> act(granted, stamp));
     }
   }
--- a/src/main/java/io/embernotch/leadership/Followed.java
+++ b/src/main/java/io/embernotch/leadership/Followed.java
@@ -1,9 +1,9 @@
 package io.embernotch.leadership;
 
 /**
- * Whom this controller takes for the steward: what the key says, and between two looks at it what a steward
- * says of itself. A beat may be seconds late, and its sender no steward any more or not even alive; so one
- * of a stewardship that the key has shown to be over is believed no more.
+ * Whom this controller takes for the steward: what the key says, and between two looks at it what a
+ * steward says of itself. A beat may be seconds late, and its sender no steward any more or not
+ * even alive; so one of a stewardship that the key has shown to be over is believed no more.
  */
 public final class Followed {
   private String node;
--- a/src/main/java/io/embernotch/ledger/Blame.java
+++ b/src/main/java/io/embernotch/ledger/Blame.java
@@ -11,19 +11,23 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Who is at fault when tasks fail: a machine that fails whatever it starts, or a job that was submitted with a
- * mistake and fails wherever it goes. A job that failed on several machines and nowhere succeeded is at fault,
- * and its failures speak against no machine. A machine is at fault once several jobs speak against it, those that
- * succeed elsewhere more than those of which nothing is known yet.
+ * Who is at fault when tasks fail: a machine that fails whatever it starts, or a job that was
+ * submitted with a mistake and fails wherever it goes. A job that failed on several machines and
+ * nowhere succeeded is at fault, and its failures speak against no machine. A machine is at fault
+ * once several jobs speak against it, those that succeed elsewhere more than those of which nothing
+ * is known yet.
  *
- * <p>A single job once was enough to have a machine returned that it had failed on three times, so a gang with a
- * mistake cost a machine and a boot with each of its first tries.
+ * <p>A single job once was enough to have a machine returned that it had failed on three times, so
+ * a gang with a mistake cost a machine and a boot with each of its first tries.
  */
 public final class Blame {
   private static final Logger LOG = LoggerFactory.getLogger(Blame.class);
   private static final double EPS = 1e-6;
 
-  /** What a job's failures count that succeeds elsewhere, and one's of which that is not known; 1 is enough. */
+  /**
+   * What a job's failures count that succeeds elsewhere, and one's of which that is not known; 1 is
+   * enough.
+   */
   private static final double SOUND = 0.5;
 
   private static final double UNKNOWN = 1.0 / 3;
@@ -47,9 +51,11 @@
       job.errorMachines.add(m.name);
     }
     if (job.fails()) {
-      // Tried again with one task at a time, so what that costs is bounded however large the job is.
+      // Tried again with one task at a time, so what that costs is bounded however large the job
+      // is.
       int again = job.errorMachines.size() - Job.MANY_MACHINES;
-      job.backoffUntil = now + Math.min(env.settings().workers().leaseS(), report * (1 << Math.min(5, again)));
+      job.backoffUntil =
+          now + Math.min(env.settings().workers().leaseS(), report * (1 << Math.min(5, again)));
       excuse(job);
       return;
     }
@@ -58,7 +64,9 @@
     judge(m);
   }
 
-  /** A task was done: neither its machine nor its job is at fault. What failed the job elsewhere is. */
+  /**
+   * A task was done: neither its machine nor its job is at fault. What failed the job elsewhere is.
+   */
   public void cleared(Job job, Machine m) {
     m.errorStreak = 0;
     m.failures.clear();
--- a/src/main/java/io/embernotch/ledger/Demand.java
+++ b/src/main/java/io/embernotch/ledger/Demand.java
@@ -40,7 +40,10 @@
   private final Predicate<JobSpec> patient;
   private final Map<String, Kind> kinds = new LinkedHashMap<>();
 
-  /** @param patient no room is kept for such jobs: one of a guest's arrays had machines rented for the next one like it */
+  /**
+   * @param patient no room is kept for such jobs: one of a guest's arrays had machines rented for
+   *     the next one like it
+   */
   public Demand(Predicate<JobSpec> patient) {
     this.patient = patient;
   }
--- a/src/main/java/io/embernotch/ledger/Largest.java
+++ b/src/main/java/io/embernotch/ledger/Largest.java
@@ -6,7 +6,10 @@
 import java.util.TreeMap;
 import org.HdrHistogram.Histogram;
 
-/** How long the largest jobs of each class, a tenth of them by tasks, wait until they begin, under this steward. */
+/**
+ * How long the largest jobs of each class, a tenth of them by tasks, wait until they begin, under
+ * this steward.
+ */
 public final class Largest {
   private static final double PERCENTILE = 90;
   private static final long MOST_TASKS = 100_000;
@@ -37,20 +40,28 @@
     Map<String, Long> waiting = new TreeMap<>();
     for (Job j : jobs) {
       Kind k = kinds.get(j.spec.jobClass());
-      boolean waits = j.pendingCount() > 0 && j.open.isEmpty() && j.done.isEmpty() && j.restarted.isEmpty();
+      boolean waits =
+          j.pendingCount() > 0 && j.open.isEmpty() && j.done.isEmpty() && j.restarted.isEmpty();
       if (k != null && waits && k.large(j)) {
         waiting.merge(j.spec.jobClass(), wallMs - j.sinceMs, Math::max);
       }
     }
     StringBuilder s = new StringBuilder();
-    kinds.forEach((name, k) -> {
-      s.append(s.isEmpty() ? "" : "; ").append(name).append(' ').append(k.waits.getTotalCount());
-      s.append(": p50 ").append(k.waits.getValueAtPercentile(50)).append(", p99 ").append(k.waits.getValueAtPercentile(99));
-      s.append(", max ").append(k.waits.getMaxValue()).append(" ms");
-      if (waiting.containsKey(name)) {
-        s.append(", one waits since ").append(waiting.get(name)).append(" ms");
-      }
-    });
+    kinds.forEach(
+        (name, k) -> {
+          s.append(s.isEmpty() ? "" : "; ")
+              .append(name)
+              .append(' ')
+              .append(k.waits.getTotalCount());
+          s.append(": p50 ")
+              .append(k.waits.getValueAtPercentile(50))
+              .append(", p99 ")
+              .append(k.waits.getValueAtPercentile(99));
+          s.append(", max ").append(k.waits.getMaxValue()).append(" ms");
+          if (waiting.containsKey(name)) {
+            s.append(", one waits since ").append(waiting.get(name)).append(" ms");
+          }
+        });
     return s.isEmpty() ? null : s.toString();
   }
 }
--- a/src/main/java/io/embernotch/ledger/Ledger.java
+++ b/src/main/java/io/embernotch/ledger/Ledger.java
@@ -25,13 +25,19 @@
 
   /** Jobs that have not ended, or still have open attempts. */
   public final Map<String, Job> jobs = new LinkedHashMap<>();
+
   public final Map<String, Ended> ended = new HashMap<>();
-  /** Jobs that were accepted and whose description can't be read: they stay known, and can't run. */
+
+  /**
+   * Jobs that were accepted and whose description can't be read: they stay known, and can't run.
+   */
   public final Set<String> unreadable = new HashSet<>();
+
   public final Map<String, Machine> machines = new TreeMap<>();
   public final Map<String, MachineType> types = new LinkedHashMap<>();
 
   public final Largest largest = new Largest();
+
   /** Sizes of images in GB, as far as jobs that need them have been seen to run. */
   public final Map<String, Double> imageGb = new HashMap<>();
 
--- a/src/main/java/io/embernotch/ledger/Overview.java
+++ b/src/main/java/io/embernotch/ledger/Overview.java
@@ -24,12 +24,21 @@
     ObjectNode queue = o.putObject("queue");
     classes.forEach(
         (name, c) ->
-            queue.putObject(name).put("jobs", c[0]).put("pending", c[1]).put("running", c[2]).put("placed", c[3]));
+            queue
+                .putObject(name)
+                .put("jobs", c[0])
+                .put("pending", c[1])
+                .put("running", c[2])
+                .put("placed", c[3]));
     ObjectNode machines = o.putObject("machines");
     for (Machine m : ledger.machines.values()) {
       ObjectNode n = machines.putObject(m.name);
       n.put("type", m.type == null ? null : m.type.name()).put("zone", m.zone).put("spot", m.spot);
-      n.put("state", m.deleting ? "returning" : m.failed ? "failed" : !m.up() ? "booting" : m.cordoned ? "cordoned" : "up");
+      n.put(
+          "state",
+          m.deleting
+              ? "returning"
+              : m.failed ? "failed" : !m.up() ? "booting" : m.cordoned ? "cordoned" : "up");
       n.put("tasks", m.open.size());
     }
     o.put("waiting_for_others", waiting);
--- a/src/main/java/io/embernotch/ledger/Summary.java
+++ b/src/main/java/io/embernotch/ledger/Summary.java
@@ -31,12 +31,28 @@
       pending += j.pendingCount();
       open += j.open.size();
     }
-    return "machines: ordinary " + line(kinds[0]) + "; spot " + line(kinds[1]) + "; tasks: " + open
-        + " placed, " + pending + " waiting";
+    return "machines: ordinary "
+        + line(kinds[0])
+        + "; spot "
+        + line(kinds[1])
+        + "; tasks: "
+        + open
+        + " placed, "
+        + pending
+        + " waiting";
   }
 
   private static String line(int[] k) {
-    return k[0] + " booting, " + k[1] + " idle, " + k[2] + " with services, " + k[3] + " with gangs, " + k[4] + " with arrays";
+    return k[0]
+        + " booting, "
+        + k[1]
+        + " idle, "
+        + k[2]
+        + " with services, "
+        + k[3]
+        + " with gangs, "
+        + k[4]
+        + " with arrays";
   }
 
   private static boolean has(Machine m, Shape shape) {
--- a/src/main/java/io/embernotch/machines/Asking.java
+++ b/src/main/java/io/embernotch/machines/Asking.java
@@ -11,7 +11,10 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Machines that are asked for their state, because they are silent, not found yet, or said what may be old. */
+/**
+ * Machines that are asked for their state, because they are silent, not found yet, or said what may
+ * be old.
+ */
 final class Asking {
   private static final Logger LOG = LoggerFactory.getLogger(Asking.class);
 
@@ -22,7 +25,12 @@
   private final BiConsumer<WorkerReport, Machine> absorb;
 
   /** {@code absorb} takes what a machine answers. */
-  Asking(Env env, Lanes lanes, Hearing hearing, double callS, BiConsumer<WorkerReport, Machine> absorb) {
+  Asking(
+      Env env,
+      Lanes lanes,
+      Hearing hearing,
+      double callS,
+      BiConsumer<WorkerReport, Machine> absorb) {
     this.env = env;
     this.lanes = lanes;
     this.hearing = hearing;
@@ -30,7 +38,10 @@
     this.absorb = absorb;
   }
 
-  /** Because of a report that was no news: copies may come by the hundred, so once in a report period. */
+  /**
+   * Because of a report that was no news: copies may come by the hundred, so once in a report
+   * period.
+   */
   void once(Machine m) {
     double now = env.clock().now();
     if (now - m.askedAt > env.settings().workers().reportS()) {
@@ -48,15 +59,19 @@
 
   /** Looks for a machine that has not found us; in vain once it has. */
   void find(Machine m) {
-    if (!m.up() && !m.deleting && !m.probing && m.address != null
+    if (!m.up()
+        && !m.deleting
+        && !m.probing
+        && m.address != null
         && lanes.enter(m, Lanes.Need.FIND, () -> find(m))) {
       ask(m);
     }
   }
 
   /**
-   * What the machine says now counts from before what it has said: it has begun another life under its name,
-   * which knows of no token, and holds what it lists. Without this all it says would be taken for late.
+   * What the machine says now counts from before what it has said: it has begun another life under
+   * its name, which knows of no token, and holds what it lists. Without this all it says would be
+   * taken for late.
    */
   private static void anew(Machine m) {
     LOG.info("machine {} counts anew", m.name);
@@ -65,7 +80,8 @@
     m.seenToken = 0;
     m.toldToken = 0;
     m.shownToken = 0;
-    // No former life has seen this token, so what shows a lower one is of theirs, or says nothing yet.
+    // No former life has seen this token, so what shows a lower one is of theirs, or says nothing
+    // yet.
     m.token++;
     m.lifeToken = m.token;
     m.images.clear();
--- a/src/main/java/io/embernotch/machines/Delegations.java
+++ b/src/main/java/io/embernotch/machines/Delegations.java
@@ -10,17 +10,18 @@
 import java.util.Set;
 
 /**
- * What the steward knows of the controllers that may renew workers of their zone when they are cut off
- * ({@link Standby}): until when each may have done so.
+ * What the steward knows of the controllers that may renew workers of their zone when they are cut
+ * off ({@link Standby}): until when each may have done so.
  *
- * <p>A controller renews nothing before {@code contactS} after the sending of a message that we have
- * answered. Say its message n acknowledges our answer to k, and k acknowledged our answer to j. Then k
- * was sent after we answered j, so up to {@code contactS} after that answer it renewed nothing by
- * itself but what n owns up to. All times are ours; held and late messages only make them earlier.
+ * <p>A controller renews nothing before {@code contactS} after the sending of a message that we
+ * have answered. Say its message n acknowledges our answer to k, and k acknowledged our answer to
+ * j. Then k was sent after we answered j, so up to {@code contactS} after that answer it renewed
+ * nothing by itself but what n owns up to. All times are ours; held and late messages only make
+ * them earlier.
  *
- * <p>Numbers are never those of another life ({@link Lifetime}), so a late message of a former one proves the
- * same: the life that followed had not begun when k was sent, and renews nothing for {@code contactS} from its
- * beginning.
+ * <p>Numbers are never those of another life ({@link Lifetime}), so a late message of a former one
+ * proves the same: the life that followed had not begun when k was sent, and renews nothing for
+ * {@code contactS} from its beginning.
  */
 public final class Delegations {
   private static final int REMEMBERED = 64;
@@ -31,6 +32,7 @@
     double renewedAt = -1e9;
     double safeUntil = -1e9;
     double grantEnds;
+
     /** The life of the process that wrote last; see {@link Lifetime}. */
     long life = -1;
   }
@@ -41,8 +43,8 @@
   private final Set<String> waiting;
 
   /**
-   * @param waiting controllers that are known to wait with cancellations, whoever leads; those that write are added.
-   *     A controller is only ever replaced by one of its version or a later one
+   * @param waiting controllers that are known to wait with cancellations, whoever leads; those that
+   *     write are added. A controller is only ever replaced by one of its version or a later one
    */
   public Delegations(Settings settings, double acquiredAt, Set<String> waiting) {
     this.settings = settings;
@@ -55,10 +57,10 @@
   }
 
   /**
-   * Every other controller is known to be of a version that waits with cancellations. While one may not
-   * be, nobody renews for longer than the former version counts on. A leader that was cut off alone writes to no
-   * successor; what it had answered as a leader tells its version as well. When only those that wrote counted, a
-   * state outage after such a cut ended all that ran.
+   * Every other controller is known to be of a version that waits with cancellations. While one may
+   * not be, nobody renews for longer than the former version counts on. A leader that was cut off
+   * alone writes to no successor; what it had answered as a leader tells its version as well. When
+   * only those that wrote counted, a state outage after such a cut ended all that ran.
    */
   public boolean allNew() {
     return settings.members().stream().allMatch(m -> waiting.contains(m.node()));
@@ -71,7 +73,11 @@
 
   /** The zone of a controller; null if the settings do not know it. */
   public String zoneOf(String node) {
-    return settings.members().stream().filter(m -> m.node().equals(node)).map(Settings.Member::location).findFirst().orElse(null);
+    return settings.members().stream()
+        .filter(m -> m.node().equals(node))
+        .map(Settings.Member::location)
+        .findFirst()
+        .orElse(null);
   }
 
   /** The message is of another life of its process than the one before, or the first at all. */
@@ -81,8 +87,8 @@
   }
 
   /**
-   * A controller has written. {@code may} be given the right if our lease is proven, and no job whose
-   * cancellation was told has tasks left in its zone. Returns the answer to send at once.
+   * A controller has written. {@code may} be given the right if our lease is proven, and no job
+   * whose cancellation was told has tasks left in its zone. Returns the answer to send at once.
    */
   public Frame.Noted heard(Frame.Here h, long epoch, boolean may, double now) {
     waiting.add(h.node());
@@ -90,7 +96,8 @@
     w.life = Lifetime.of(h.seq());
     if (h.ack() == 0 || w.answeredAt.isEmpty()) {
       // What its former process, or it under an earlier steward, has renewed, nobody owns up to.
-      w.renewedAt = Math.max(w.renewedAt, Math.min(now, Math.max(acquiredAt + longestHold(), w.grantEnds)));
+      w.renewedAt =
+          Math.max(w.renewedAt, Math.min(now, Math.max(acquiredAt + longestHold(), w.grantEnds)));
     }
     if (h.renewedAgoS() >= 0) {
       w.renewedAt = Math.max(w.renewedAt, now - h.renewedAgoS());
@@ -109,7 +116,10 @@
     return new Frame.Noted(epoch, h.seq(), granted);
   }
 
-  /** No controller has renewed a worker of this zone by itself later than at this time, counted at {@code now}. */
+  /**
+   * No controller has renewed a worker of this zone by itself later than at this time, counted at
+   * {@code now}.
+   */
   public double renewedUntil(String zone, double now) {
     double latest = -1e9;
     for (Settings.Member m : settings.members()) {
@@ -125,7 +135,9 @@
     if (w == null) {
       return Math.min(now, others);
     }
-    return now <= w.safeUntil ? w.renewedAt : Math.max(w.renewedAt, Math.min(now, Math.max(others, w.grantEnds)));
+    return now <= w.safeUntil
+        ? w.renewedAt
+        : Math.max(w.renewedAt, Math.min(now, Math.max(others, w.grantEnds)));
   }
 
   /** Renewals of this zone's workers that nobody else can stop end by this time. */
@@ -134,7 +146,8 @@
     for (Settings.Member m : settings.members()) {
       if (m.location().equals(zone)) {
         Delegation w = delegations.get(m.node());
-        latest = Math.max(latest, Math.max(acquiredAt + longestHold(), w == null ? 0 : w.grantEnds));
+        latest =
+            Math.max(latest, Math.max(acquiredAt + longestHold(), w == null ? 0 : w.grantEnds));
       }
     }
     return latest;
--- a/src/main/java/io/embernotch/machines/Hearing.java
+++ b/src/main/java/io/embernotch/machines/Hearing.java
@@ -8,23 +8,30 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Whether a machine hears us. Its reports may arrive while neither answers nor commands reach it: it is no more
- * silent than any other, so it took starts again with each plan, each of them cost commits, and a gang with a task
- * there never began.
+ * Whether a machine hears us. Its reports may arrive while neither answers nor commands reach it:
+ * it is no more silent than any other, so it took starts again with each plan, each of them cost
+ * commits, and a gang with a task there never began.
  *
- * <p>What proves hearing is a token of ours that the machine has not shown before, or an answer to a call. What
- * speaks against it: a report that still shows a lower token than the one before it was answered with; one that
- * comes by another controller right after the last one did, since only who gets no answer goes on; a lease that ran out
- * although its reports were answered; a call that was tried and not answered. Where nothing new was to be shown, the
- * next answer carries a token raised by one, and the report after it tells.
+ * <p>What proves hearing is a token of ours that the machine has not shown before, or an answer to
+ * a call. What speaks against it: a report that still shows a lower token than the one before it
+ * was answered with; one that comes by another controller right after the last one did, since only
+ * who gets no answer goes on; a lease that ran out although its reports were answered; a call that
+ * was tried and not answered. Where nothing new was to be shown, the next answer carries a token
+ * raised by one, and the report after it tells.
  */
 final class Hearing {
   private static final Logger LOG = LoggerFactory.getLogger(Hearing.class);
 
-  /** So many signs in a row, and it is taken for deaf: one answer may be late, or a controller have ended. */
+  /**
+   * So many signs in a row, and it is taken for deaf: one answer may be late, or a controller have
+   * ended.
+   */
   static final int ENOUGH = 2;
 
-  /** Machines whose calls fail one after the other while none is answered: it is rather we who reach nobody. */
+  /**
+   * Machines whose calls fail one after the other while none is answered: it is rather we who reach
+   * nobody.
+   */
   private static final int OURS = 3;
 
   private final long epochBase;
@@ -37,7 +44,10 @@
     this.reportS = reportS;
   }
 
-  /** A newer report came by the controller {@code via}, a number of its life. The state of {@code m} is from before it. */
+  /**
+   * A newer report came by the controller {@code via}, a number of its life. The state of {@code m}
+   * is from before it.
+   */
   void reported(Machine m, WorkerReport r, long via, double now) {
     boolean moved = m.reportedVia != Machine.NOWHERE && m.reportedVia != via;
     boolean answered = m.toldToken > 0;
@@ -93,8 +103,9 @@
   }
 
   /**
-   * A call that was tried got no answer. A steward that reaches no worker at all, and is heard through the other
-   * controllers, must not take each of them for deaf: their answers to reports tell.
+   * A call that was tried got no answer. A steward that reaches no worker at all, and is heard
+   * through the other controllers, must not take each of them for deaf: their answers to reports
+   * tell.
    */
   void unanswered(Machine m, double now) {
     test(m);
--- a/src/main/java/io/embernotch/machines/Lanes.java
+++ b/src/main/java/io/embernotch/machines/Lanes.java
@@ -6,10 +6,10 @@
 import java.util.Map;
 
 /**
- * Calls to machines that are under way, and what waits for its turn: live services first, machines that
- * are not heard last, so that a silent half of the fleet takes nothing from the other. After a takeover a
- * thousand probes and commands left at once; what did not find a connection was given up for most of a
- * report period, and live services were started behind all others.
+ * Calls to machines that are under way, and what waits for its turn: live services first, machines
+ * that are not heard last, so that a silent half of the fleet takes nothing from the other. After a
+ * takeover a thousand probes and commands left at once; what did not find a connection was given up
+ * for most of a report period, and live services were started behind all others.
  */
 public final class Lanes {
   /** Whom a call is for, and which share of all calls may be under way when one more begins. */
@@ -33,7 +33,9 @@
   private int underWay;
   private boolean letting;
 
-  /** @param most calls under way at a time */
+  /**
+   * @param most calls under way at a time
+   */
   public Lanes(int most) {
     this.most = most;
     for (Need n : Need.values()) {
@@ -41,7 +43,10 @@
     }
   }
 
-  /** True if a call may begin now; it ends with {@link #leave}. Else {@code again} asks once there is room. */
+  /**
+   * True if a call may begin now; it ends with {@link #leave}. Else {@code again} asks once there
+   * is room.
+   */
   public boolean enter(Machine m, Need need, Runnable again) {
     if (hasRoom(need) && (letting || waiting.get(need).isEmpty())) {
       underWay++;
--- a/src/main/java/io/embernotch/machines/Leases.java
+++ b/src/main/java/io/embernotch/machines/Leases.java
@@ -5,8 +5,8 @@
 import io.embernotch.settings.Settings;
 
 /**
- * Until when a worker may keep what it runs: its lease, counted from the latest moment at which anybody
- * can have renewed it. All times are seconds of our steady clock.
+ * Until when a worker may keep what it runs: its lease, counted from the latest moment at which
+ * anybody can have renewed it. All times are seconds of our steady clock.
  */
 public final class Leases {
   private final Settings settings;
@@ -23,12 +23,18 @@
     this.acquiredAt = clock.now();
   }
 
-  /** Seconds after its last renewal at which a worker has killed everything, with drift and some to spare. */
+  /**
+   * Seconds after its last renewal at which a worker has killed everything, with drift and some to
+   * spare.
+   */
   private static double lifeS(Settings settings) {
     return settings.workers().leaseS() * (1 + 2 * Settings.DRIFT) + 0.5;
   }
 
-  /** Seconds after which nothing runs any more that somebody before us has renewed, whoever that was. */
+  /**
+   * Seconds after which nothing runs any more that somebody before us has renewed, whoever that
+   * was.
+   */
   public static double longestS(Settings settings) {
     return settings.holdS() * (1 + Settings.DRIFT) + lifeS(settings);
   }
@@ -39,8 +45,9 @@
   }
 
   /**
-   * True once the machine's worker must have killed everything: nobody can have renewed its lease for
-   * longer than it lasts, neither an earlier steward nor a controller cut off with the machine's zone.
+   * True once the machine's worker must have killed everything: nobody can have renewed its lease
+   * for longer than it lasts, neither an earlier steward nor a controller cut off with the
+   * machine's zone.
    */
   boolean over(Machine m) {
     double now = clock.now();
@@ -49,11 +56,15 @@
     return now > Math.max(m.renewedAt, Math.max(othersUntil(m), delegatedUntil)) + lifeS(settings);
   }
 
-  /** What is on a machine that we never reach again is gone by this time, whoever else renews its worker. */
+  /**
+   * What is on a machine that we never reach again is gone by this time, whoever else renews its
+   * worker.
+   */
   double goneBy(Machine m) {
     if (m.zone == null) {
       return Double.MAX_VALUE;
     }
-    return Math.max(m.renewedAt, Math.max(othersUntil(m), delegations.renewalEnds(m.zone))) + lifeS(settings);
+    return Math.max(m.renewedAt, Math.max(othersUntil(m), delegations.renewalEnds(m.zone)))
+        + lifeS(settings);
   }
 }
--- a/src/main/java/io/embernotch/machines/ReportOrders.java
+++ b/src/main/java/io/embernotch/machines/ReportOrders.java
@@ -29,7 +29,10 @@
     this.outcome = outcome;
   }
 
-  /** The orders; {@code trusted}: our lease is proven, so that more may be done than to stop what is to end. */
+  /**
+   * The orders; {@code trusted}: our lease is proven, so that more may be done than to stop what is
+   * to end.
+   */
   List<Order> of(Machine m, WorkerReport r, boolean trusted) {
     List<Order> orders = new ArrayList<>();
     if (r.session() == m.session) {
@@ -53,7 +56,8 @@
   }
 
   static boolean stopDue(Attempt a) {
-    return a.stopping && (a.start == Start.HELD || a.start == Start.UNSURE || a.start == Start.IN_RESPONSE);
+    return a.stopping
+        && (a.start == Start.HELD || a.start == Start.UNSURE || a.start == Start.IN_RESPONSE);
   }
 
   static Order stop(Attempt a) {
@@ -64,7 +68,10 @@
     return new Order(Order.Verb.START, a.job.spec.ref(), a.task, a.number, 0);
   }
 
-  /** Where the direct way has just failed, or is waited for, starts go out with the response instead. */
+  /**
+   * Where the direct way has just failed, or is waited for, starts go out with the response
+   * instead.
+   */
   private void addStarts(Machine m, List<Order> orders) {
     boolean failed = env.clock().now() - m.doFailedAt <= 2 * env.settings().workers().reportS();
     if (m.doInFlight || !(failed || lanes.waits(m))) {
@@ -80,10 +87,10 @@
   }
 
   /**
-   * Lets the worker forget exited attempts, once what they mean is in the store and no copy of their start
-   * can be carried out any more: the worker would run a forgotten attempt once more. Even a command that was
-   * answered may be repeated on its way, so the answer that forgets carries a token above all that starts
-   * have left under; the worker takes the token first.
+   * Lets the worker forget exited attempts, once what they mean is in the store and no copy of
+   * their start can be carried out any more: the worker would run a forgotten attempt once more.
+   * Even a command that was answered may be repeated on its way, so the answer that forgets carries
+   * a token above all that starts have left under; the worker takes the token first.
    */
   private void addReaps(Machine m, WorkerReport r, List<Order> orders) {
     boolean noLateStart = !m.doInFlight && r.token() > m.unsureToken && r.token() >= epochBase;
@@ -97,7 +104,12 @@
         }
       } else if (!ours) {
         // Nothing that we let run is missing from the ledger, so this must not run.
-        LOG.warn("machine {} runs {}/{}#{}, which should be gone", m.name, t.ref(), t.task(), t.attempt());
+        LOG.warn(
+            "machine {} runs {}/{}#{}, which should be gone",
+            m.name,
+            t.ref(),
+            t.task(),
+            t.attempt());
         orders.add(new Order(Order.Verb.STOP, t.ref(), t.task(), t.attempt(), 0));
       }
     }
--- a/src/main/java/io/embernotch/machines/Starts.java
+++ b/src/main/java/io/embernotch/machines/Starts.java
@@ -28,7 +28,13 @@
   private final ArrayDeque<Machine> toFlush = new ArrayDeque<>();
   private boolean liveStarted;
 
-  public Starts(Env env, Ledger ledger, Committer committer, Workers workers, double acquiredAt, BooleanSupplier mayOrder) {
+  public Starts(
+      Env env,
+      Ledger ledger,
+      Committer committer,
+      Workers workers,
+      double acquiredAt,
+      BooleanSupplier mayOrder) {
     this.env = env;
     this.ledger = ledger;
     this.committer = committer;
@@ -47,32 +53,39 @@
     for (Plan.Placement p : s.placements()) {
       Attempt a = ledger.open(job, p.task(), number, p.machine(), now);
       job.wishes.remove(p.task());
-      committer.now(job, p.task(), live ? Rank.FIRST : Rank.USUAL, () -> {
-        if (Ledger.isOpen(a) && a.start == Attempt.Start.UNCOMMITTED && job.end == null) {
-          a.start = Attempt.Start.READY;
-          flushSoon(p.machine());
-          if (live && !liveStarted) {
-            liveStarted = true;
-            double at = env.clock().now();
-            LOG.info(
-                "first live start {} ms after the takeover, {} ms after it was planned",
-                Math.round((at - acquiredAt) * 1000), Math.round((at - now) * 1000));
-          }
-        }
-      });
+      committer.now(
+          job,
+          p.task(),
+          live ? Rank.FIRST : Rank.USUAL,
+          () -> {
+            if (Ledger.isOpen(a) && a.start == Attempt.Start.UNCOMMITTED && job.end == null) {
+              a.start = Attempt.Start.READY;
+              flushSoon(p.machine());
+              if (live && !liveStarted) {
+                liveStarted = true;
+                double at = env.clock().now();
+                LOG.info(
+                    "first live start {} ms after the takeover, {} ms after it was planned",
+                    Math.round((at - acquiredAt) * 1000),
+                    Math.round((at - now) * 1000));
+              }
+            }
+          });
     }
   }
 
   /** Gathers the starts of one commit, so that each machine gets one command. */
   private void flushSoon(Machine m) {
     if (toFlush.isEmpty()) {
-      env.loop().execute(() -> {
-        Set<Machine> all = Set.copyOf(toFlush);
-        toFlush.clear();
-        if (mayOrder.getAsBoolean()) {
-          all.forEach(workers::flush);
-        }
-      });
+      env.loop()
+          .execute(
+              () -> {
+                Set<Machine> all = Set.copyOf(toFlush);
+                toFlush.clear();
+                if (mayOrder.getAsBoolean()) {
+                  all.forEach(workers::flush);
+                }
+              });
     }
     toFlush.add(m);
   }
--- a/src/main/java/io/embernotch/machines/Stops.java
+++ b/src/main/java/io/embernotch/machines/Stops.java
@@ -16,10 +16,12 @@
   private final Ledger ledger;
   private final Workers workers;
   private final Consumer<Attempt> close;
+
   /** Before the store is read, orders wait. */
   private final BooleanSupplier mayOrder;
 
-  public Stops(Env env, Ledger ledger, Workers workers, Consumer<Attempt> close, BooleanSupplier mayOrder) {
+  public Stops(
+      Env env, Ledger ledger, Workers workers, Consumer<Attempt> close, BooleanSupplier mayOrder) {
     this.env = env;
     this.ledger = ledger;
     this.workers = workers;
@@ -64,7 +66,10 @@
     }
   }
 
-  /** Empties a machine that the cloud takes back; true once one that is to hold nothing more is empty. */
+  /**
+   * Empties a machine that the cloud takes back; true once one that is to hold nothing more is
+   * empty.
+   */
   public boolean drained(Machine m) {
     if (m.recallAt >= 0) {
       for (Attempt a : List.copyOf(m.open.values())) {
--- a/src/main/java/io/embernotch/model/Attempt.java
+++ b/src/main/java/io/embernotch/model/Attempt.java
@@ -26,15 +26,21 @@
   public final long number;
   public final String machine;
   public final String zone;
+
   /** Highest token under which its start may have left. */
   public long startToken;
+
   public Start start = Start.UNCOMMITTED;
   public TaskState state;
+
   /** An earlier leader opened it. */
   public boolean inherited;
+
   public double createdAt;
+
   /** When it was first seen running; below 0 until then. */
   public double runningAt = -1;
+
   public boolean stopping;
   public double stopGraceS;
   public double stopAskedAt = -1;
@@ -50,8 +56,9 @@
   }
 
   /**
-   * A command that starts it may be on its way, or it waits for its image where it is. What was started under tokens
-   * below {@code base}, by an earlier leader, is taken for running: nothing tells since when.
+   * A command that starts it may be on its way, or it waits for its image where it is. What was
+   * started under tokens below {@code base}, by an earlier leader, is taken for running: nothing
+   * tells since when.
    */
   public boolean mayYetStart(long base) {
     return switch (start) {
@@ -63,8 +70,9 @@
   }
 
   /**
-   * It runs, or nothing is known but that it may: it was started by an earlier leader, or its command got no answer. A
-   * new leader that took what it had not heard of for queued once contradicted what users had been told before.
+   * It runs, or nothing is known but that it may: it was started by an earlier leader, or its
+   * command got no answer. A new leader that took what it had not heard of for queued once
+   * contradicted what users had been told before.
    */
   public boolean mayRun() {
     if (state != null) {
--- a/src/main/java/io/embernotch/model/Era.java
+++ b/src/main/java/io/embernotch/model/Era.java
@@ -4,23 +4,36 @@
 import java.util.List;
 
 /**
- * One life of what the state service holds for us. It begins when the first steward finds nothing, and
- * anew after each loss of data.
+ * One life of what the state service holds for us. It begins when the first steward finds nothing,
+ * and anew after each loss of data.
  *
  * @param name no other era has it
  * @param stamp of its key, which every transaction of the era conditions on
- * @param floor added to the stamp of a steward's key to get its epoch: epochs go on rising when stamps begin again
- * @param base the name under which the packed copy lies that it began with; null: it began with nothing
+ * @param floor added to the stamp of a steward's key to get its epoch: epochs go on rising when
+ *     stamps begin again
+ * @param base the name under which the packed copy lies that it began with; null: it began with
+ *     nothing
  * @param blocks number of blocks of that copy
  * @param crc checksum of the whole copy
  * @param since keys of this stamp or a lower one are older than that copy; 0: the era's own stamp
  * @param after names of the eras before it, the latest first
  */
-public record Era(String name, long stamp, long floor, String base, int blocks, long crc, long since, List<String> after) {
+public record Era(
+    String name,
+    long stamp,
+    long floor,
+    String base,
+    int blocks,
+    long crc,
+    long since,
+    List<String> after) {
   /** Eras before one that are remembered: far more than there are between two looks at it. */
   private static final int REMEMBERED = 32;
 
-  /** True if whoever knew {@code other} may go over to this one, which was made from what that one held. */
+  /**
+   * True if whoever knew {@code other} may go over to this one, which was made from what that one
+   * held.
+   */
   public boolean follows(Era other) {
     return after.contains(other.name);
   }
--- a/src/main/java/io/embernotch/model/Load.java
+++ b/src/main/java/io/embernotch/model/Load.java
@@ -12,14 +12,19 @@
   public final double cpus;
   public final double gpus;
   public final double memGb;
+
   /** The part of it that is being stopped. */
   public final double freeingCpus;
+
   public final double freeingGpus;
   public final double freeingMemGb;
+
   /** Holds work that may not run on spot machines, so it is paid for whatever else it does. */
   public final boolean pinned;
+
   /** Least priority of what is not being stopped, or null if nothing is. */
   public final Priority least;
+
   /** Images that are being fetched. */
   public final Set<String> fetching;
 
--- a/src/main/java/io/embernotch/model/MachineType.java
+++ b/src/main/java/io/embernotch/model/MachineType.java
@@ -2,6 +2,10 @@
 
 import java.util.List;
 
+/**
+ * A type of machine as the cloud offers it: amounts of one machine, prices per hour, seconds and
+ * gigabytes.
+ */
 public record MachineType(
     String name,
     double cpus,
--- a/src/main/java/io/embernotch/peer/Frame.java
+++ b/src/main/java/io/embernotch/peer/Frame.java
@@ -15,6 +15,7 @@
 
   /** A user's request, forwarded to the steward. */
   record Ask(long id, What what, String ref) implements Frame {
+    /** What the leader is asked for. */
     public enum What {
       POLL,
       ABORT,
@@ -25,6 +26,7 @@
   /** A submission, passed on by a controller that the state service does not answer. */
   record Submit(long id, byte[] body) implements Frame {}
 
+  /** The answer to the question with this number. */
   record Told(long id, int status, int retryAfterS, byte[] body) implements Frame {}
 
   /** The steward's view of a machine in the receiver's part. */
@@ -37,18 +39,23 @@
   record Forget(long epoch, String machine) implements Frame {}
 
   /**
-   * A worker's report, passed on to the steward; {@link Told} answers it, unless {@code id} is 0. Only
-   * a steward whose key says that it takes them may be sent one: the former version drops the connection.
+   * A worker's report, passed on to the steward; {@link Told} answers it, unless {@code id} is 0.
+   * Only a steward whose key says that it takes them may be sent one: the former version drops the
+   * connection.
    */
   record Report(long id, WorkerReport report) implements Frame {}
 
   /**
-   * A controller is there, for a steward that takes reports: the number of this message, the highest one
-   * that was answered (0: none), and how long ago it last renewed a worker by itself; below 0: never.
+   * A controller is there, for a steward that takes reports: the number of this message, the
+   * highest one that was answered (0: none), and how long ago it last renewed a worker by itself;
+   * below 0: never.
    */
   record Here(String node, long seq, long ack, double renewedAgoS) implements Frame {}
 
-  /** The steward's answer: whether the controller may renew workers of its zone for a while if it is cut off. */
+  /**
+   * The steward's answer: whether the controller may renew workers of its zone for a while if it is
+   * cut off.
+   */
   record Noted(long epoch, long seq, boolean granted) implements Frame {}
 
   /** The restarts that a round of the owner of a part proposes to the steward. */
--- a/src/main/java/io/embernotch/peer/FrameCodec.java
+++ b/src/main/java/io/embernotch/peer/FrameCodec.java
@@ -173,9 +173,17 @@
     double recall = b.getDouble();
     List<TaskReport> tasks = new ArrayList<>();
     for (int n = b.getShort() & MAX_COUNT; n > 0; n--) {
-      tasks.add(new TaskReport(text(b), b.getInt(), b.getLong(), one(TaskState.values(), b.get()), cause(b.get()), flag(b)));
+      tasks.add(
+          new TaskReport(
+              text(b),
+              b.getInt(),
+              b.getLong(),
+              one(TaskState.values(), b.get()),
+              cause(b.get()),
+              flag(b)));
     }
-    return new WorkerReport(machine, address, type, zone, spot, session, seq, token, recall < 0 ? null : recall, tasks);
+    return new WorkerReport(
+        machine, address, type, zone, spot, session, seq, token, recall < 0 ? null : recall, tasks);
   }
 
   private static Cause cause(byte b) {
@@ -204,7 +212,10 @@
     flag(b, v.spot());
     b.putInt(v.cores()).putDouble(v.pricePerS());
     flag(b, v.usable());
-    b.putDouble(v.freeCpus()).putDouble(v.freeGpus()).putDouble(v.freeMemGb()).putInt(v.busyTasks());
+    b.putDouble(v.freeCpus())
+        .putDouble(v.freeGpus())
+        .putDouble(v.freeMemGb())
+        .putInt(v.busyTasks());
     b.putShort((short) v.ratios().size());
     v.ratios().forEach(b::putDouble);
     b.putShort((short) v.tasks().size());
@@ -241,8 +252,17 @@
     for (int n = b.getShort() & MAX_COUNT; n > 0; n--) {
       tasks.add(
           new TaskView(
-              text(b), b.getInt(), b.getLong(), b.getDouble(), b.getDouble(), b.getDouble(),
-              b.getDouble(), b.getDouble(), flag(b), text(b), types(b)));
+              text(b),
+              b.getInt(),
+              b.getLong(),
+              b.getDouble(),
+              b.getDouble(),
+              b.getDouble(),
+              b.getDouble(),
+              b.getDouble(),
+              flag(b),
+              text(b),
+              types(b)));
     }
     return new MachineView(
         machine, type, zone, spot, cores, price, usable, cpus, gpus, mem, busy, ratios, tasks);
--- a/src/main/java/io/embernotch/peer/FrameReader.java
+++ b/src/main/java/io/embernotch/peer/FrameReader.java
@@ -16,7 +16,8 @@
   /** Takes more bytes. A malformed frame throws {@link BadInput}; the stream is then of no use. */
   public void feed(byte[] bytes) {
     if (pending.remaining() < bytes.length) {
-      ByteBuffer bigger = ByteBuffer.allocate(Math.max(pending.capacity() * 2, pending.position() + bytes.length));
+      ByteBuffer bigger =
+          ByteBuffer.allocate(Math.max(pending.capacity() * 2, pending.position() + bytes.length));
       pending.flip();
       bigger.put(pending);
       pending = bigger;
--- a/src/main/java/io/embernotch/peer/VertxPeerLink.java
+++ b/src/main/java/io/embernotch/peer/VertxPeerLink.java
@@ -21,7 +21,9 @@
 public final class VertxPeerLink implements PeerLink {
   private static final Logger LOG = LoggerFactory.getLogger(VertxPeerLink.class);
 
-  /** A process may be back at once: the first try comes after this share of the time between two. */
+  /**
+   * A process may be back at once: the first try comes after this share of the time between two.
+   */
   private static final double SOON = 1.0 / 32;
 
   private final Timers timers;
@@ -85,11 +87,15 @@
             socket.close();
           }
         });
-    socket.exceptionHandler(e -> LOG.debug("connection to a controller failed: {}", e.getMessage()));
+    socket.exceptionHandler(
+        e -> LOG.debug("connection to a controller failed: {}", e.getMessage()));
     return out;
   }
 
-  /** Gathers the frames of one turn of the loop, so that passed-on reports share packets and system calls. */
+  /**
+   * Gathers the frames of one turn of the loop, so that passed-on reports share packets and system
+   * calls.
+   */
   private static final class Outbox {
     private final NetSocket socket;
     private Buffer gathered;
--- a/src/main/java/io/embernotch/plan/Amount.java
+++ b/src/main/java/io/embernotch/plan/Amount.java
@@ -17,7 +17,8 @@
 
   /** What is left of it, at least nothing, without {@code o}. */
   public Amount less(Amount o) {
-    return new Amount(Math.max(0, cpus - o.cpus), Math.max(0, gpus - o.gpus), Math.max(0, memGb - o.memGb));
+    return new Amount(
+        Math.max(0, cpus - o.cpus), Math.max(0, gpus - o.gpus), Math.max(0, memGb - o.memGb));
   }
 
   /** The larger of both in everything. */
--- a/src/main/java/io/embernotch/plan/Deadlines.java
+++ b/src/main/java/io/embernotch/plan/Deadlines.java
@@ -10,12 +10,16 @@
 import java.util.Set;
 
 /**
- * Which of the jobs that are for a release are left to be late where not all can be in time: as many as possible are
- * served by their deadline (Moore and Hodgson: in the order of deadlines, and whenever one would be late, the one that
- * takes most of the machines is left out). What is left out goes on behind, and is not starved: see {@code Planner}.
+ * Which of the jobs that are for a release are left to be late where not all can be in time: as
+ * many as possible are served by their deadline (Moore and Hodgson: in the order of deadlines, and
+ * whenever one would be late, the one that takes most of the machines is left out). What is left
+ * out goes on behind, and is not starved: see {@code Planner}.
  */
 public final class Deadlines {
-  /** One job: what it takes of all machines together, in seconds, and by when it must be done, in seconds from now. */
+  /**
+   * One job: what it takes of all machines together, in seconds, and by when it must be done, in
+   * seconds from now.
+   */
   public record Item(String ref, double takesS, double dueS) {}
 
   private Deadlines() {}
@@ -24,7 +28,9 @@
   public static Set<String> late(List<Item> items) {
     List<Item> order = new ArrayList<>(items);
     order.sort(Comparator.comparingDouble(Item::dueS).thenComparing(Item::ref));
-    PriorityQueue<Item> taken = new PriorityQueue<>(Comparator.comparingDouble(Item::takesS).reversed().thenComparing(Item::ref));
+    PriorityQueue<Item> taken =
+        new PriorityQueue<>(
+            Comparator.comparingDouble(Item::takesS).reversed().thenComparing(Item::ref));
     Set<String> late = new HashSet<>();
     double at = 0;
     for (Item i : order) {
@@ -45,11 +51,16 @@
     for (Job j : jobs) {
       j.behind = false;
       if (j.releaseByMs != Long.MAX_VALUE && j.end == null) {
-        double share = Math.max(ratio(j.spec.gpus(), room.gpus()), ratio(j.spec.cpus(), room.cpus()));
+        double share =
+            Math.max(ratio(j.spec.gpus(), room.gpus()), ratio(j.spec.cpus(), room.cpus()));
         int left = j.spec.shape() == Shape.GANG ? j.spec.tasks() : j.remaining();
         double runS = j.restMs / 1000.0;
         // Nothing is done before one of its tasks has run, however many machines there are.
-        items.add(new Item(j.spec.ref(), share * left * runS, (j.releaseByMs - wallMs) / 1000.0 - runS * (1 - Math.min(1, share * left))));
+        items.add(
+            new Item(
+                j.spec.ref(),
+                share * left * runS,
+                (j.releaseByMs - wallMs) / 1000.0 - runS * (1 - Math.min(1, share * left))));
       }
     }
     Set<String> late = late(items);
--- a/src/main/java/io/embernotch/plan/Gathering.java
+++ b/src/main/java/io/embernotch/plan/Gathering.java
@@ -12,14 +12,18 @@
 import java.util.Map;
 
 /**
- * Room for gangs that wait and find neither enough free machines nor any to be had. Places that come free one by one are
- * followed at once by what is smaller, so without this a gang of whole machines may wait for as long as small tasks
- * do not run out. Some machines therefore take nothing new but what will have ended before they are empty. How many
- * grows with what the gang has waited. The first that waits may hold all that it needs, the others only within a share of
- * the machines, so that the house is not emptied for them.
+ * Room for gangs that wait and find neither enough free machines nor any to be had. Places that
+ * come free one by one are followed at once by what is smaller, so without this a gang of whole
+ * machines may wait for as long as small tasks do not run out. Some machines therefore take nothing
+ * new but what will have ended before they are empty. How many grows with what the gang has waited.
+ * The first that waits may hold all that it needs, the others only within a share of the machines,
+ * so that the house is not emptied for them.
  */
 final class Gathering {
-  /** Workers' leases that a gang waits before room is gathered for it, and until it is for all of its tasks. */
+  /**
+   * Workers' leases that a gang waits before room is gathered for it, and until it is for all of
+   * its tasks.
+   */
   private static final double FIRST_LEASES = 1;
 
   private static final double WHOLE_LEASES = 2;
@@ -65,8 +69,11 @@
     left = (int) (MOST_SHARE * slots.all().stream().filter(s -> s.kind == Slot.Kind.READY).count());
     boolean first = true;
     for (Job job : order) {
-      boolean waits = job.spec.shape() == Shape.GANG && job.open.isEmpty() && !job.fails() && aged(job);
-      if (waits && (left > 0 || first) && settings.zones().stream().noneMatch(z -> market.canBuy(job.spec, z))) {
+      boolean waits =
+          job.spec.shape() == Shape.GANG && job.open.isEmpty() && !job.fails() && aged(job);
+      if (waits
+          && (left > 0 || first)
+          && settings.zones().stream().noneMatch(z -> market.canBuy(job.spec, z))) {
         left = first ? Math.max(left, job.spec.tasks()) : left;
         first = false;
         gather(job);
@@ -82,7 +89,8 @@
     if (spec.oneZone()) {
       for (String zone : settings.zones()) {
         List<Host> there = soonest(spec, wanted, new Zones(spec, zone));
-        if (there.size() > best.size() || (there.size() == best.size() && lastS(there) < lastS(best))) {
+        if (there.size() > best.size()
+            || (there.size() == best.size() && lastS(there) < lastS(best))) {
           best = there;
         }
       }
@@ -103,8 +111,13 @@
   /** The machines that will have room for one such task first. */
   private List<Host> soonest(JobSpec spec, int wanted, Zones zones) {
     List<Host> out = new ArrayList<>();
-    for (Host h : hosts.computeIfAbsent(new Size(spec.cpus(), spec.gpus(), spec.memGb()), z -> inOrder(spec))) {
-      if (out.size() < wanted && h.slot.heldFor == null && h.slot.allows(spec) && zones.room(h.slot.zone) > 0) {
+    for (Host h :
+        hosts.computeIfAbsent(
+            new Size(spec.cpus(), spec.gpus(), spec.memGb()), z -> inOrder(spec))) {
+      if (out.size() < wanted
+          && h.slot.heldFor == null
+          && h.slot.allows(spec)
+          && zones.room(h.slot.zone) > 0) {
         zones.put(h.slot.zone, 1);
         out.add(h);
       }
@@ -158,7 +171,10 @@
     return Math.max(1, DOUBT * Math.max(a.job.spec.expectS(), a.job.meanS()) - (now - a.createdAt));
   }
 
-  /** Whether a task of this job may go to a machine that is held for another: it will have ended before it is empty. */
+  /**
+   * Whether a task of this job may go to a machine that is held for another: it will have ended
+   * before it is empty.
+   */
   static boolean lets(Slot s, JobSpec spec) {
     return s.heldFor == null
         || s.heldFor.equals(spec.ref())
--- a/src/main/java/io/embernotch/plan/Hold.java
+++ b/src/main/java/io/embernotch/plan/Hold.java
@@ -7,12 +7,16 @@
 /** What is held on one machine while a plan is made, for each reservation. */
 final class Hold {
   private final List<Holds.Term> terms;
+
   /** What their work takes there. */
   private final Amount[] used;
+
   /** What is held, used and not. */
   private final Amount[] held;
+
   /** What of it is free for them, or is to be once others have ended. */
   private final Amount[] free;
+
   /** Is to be given up: until the store says so it is still kept from others. */
   private final boolean[] given;
 
--- a/src/main/java/io/embernotch/plan/Holds.java
+++ b/src/main/java/io/embernotch/plan/Holds.java
@@ -11,10 +11,12 @@
  * Reservations as a plan sees them.
  *
  * @param terms each with the tasks like which room is to be kept free beside what its work holds
- * @param held what is held on machines, by name, for each of the terms: what its work takes there, and what is free for it
+ * @param held what is held on machines, by name, for each of the terms: what its work takes there,
+ *     and what is free for it
  * @param used what the work of each of the terms takes of a machine; null if nothing
  */
-public record Holds(List<Term> terms, Map<String, Amount[]> held, Function<Machine, Amount[]> used) {
+public record Holds(
+    List<Term> terms, Map<String, Amount[]> held, Function<Machine, Amount[]> used) {
   public static final Holds NONE = new Holds(List.of(), Map.of(), m -> null);
 
   /** One reservation, and how much is to be free for it. */
--- a/src/main/java/io/embernotch/plan/Market.java
+++ b/src/main/java/io/embernotch/plan/Market.java
@@ -76,7 +76,9 @@
     for (MachineType t : types.values()) {
       if (t.fits(spec) && t.zones().contains(zone)) {
         for (boolean spot : KINDS) {
-          if (spec.allows(t.name(), zone, spot) && !(spot && spec.shape() != Shape.ARRAY) && !pools.exhausted(t.name(), zone, spot)) {
+          if (spec.allows(t.name(), zone, spot)
+              && !(spot && spec.shape() != Shape.ARRAY)
+              && !pools.exhausted(t.name(), zone, spot)) {
             return true;
           }
         }
--- a/src/main/java/io/embernotch/plan/Plan.java
+++ b/src/main/java/io/embernotch/plan/Plan.java
@@ -9,20 +9,25 @@
 
 /** What the steward should do now. */
 public final class Plan {
+  /** A task and the machine that it is to start on. */
   public record Placement(int task, Machine machine) {}
 
   /** Tasks of one job to start together; all of a gang, or some of an array or service. */
   public record Start(Job job, List<Placement> placements) {}
 
+  /** An attempt that is to stop, with so many seconds to save its progress. */
   public record Stop(Attempt attempt, double graceS, String why) {}
 
+  /** Machines to be rented. */
   public record Buy(String type, String zone, boolean spot, int number) {}
 
   public final List<Start> starts = new ArrayList<>();
   public final List<Stop> stops = new ArrayList<>();
   public final List<Buy> buys = new ArrayList<>();
+
   /** What is to be held on machines for each reservation, by name; null: as before. */
   public Map<String, Amount[]> held;
+
   /** Idle machines that nothing waits for. */
   public final List<Machine> returns = new ArrayList<>();
 }
--- a/src/main/java/io/embernotch/plan/Preemption.java
+++ b/src/main/java/io/embernotch/plan/Preemption.java
@@ -17,19 +17,23 @@
 import java.util.function.ToDoubleFunction;
 
 /**
- * Who is stopped for whom. Live services have any work of lower priority stopped. What is within its team's
- * guarantee and finds no machine to be had has work stopped that others run beyond theirs: all of teams
- * without any guarantee, else what is of lower priority. A guest's array that had filled every machine once
- * kept guaranteed gangs waiting for minutes, since single places came free and whole machines never did.
+ * Who is stopped for whom. Live services have any work of lower priority stopped. What is within
+ * its team's guarantee and finds no machine to be had has work stopped that others run beyond
+ * theirs: all of teams without any guarantee, else what is of lower priority. A guest's array that
+ * had filled every machine once kept guaranteed gangs waiting for minutes, since single places came
+ * free and whole machines never did.
  *
- * <p>Gangs of high priority once had any arrays stopped as well, but guaranteed arrays come before them in
- * the order and took the room back, twenty times a second. What is guaranteed is never stopped for them now,
- * and what is not comes behind them.
+ * <p>Gangs of high priority once had any arrays stopped as well, but guaranteed arrays come before
+ * them in the order and took the room back, twenty times a second. What is guaranteed is never
+ * stopped for them now, and what is not comes behind them.
  */
 final class Preemption {
   private static final double EPS = 1e-6;
 
-  /** Looking through all machines costs time, so a few jobs a plan may; there are several plans a second. */
+  /**
+   * Looking through all machines costs time, so a few jobs a plan may; there are several plans a
+   * second.
+   */
   private static final int MOST_LOOKS = 8;
 
   /** The best of so many times the machines that are needed will do. */
@@ -41,6 +45,7 @@
   private final double now;
   private final Set<Attempt> stopped = Collections.newSetFromMap(new IdentityHashMap<>());
   private int looks;
+
   /** Machines that run what is beyond a guarantee; null until somebody asks. */
   private List<Slot> lenders;
 
@@ -55,20 +60,34 @@
   int makeRoom(JobSpec spec, int wanted, Zones zones, Predicate<Slot> allowed) {
     // A live service does not wait for others to save; they fall back to their last checkpoint.
     return makeRoom(
-        spec, wanted, zones, slots.all(), s -> s.least != null && s.least.compareTo(spec.priority()) < 0 && allowed.test(s),
-        a -> a.job.spec.priority().compareTo(spec.priority()) < 0, a -> 0);
+        spec,
+        wanted,
+        zones,
+        slots.all(),
+        s -> s.least != null && s.least.compareTo(spec.priority()) < 0 && allowed.test(s),
+        a -> a.job.spec.priority().compareTo(spec.priority()) < 0,
+        a -> 0);
   }
 
-  /** Stops what others run beyond their guarantees, for up to {@code wanted} tasks of a job within its team's. */
+  /**
+   * Stops what others run beyond their guarantees, for up to {@code wanted} tasks of a job within
+   * its team's.
+   */
   int giveGuarantee(Job job, int wanted, Zones zones) {
     if (!job.guaranteed || ++looks > MOST_LOOKS) {
       return 0;
     }
     if (lenders == null) {
-      lenders = slots.all().stream().filter(s -> s.kind == Slot.Kind.READY && runsBeyond(s)).toList();
+      lenders =
+          slots.all().stream().filter(s -> s.kind == Slot.Kind.READY && runsBeyond(s)).toList();
     }
     return makeRoom(
-        job.spec, wanted, zones, lenders, s -> true, a -> beyond(a.job, job),
+        job.spec,
+        wanted,
+        zones,
+        lenders,
+        s -> true,
+        a -> beyond(a.job, job),
         a -> a.job.spec.checkpointS() > 0 ? a.job.spec.saveS() : 0);
   }
 
@@ -82,21 +101,32 @@
   }
 
   private boolean beyond(Job other, Job job) {
-    if (other.guaranteed || other.spec.priority() == Priority.PRODUCTION || other.spec.team().equals(job.spec.team())) {
+    if (other.guaranteed
+        || other.spec.priority() == Priority.PRODUCTION
+        || other.spec.team().equals(job.spec.team())) {
       return false;
     }
-    return settings.guest(other.spec.team()) || other.spec.priority().compareTo(job.spec.priority()) < 0;
+    return settings.guest(other.spec.team())
+        || other.spec.priority().compareTo(job.spec.priority()) < 0;
   }
 
   private int makeRoom(
-      JobSpec spec, int wanted, Zones zones, List<Slot> from, Predicate<Slot> allowed, Predicate<Attempt> may,
+      JobSpec spec,
+      int wanted,
+      Zones zones,
+      List<Slot> from,
+      Predicate<Slot> allowed,
+      Predicate<Attempt> may,
       ToDoubleFunction<Attempt> graceS) {
     if (wanted <= 0) {
       return 0;
     }
     List<Slot> hosts = new ArrayList<>();
     for (Slot s : from) {
-      if (s.kind != Slot.Kind.READY || !allowed.test(s) || !s.allows(spec) || zones.room(s.zone) == 0) {
+      if (s.kind != Slot.Kind.READY
+          || !allowed.test(s)
+          || !s.allows(spec)
+          || zones.room(s.zone) == 0) {
         continue;
       }
       List<Attempt> victims = victims(spec, s, may);
@@ -108,7 +138,8 @@
         hosts.add(s);
       }
     }
-    if (spec.shape() == Shape.GANG && hosts.stream().mapToInt(s -> most(spec, s, may)).sum() < wanted) {
+    if (spec.shape() == Shape.GANG
+        && hosts.stream().mapToInt(s -> most(spec, s, may)).sum() < wanted) {
       // All of it starts or none does: half of its room would be stopped for nothing.
       return 0;
     }
@@ -179,11 +210,30 @@
   /** How many such tasks there is room for once all that may go is gone. */
   private int most(JobSpec spec, Slot s, Predicate<Attempt> may) {
     double share = Double.MAX_VALUE;
-    Load there = new Load(s.machine.open.values().stream().filter(a -> !a.stopping && !stopped.contains(a) && may.test(a)).toList());
+    Load there =
+        new Load(
+            s.machine.open.values().stream()
+                .filter(a -> !a.stopping && !stopped.contains(a) && may.test(a))
+                .toList());
     Amount kept = s.keptFrom(spec);
-    share = Math.min(share, spec.cpus() <= 0 ? share : (s.cpus + s.freeingCpus + there.cpus - kept.cpus()) / spec.cpus());
-    share = Math.min(share, spec.gpus() <= 0 ? share : (s.gpus + s.freeingGpus + there.gpus - kept.gpus()) / spec.gpus());
-    share = Math.min(share, spec.memGb() <= 0 ? share : (s.mem + s.freeingMem + there.memGb - kept.memGb()) / spec.memGb());
+    share =
+        Math.min(
+            share,
+            spec.cpus() <= 0
+                ? share
+                : (s.cpus + s.freeingCpus + there.cpus - kept.cpus()) / spec.cpus());
+    share =
+        Math.min(
+            share,
+            spec.gpus() <= 0
+                ? share
+                : (s.gpus + s.freeingGpus + there.gpus - kept.gpus()) / spec.gpus());
+    share =
+        Math.min(
+            share,
+            spec.memGb() <= 0
+                ? share
+                : (s.mem + s.freeingMem + there.memGb - kept.memGb()) / spec.memGb());
     return (int) Math.floor(Math.max(0, share) + EPS);
   }
 
--- a/src/main/java/io/embernotch/plan/Queueing.java
+++ b/src/main/java/io/embernotch/plan/Queueing.java
@@ -75,6 +75,10 @@
   }
 
   private double bootS(JobSpec spec) {
-    return types.values().stream().filter(t -> t.fits(spec)).mapToDouble(MachineType::bootS).min().orElse(0);
+    return types.values().stream()
+        .filter(t -> t.fits(spec))
+        .mapToDouble(MachineType::bootS)
+        .min()
+        .orElse(0);
   }
 }
