--- a/src/main/java/io/embernotch/plan/Reserving.java
+++ b/src/main/java/io/embernotch/plan/Reserving.java
@@ -8,10 +8,11 @@
 import java.util.List;
 
 /**
- * Keeps as much free for each reservation as it is to have. What is held already comes first, so that it stays where it
- * is; then room that nobody uses; then what is coming free, booting, or rented; last, for one that is given as an amount
- * and where no machine is to be had, what lesser work has to leave. Too much is given up only from a margin on, and first
- * where nothing of the reservation's work runs, so that machines come free.
+ * Keeps as much free for each reservation as it is to have. What is held already comes first, so
+ * that it stays where it is; then room that nobody uses; then what is coming free, booting, or
+ * rented; last, for one that is given as an amount and where no machine is to be had, what lesser
+ * work has to leave. Too much is given up only from a margin on, and first where nothing of the
+ * reservation's work runs, so that machines come free.
  */
 final class Reserving {
   /** So much more than is wanted may stay held, and a task's room. */
@@ -50,11 +51,20 @@
 
   private void keep(int term, Reservation r, Fleet.Headroom h) {
     Amount unit = Amount.of(h.like());
-    // What is held on a machine that is empty but for that keeps it from whole-machine work: it moves where others are.
+    // What is held on a machine that is empty but for that keeps it from whole-machine work: it
+    // moves where others are.
     int lacking = h.count() - heldFor(term, unit, h.count(), false);
     for (String zone : r.zones().keySet()) {
       int least = (int) Math.ceil(r.zones().get(zone) * h.count());
-      lacking -= extend(term, r, h.like(), unit, Math.min(lacking, least - heldIn(term, unit, zone)), zone, true);
+      lacking -=
+          extend(
+              term,
+              r,
+              h.like(),
+              unit,
+              Math.min(lacking, least - heldIn(term, unit, zone)),
+              zone,
+              true);
     }
     lacking -= extend(term, r, h.like(), unit, lacking, null, false);
     lacking -= heldFor(term, unit, lacking, true);
@@ -71,7 +81,10 @@
   private int heldFor(int term, Amount unit, int most, boolean onEmpty) {
     int n = 0;
     for (Slot s : slots.all()) {
-      if (s.hold != null && n < most && s.machine.open.isEmpty() == onEmpty && s.hold.free(term).holds(unit) > 0) {
+      if (s.hold != null
+          && n < most
+          && s.machine.open.isEmpty() == onEmpty
+          && s.hold.free(term).holds(unit) > 0) {
         n += Math.min(s.hold.free(term).holds(unit), s.freeLater().holds(unit));
         s.claimed = true;
       }
@@ -80,18 +93,35 @@
   }
 
   private int heldIn(int term, Amount unit, String zone) {
-    return slots.all().stream().filter(s -> s.hold != null && s.zone.equals(zone)).mapToInt(s -> s.hold.free(term).holds(unit)).sum();
+    return slots.all().stream()
+        .filter(s -> s.hold != null && s.zone.equals(zone))
+        .mapToInt(s -> s.hold.free(term).holds(unit))
+        .sum();
   }
 
   /** Holds room that is free, where most is in use already; tells for how many tasks. */
-  private int extend(int term, Reservation r, JobSpec like, Amount unit, int wanted, String zone, boolean emptyToo) {
+  private int extend(
+      int term,
+      Reservation r,
+      JobSpec like,
+      Amount unit,
+      int wanted,
+      String zone,
+      boolean emptyToo) {
     int done = 0;
     if (wanted <= 0) {
       return 0;
     }
-    for (Slot s : slots.candidates(
-        Room.NOW, like, s -> !s.spot && (emptyToo || !s.machine.open.isEmpty()) && r.allowsType(s.type.name()) && (zone == null || zone.equals(s.zone)),
-        s -> -Scores.PACK_S * s.used() - (s.machine == null ? 0 : s.machine.images.size()))) {
+    for (Slot s :
+        slots.candidates(
+            Room.NOW,
+            like,
+            s ->
+                !s.spot
+                    && (emptyToo || !s.machine.open.isEmpty())
+                    && r.allowsType(s.type.name())
+                    && (zone == null || zone.equals(s.zone)),
+            s -> -Scores.PACK_S * s.used() - (s.machine == null ? 0 : s.machine.images.size()))) {
       int there = s.hold == null ? 0 : s.hold.free(term).holds(unit);
       int n = Math.min(s.count(like, false) - there, wanted - done);
       if (n > 0) {
@@ -117,10 +147,13 @@
       }
     }
     // What no task can use by itself is of no use to them either.
-    held.sort(Comparator.comparing((Slot s) -> s.hold.filled(term)).thenComparingDouble(s -> s.used()));
+    held.sort(
+        Comparator.comparing((Slot s) -> s.hold.filled(term)).thenComparingDouble(s -> s.used()));
     for (Slot s : held) {
       Amount left = all.less(s.hold.free(term));
-      if (left.cpus() < wanted.cpus() || left.gpus() < wanted.gpus() || left.memGb() < wanted.memGb()) {
+      if (left.cpus() < wanted.cpus()
+          || left.gpus() < wanted.gpus()
+          || left.memGb() < wanted.memGb()) {
         continue;
       }
       s.hold.giveUp(term);
--- a/src/main/java/io/embernotch/plan/Scores.java
+++ b/src/main/java/io/embernotch/plan/Scores.java
@@ -13,7 +13,8 @@
   static double of(JobSpec spec, Slot s, Zones zones) {
     double score = s.fetchS(spec) - PACK_S * s.used();
     if (spec.spot() && !s.spot) {
-      // Room beside a service is paid for already, and not lost to a reclaim; any other ordinary machine is dearer than spot.
+      // Room beside a service is paid for already, and not lost to a reclaim; any other ordinary
+      // machine is dearer than spot.
       score += s.paidFor(spec) ? -PACK_S : PACK_S / 2;
     }
     if (spec.gpus() <= 0 && s.type.gpus() > 0) {
--- a/src/main/java/io/embernotch/plan/Slot.java
+++ b/src/main/java/io/embernotch/plan/Slot.java
@@ -26,22 +26,34 @@
   double cpus;
   double gpus;
   double mem;
+
   /** What comes free once the attempts that are being stopped have ended. */
   double freeingCpus;
+
   double freeingGpus;
   double freeingMem;
   boolean claimed;
+
   /** Holds work that may not run on spot machines, so it is paid for whatever else it does. */
   boolean pinned;
+
   /** Least priority of what runs there and is not being stopped; null if nothing is. */
   Priority least;
-  /** The gang that this machine is held for until it has room for one of its tasks, and in how many seconds; or null. */
+
+  /**
+   * The gang that this machine is held for until it has room for one of its tasks, and in how many
+   * seconds; or null.
+   */
   String heldFor;
+
   double heldS;
+
   /** How well it suits the job that is being placed: less is better. */
   double score;
+
   /** What is held here for reservations; null if nothing is. */
   Hold hold;
+
   private Set<String> fetching = Set.of();
   private boolean ownFetching;
 
@@ -86,8 +98,8 @@
   }
 
   /**
-   * What this job would use there is paid for already: beside work that may not run on spot machines,
-   * or beside work that has taken all GPUs.
+   * What this job would use there is paid for already: beside work that may not run on spot
+   * machines, or beside work that has taken all GPUs.
    */
   boolean paidFor(JobSpec j) {
     return pinned || (j.gpus() <= 0 && gpusTaken());
@@ -110,7 +122,10 @@
 
   /** What nobody uses, or will not once what is being stopped has ended. */
   Amount freeLater() {
-    return new Amount(Math.max(0, cpus + freeingCpus), Math.max(0, gpus + freeingGpus), Math.max(0, mem + freeingMem));
+    return new Amount(
+        Math.max(0, cpus + freeingCpus),
+        Math.max(0, gpus + freeingGpus),
+        Math.max(0, mem + freeingMem));
   }
 
   private static double fits(double most, double free, double each) {
--- a/src/main/java/io/embernotch/plan/Slots.java
+++ b/src/main/java/io/embernotch/plan/Slots.java
@@ -32,8 +32,10 @@
 
   private final List<Slot> all = new ArrayList<>();
   private final List<Slot> ready = new ArrayList<>();
+
   /** Machines that are up and have room, but no GPU. */
   private final List<Slot> bare = new ArrayList<>();
+
   private final List<Slot> coming = new ArrayList<>();
   private final List<Slot> fresh = new ArrayList<>();
   private boolean anySpot;
@@ -110,7 +112,8 @@
   }
 
   /** Slots with such room for this job, best first. */
-  List<Slot> candidates(Room room, JobSpec spec, Predicate<Slot> allowed, ToDoubleFunction<Slot> score) {
+  List<Slot> candidates(
+      Room room, JobSpec spec, Predicate<Slot> allowed, ToDoubleFunction<Slot> score) {
     List<Slot> from = open(room);
     from.removeIf(this::filledUp);
     List<Slot> out = new ArrayList<>();
@@ -135,9 +138,17 @@
   }
 
   private static void add(
-      List<Slot> from, List<Slot> out, Room room, JobSpec spec, Predicate<Slot> allowed, ToDoubleFunction<Slot> score) {
+      List<Slot> from,
+      List<Slot> out,
+      Room room,
+      JobSpec spec,
+      Predicate<Slot> allowed,
+      ToDoubleFunction<Slot> score) {
     for (Slot s : from) {
-      if (s.count(spec, room == Room.FREEING) > 0 && s.allows(spec) && Gathering.lets(s, spec) && allowed.test(s)) {
+      if (s.count(spec, room == Room.FREEING) > 0
+          && s.allows(spec)
+          && Gathering.lets(s, spec)
+          && allowed.test(s)) {
         s.score = score.applyAsDouble(s);
         out.add(s);
       }
@@ -157,7 +168,12 @@
   }
 
   static Slot slot(Machine m, double now) {
-    if (m.type == null || m.zone == null || m.deleting || m.failed || m.cordoned || m.recallAt >= 0) {
+    if (m.type == null
+        || m.zone == null
+        || m.deleting
+        || m.failed
+        || m.cordoned
+        || m.recallAt >= 0) {
       return null;
     }
     if (!m.up()) {
@@ -166,7 +182,8 @@
     return Slot.of(Slot.Kind.READY, m);
   }
 
-  static Slots of(Collection<Machine> machines, Predicate<Machine> usable, double now, Holds holds) {
+  static Slots of(
+      Collection<Machine> machines, Predicate<Machine> usable, double now, Holds holds) {
     Slots out = new Slots();
     for (Machine m : machines) {
       Slot s = slot(m, now);
--- a/src/main/java/io/embernotch/plan/Spread.java
+++ b/src/main/java/io/embernotch/plan/Spread.java
@@ -11,19 +11,25 @@
 import java.util.function.ToDoubleFunction;
 
 /**
- * Where the replicas of one service go: where its weights lie, against the wish to spread. One measure for both, seconds
- * of replica time: a replica that must fetch is lost for as long as that takes. Of failures it is expected that, within the
- * horizon, a machine with k replicas of n fails with its rate; they are down until that is noticed and, where the weights
- * lie on no other machine, for a fetch; and each second counts by the share of the service that is down at once, k of n.
- * Another replica on that machine adds (k+1)² - k² = 2k + 1 of n to that; the same of its zone. That pays for
- * no fetch where there is none to be saved later: weights on another machine count only while that has room.
+ * Where the replicas of one service go: where its weights lie, against the wish to spread. One
+ * measure for both, seconds of replica time: a replica that must fetch is lost for as long as that
+ * takes. Of failures it is expected that, within the horizon, a machine with k replicas of n fails
+ * with its rate; they are down until that is noticed and, where the weights lie on no other
+ * machine, for a fetch; and each second counts by the share of the service that is down at once, k
+ * of n. Another replica on that machine adds (k+1)² - k² = 2k + 1 of n to that; the same of its
+ * zone. That pays for no fetch where there is none to be saved later: weights on another machine
+ * count only while that has room.
  */
 final class Spread {
-  /** So many of the best machines are weighed for each replica: what speaks for spreading is small beside a fetch. */
+  /**
+   * So many of the best machines are weighed for each replica: what speaks for spreading is small
+   * beside a fetch.
+   */
   private static final int WEIGHED = 4;
 
   private final Slots slots;
   private final Risk risk;
+
   /** Machines that have an image. */
   private Map<String, List<Slot>> holders;
 
@@ -45,8 +51,16 @@
   }
 
   /** Seconds of replica time that one more replica is expected to lose by failures there. */
-  static double lostS(Risk r, int replicas, double fetchS, int onMachine, int inZone, boolean otherMachine, boolean otherZone) {
-    double machine = r.machinePerS() * (r.noticedS() + (otherMachine ? 0 : fetchS)) * (2 * onMachine + 1);
+  static double lostS(
+      Risk r,
+      int replicas,
+      double fetchS,
+      int onMachine,
+      int inZone,
+      boolean otherMachine,
+      boolean otherZone) {
+    double machine =
+        r.machinePerS() * (r.noticedS() + (otherMachine ? 0 : fetchS)) * (2 * onMachine + 1);
     double zone = r.zonePerS() * (r.noticedS() + (otherZone ? 0 : fetchS)) * (2 * inZone + 1);
     return r.horizonS() * (machine + zone) / Math.max(1, replicas);
   }
@@ -71,7 +85,13 @@
    * @param best machines with room, best first
    * @param score seconds of delay on a machine as it is then, failures aside
    */
-  int place(List<Slot> best, JobSpec spec, int wanted, Zones zones, ToDoubleFunction<Slot> score, Placed placed) {
+  int place(
+      List<Slot> best,
+      JobSpec spec,
+      int wanted,
+      Zones zones,
+      ToDoubleFunction<Slot> score,
+      Placed placed) {
     List<Slot> weighed = best.subList(0, Math.min(best.size(), WEIGHED * (wanted + 1)));
     Map<Slot, Integer> there = new HashMap<>();
     weighed.forEach(s -> there.put(s, on(s, spec)));
@@ -91,10 +111,16 @@
         if (zones.room(s.zone) > 0 && s.count(spec, false) > 0) {
           boolean has = s.machine.images.contains(spec.image());
           double fetchS = s.type.fetchS(spec);
-          double lost = score.applyAsDouble(s)
-              + lostS(
-                  risk, spec.tasks(), fetchS, there.get(s), zones.in(s.zone), holding > (has ? 1 : 0),
-                  zonesWith.size() > (zonesWith.contains(s.zone) ? 1 : 0));
+          double lost =
+              score.applyAsDouble(s)
+                  + lostS(
+                      risk,
+                      spec.tasks(),
+                      fetchS,
+                      there.get(s),
+                      zones.in(s.zone),
+                      holding > (has ? 1 : 0),
+                      zonesWith.size() > (zonesWith.contains(s.zone) ? 1 : 0));
           if (to == null || lost < least) {
             to = s;
             least = lost;
--- a/src/main/java/io/embernotch/plan/Turns.java
+++ b/src/main/java/io/embernotch/plan/Turns.java
@@ -10,18 +10,25 @@
 
 /** Whose turn it is: the order in which jobs are placed. */
 final class Turns {
-  /** Workers' leases of waiting after which a job goes before all of its rank, for a release or not: under four minutes. */
+  /**
+   * Workers' leases of waiting after which a job goes before all of its rank, for a release or not:
+   * under four minutes.
+   */
   private static final int STARVED_LEASES = 7;
 
-  /** Leases before its last moment to start from which on work for a release goes before what is for none. */
+  /**
+   * Leases before its last moment to start from which on work for a release goes before what is for
+   * none.
+   */
   private static final int NEAR_LEASES = 4;
 
   /** More than any two moments are apart. */
   private static final long FIRST = 1L << 50;
 
   /**
-   * Live services first, then what is guaranteed, then by priority, then by the time at which it is to
-   * start: that which its deadline leaves, or, without one, a worker's lease after it could start.
+   * Live services first, then what is guaranteed, then by priority, then by the time at which it is
+   * to start: that which its deadline leaves, or, without one, a worker's lease after it could
+   * start.
    */
   private static final Comparator<Job> ORDER =
       Comparator.comparing((Job j) -> j.spec.priority() != Priority.PRODUCTION)
@@ -52,9 +59,9 @@
   }
 
   /**
-   * When a job is to have its turn: by its own deadline, or as one that came a while later than it did. One that is for
-   * a release goes before those once its last moment to start is near, if it can be in time together with others; and
-   * whatever has waited for too long goes before all.
+   * When a job is to have its turn: by its own deadline, or as one that came a while later than it
+   * did. One that is for a release goes before those once its last moment to start is near, if it
+   * can be in time together with others; and whatever has waited for too long goes before all.
    */
   private static long urgentMs(Job j, long leaseMs, long wallMs) {
     long byAge = j.sinceMs + leaseMs;
--- a/src/main/java/io/embernotch/plan/Usage.java
+++ b/src/main/java/io/embernotch/plan/Usage.java
@@ -37,7 +37,8 @@
       return 0;
     }
     double[] u = used.getOrDefault(j.team(), new double[2]);
-    return (int) Math.min(left(team.cpusMax(), u[0], j.cpus()), left(team.gpusMax(), u[1], j.gpus()));
+    return (int)
+        Math.min(left(team.cpusMax(), u[0], j.cpus()), left(team.gpusMax(), u[1], j.gpus()));
   }
 
   private static double left(double max, double used, double each) {
@@ -47,14 +48,20 @@
     return Math.max(0, Math.floor((max - used) / each + EPS));
   }
 
-  /** Marks the jobs that may run and fit their team's guarantee together with the team's earlier ones. */
+  /**
+   * Marks the jobs that may run and fit their team's guarantee together with the team's earlier
+   * ones.
+   */
   void markGuaranteed(Collection<Job> jobs) {
     Map<String, List<Job>> byTeam =
-        jobs.stream().filter(j -> j.end == null && !j.held()).collect(Collectors.groupingBy(j -> j.spec.team()));
+        jobs.stream()
+            .filter(j -> j.end == null && !j.held())
+            .collect(Collectors.groupingBy(j -> j.spec.team()));
     byTeam.forEach(
         (name, list) -> {
           Settings.Team team = teams.get(name);
-          list.sort(Comparator.comparingLong((Job j) -> j.sinceMs).thenComparing(j -> j.spec.ref()));
+          list.sort(
+              Comparator.comparingLong((Job j) -> j.sinceMs).thenComparing(j -> j.spec.ref()));
           double cpus = 0;
           double gpus = 0;
           for (Job j : list) {
--- a/src/main/java/io/embernotch/plan/Zones.java
+++ b/src/main/java/io/embernotch/plan/Zones.java
@@ -10,6 +10,7 @@
 final class Zones {
   private final JobSpec spec;
   private final Map<String, Integer> tasks = new HashMap<>();
+
   /** The zone that all must be in, or null. */
   String only;
 
@@ -50,6 +51,8 @@
     if (only != null && !only.equals(zone)) {
       return 0;
     }
-    return spec != null && spec.spread() ? Math.max(0, spec.zoneCap() - in(zone)) : Integer.MAX_VALUE;
+    return spec != null && spec.spread()
+        ? Math.max(0, spec.zoneCap() - in(zone))
+        : Integer.MAX_VALUE;
   }
 }
--- a/src/main/java/io/embernotch/progress/Dirty.java
+++ b/src/main/java/io/embernotch/progress/Dirty.java
@@ -11,19 +11,28 @@
   record Waiter(int task, Runnable durable) {}
 
   final Layout.Piece piece;
+
   /** Its tasks that differ; what concerns the job as a whole goes with task 0. */
   final BitSet tasks = new BitSet();
+
   Rank rank;
   double due;
+
   /** When somebody first began to wait for it, below 0 if nobody does. */
   double awaitedSince = -1;
+
   List<Waiter> waiters = new ArrayList<>();
+
   /** The store refused a transaction with it: it goes alone until that is explained. */
   boolean suspect;
 
   /** Done marks that the last transaction carries, by the task's number in the job. */
   private BitSet underWay = new BitSet();
-  /** Those that a transaction without an answer carried: it may have been applied, or be applied yet. */
+
+  /**
+   * Those that a transaction without an answer carried: it may have been applied, or be applied
+   * yet.
+   */
   private final BitSet unknown = new BitSet();
 
   Dirty(Layout.Piece piece, Rank rank, double due) {
@@ -37,7 +46,10 @@
     underWay = within(piece.job().done);
   }
 
-  /** The transaction was applied. Done marks are never taken back, so it carried all that those before it did. */
+  /**
+   * The transaction was applied. Done marks are never taken back, so it carried all that those
+   * before it did.
+   */
   void stored() {
     piece.job().storedDone.or(underWay);
     underWay = new BitSet();
@@ -55,7 +67,9 @@
     underWay = new BitSet();
   }
 
-  /** The same piece, or a larger one, was marked before: takes over what the store may hold of it. */
+  /**
+   * The same piece, or a larger one, was marked before: takes over what the store may hold of it.
+   */
   void follows(Dirty former) {
     unknown.or(within(former.unknown));
   }
--- a/src/main/java/io/embernotch/progress/Layout.java
+++ b/src/main/java/io/embernotch/progress/Layout.java
@@ -8,8 +8,8 @@
 
 /**
  * In which pieces the progress of each job is kept. A job starts with the size of pieces that was
- * fixed when it was accepted. It goes over to smaller parts, for good, once a piece does not fit the
- * state service any more; what the larger pieces say of other tasks stays valid.
+ * fixed when it was accepted. It goes over to smaller parts, for good, once a piece does not fit
+ * the state service any more; what the larger pieces say of other tasks stays valid.
  */
 public final class Layout {
   /** So many tasks of a job, kept under one key. */
--- a/src/main/java/io/embernotch/progress/StoredJob.java
+++ b/src/main/java/io/embernotch/progress/StoredJob.java
@@ -13,16 +13,23 @@
 public final class StoredJob {
   private StoredJob() {}
 
-  /** What the store and the base of its era hold of a job's submission; an absent entry if it was never accepted. */
+  /**
+   * What the store and the base of its era hold of a job's submission; an absent entry if it was
+   * never accepted.
+   */
   public static Future<Entry> submission(StoreClient store, Base base, String ref) {
     return store
         .getSurely(RunCodec.JOB + ref)
-        .map(e -> base.beneath(ref, RunCodec.JOB, present(e)).stream().findFirst().orElse(new Entry(e.key(), null, 0)));
+        .map(
+            e ->
+                base.beneath(ref, RunCodec.JOB, present(e)).stream()
+                    .findFirst()
+                    .orElse(new Entry(e.key(), null, 0)));
   }
 
   /**
-   * Reads a job, its first piece and its parts; null if it was never accepted. Three reads at most. Not
-   * for one of which the base knows only the end.
+   * Reads a job, its first piece and its parts; null if it was never accepted. Three reads at most.
+   * Not for one of which the base knows only the end.
    */
   public static Future<Job> read(StoreClient store, Base base, String ref) {
     return submission(store, base, ref)
@@ -34,7 +41,8 @@
               Job job = RunCodec.readJob(entry.value());
               return store
                   .get(RunCodec.RUN + ref)
-                  .compose(run -> progress(store, base, job, run, RunCodec.readPiece(entry.value())));
+                  .compose(
+                      run -> progress(store, base, job, run, RunCodec.readPiece(entry.value())));
             });
   }
 
@@ -42,7 +50,8 @@
     return e.present() ? List.of(e) : List.of();
   }
 
-  private static Future<Job> progress(StoreClient store, Base base, Job job, Entry stored, int pieceSize) {
+  private static Future<Job> progress(
+      StoreClient store, Base base, Job job, Entry stored, int pieceSize) {
     for (Entry run : base.beneath(job.spec.ref(), RunCodec.RUN, present(stored))) {
       RunCodec.readRun(run.value(), job, pieceSize, RunCodec.pieceOf(run.key()));
     }
--- a/src/main/java/io/embernotch/relay/Questions.java
+++ b/src/main/java/io/embernotch/relay/Questions.java
@@ -19,7 +19,10 @@
   private final Map<Long, Promise<Answer>> asked = new HashMap<>();
   private long next;
 
-  /** @param names makes names that nobody else ever has: an answer to a former life must not pass for one to this */
+  /**
+   * @param names makes names that nobody else ever has: an answer to a former life must not pass
+   *     for one to this
+   */
   public Questions(Timers timers, PeerLink peers, Supplier<String> names) {
     this.next = Lifetime.begin(names);
     this.timers = timers;
@@ -36,12 +39,14 @@
     long id = ++next;
     asked.put(id, reply);
     peers.send(node, question.apply(id));
-    timers.after(withinS, () -> {
-      Promise<Answer> late = asked.remove(id);
-      if (late != null) {
-        late.tryComplete(Answer.later(node + " does not answer"));
-      }
-    });
+    timers.after(
+        withinS,
+        () -> {
+          Promise<Answer> late = asked.remove(id);
+          if (late != null) {
+            late.tryComplete(Answer.later(node + " does not answer"));
+          }
+        });
     return reply.future();
   }
 
--- a/src/main/java/io/embernotch/relay/Reception.java
+++ b/src/main/java/io/embernotch/relay/Reception.java
@@ -25,11 +25,11 @@
 /**
  * What a controller that is not steward does with the workers that report to it: it passes their
  * reports on to the steward, and its answers back. So workers stay where they are when the steward
- * changes. When all of them reported to the steward itself, a thousand connected to its successor at
- * once, and a fifth of a core took up to 30 s to get over that.
+ * changes. When all of them reported to the steward itself, a thousand connected to its successor
+ * at once, and a fifth of a core took up to 30 s to get over that.
  *
- * <p>While no steward is known, workers are told to stay. The next one is handed what they last said,
- * so that it knows its machines before their next reports.
+ * <p>While no steward is known, workers are told to stay. The next one is handed what they last
+ * said, so that it knows its machines before their next reports.
  */
 public final class Reception {
   /** Workers give up after four seconds. */
@@ -66,18 +66,24 @@
   private final Env env;
   private final Host host;
   private final double withinS;
+
   /** So long a steward that does not answer is waited for. */
   private final double patienceS;
+
   private final Map<String, Last> last;
   private final Set<Parked> parked = new LinkedHashSet<>();
   private String steward;
   private long epoch;
+
   /** The latest stewardship that was ever known here. */
   private long newest;
+
   private boolean relays;
   private double changedAt;
+
   /** The first report passed on since the steward last answered one; below 0 if there is none. */
   private double unansweredSince = -1;
+
   private double tryAt;
   private final Standby standby;
   private final Set<String> waiting = new HashSet<>();
@@ -92,7 +98,10 @@
     this.standby = new Standby(env);
   }
 
-  /** Another steward is known, or none. {@code takesReports} tells of a version that is passed reports. */
+  /**
+   * Another steward is known, or none. {@code takesReports} tells of a version that is passed
+   * reports.
+   */
   public void stewardIs(String node, long newEpoch, boolean takesReports) {
     boolean same = Objects.equals(node, steward) && newEpoch == epoch;
     if (same && takesReports == relays) {
@@ -107,7 +116,8 @@
     newest = Math.max(newest, newEpoch);
     relays = takesReports;
     if (node != null && takesReports && !node.equals(env.settings().node())) {
-      Set<String> waiting = parked.stream().map(p -> p.report.machine()).collect(Collectors.toSet());
+      Set<String> waiting =
+          parked.stream().map(p -> p.report.machine()).collect(Collectors.toSet());
       handOver(recent().stream().filter(r -> !waiting.contains(r.machine())).toList(), 0, newEpoch);
     }
     if (node != null && !node.equals(env.settings().node())) {
@@ -129,7 +139,10 @@
     }
   }
 
-  /** Controllers that are known to be of a version that waits with cancellations; see {@code Delegations}. */
+  /**
+   * Controllers that are known to be of a version that waits with cancellations; see {@code
+   * Delegations}.
+   */
   public Set<String> waiting() {
     return waiting;
   }
@@ -155,7 +168,8 @@
       host.send(steward, new Frame.Report(0, r));
     }
     if (end < reports.size()) {
-      env.timers().after(env.settings().workers().reportS() / 200, () -> handOver(reports, end, to));
+      env.timers()
+          .after(env.settings().workers().reportS() / 200, () -> handOver(reports, end, to));
     }
   }
 
@@ -164,7 +178,8 @@
     double now = env.clock().now();
     Last before = last.get(r.machine());
     if (before == null || r.newerThan(before.report.session(), before.report.seq())) {
-      // A copy of an older one is no sign of life, and must not be handed to the next steward as one.
+      // A copy of an older one is no sign of life, and must not be handed to the next steward as
+      // one.
       last.put(r.machine(), new Last(r, now));
     }
     if (Tokens.epochOf(r.token()) > newest && host.badlyPlaced()) {
@@ -207,11 +222,14 @@
   private Future<Answer> park(WorkerReport r) {
     Parked p = new Parked(r);
     parked.add(p);
-    env.timers().after(withinS, () -> {
-      if (parked.remove(p)) {
-        p.reply.complete(stay());
-      }
-    });
+    env.timers()
+        .after(
+            withinS,
+            () -> {
+              if (parked.remove(p)) {
+                p.reply.complete(stay());
+              }
+            });
     return p.reply.future();
   }
 
--- a/src/main/java/io/embernotch/relay/Standby.java
+++ b/src/main/java/io/embernotch/relay/Standby.java
@@ -13,11 +13,11 @@
 import java.util.Map;
 
 /**
- * A controller's right to renew the workers of its own zone while it is cut off with them. Without it
- * all that runs behind a cut ends with its lease, though nothing is wrong there. The right is given by
- * a live steward with each {@link Frame.Noted}, counts from the sending of what that answers, and is
- * used only once the steward has not answered for {@link Settings#contactS}. {@link Delegations} is the
- * steward's side, which knows until when such renewals may have gone on.
+ * A controller's right to renew the workers of its own zone while it is cut off with them. Without
+ * it all that runs behind a cut ends with its lease, though nothing is wrong there. The right is
+ * given by a live steward with each {@link Frame.Noted}, counts from the sending of what that
+ * answers, and is used only once the steward has not answered for {@link Settings#contactS}. {@link
+ * Delegations} is the steward's side, which knows until when such renewals may have gone on.
  */
 public final class Standby {
   private static final int REMEMBERED = 64;
@@ -26,10 +26,16 @@
   private final Map<Long, Double> sentAt = new Recent<>(REMEMBERED);
   private long seq;
   private long ack;
-  /** When the last message was sent that a steward has answered; the same for those that gave the right. */
+
+  /**
+   * When the last message was sent that a steward has answered; the same for those that gave the
+   * right.
+   */
   private double contactAt;
+
   private double grantedAt = -1e9;
   private double renewedAt = -1;
+
   /** When each worker was last sent to look for the steward itself. */
   private final Map<String, Double> awayAt;
 
@@ -53,7 +59,8 @@
     }
     ack = Math.max(ack, n.seq());
     if (env.clock().now() - contactAt > env.settings().contactS()) {
-      // The next cut is another one: a worker that is sent away before we have renewed it may lose its lease.
+      // The next cut is another one: a worker that is sent away before we have renewed it may lose
+      // its lease.
       awayAt.clear();
     }
     contactAt = Math.max(contactAt, sent);
@@ -63,9 +70,9 @@
   }
 
   /**
-   * The answer that renews a worker's lease under the token it has; null if that is not for us to give.
-   * Now and then, with a fresh lease, a worker is sent to look for the steward itself: perhaps only we
-   * are cut off, and it would get no orders here.
+   * The answer that renews a worker's lease under the token it has; null if that is not for us to
+   * give. Now and then, with a fresh lease, a worker is sent to look for the steward itself:
+   * perhaps only we are cut off, and it would get no orders here.
    */
   public Answer renewal(WorkerReport r, String steward) {
     double now = env.clock().now();
@@ -75,7 +82,8 @@
     if (!cutOff || !granted || r.token() == 0 || !s.location().equals(r.zone())) {
       return null;
     }
-    Double away = awayAt.putIfAbsent(r.machine(), now - s.workers().leaseS() / 2 + s.workers().reportS() / 4);
+    Double away =
+        awayAt.putIfAbsent(r.machine(), now - s.workers().leaseS() / 2 + s.workers().reportS() / 4);
     if (away != null && now - away > s.workers().leaseS() / 2) {
       awayAt.put(r.machine(), now);
       return Reception.misdirected(steward);
--- a/src/main/java/io/embernotch/reserve/HoldKeeper.java
+++ b/src/main/java/io/embernotch/reserve/HoldKeeper.java
@@ -25,17 +25,24 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * What is held for reservations, by this steward and for the next one. Nothing that the store says is held is given to
- * others before the store says that it no longer is: what is more in the store than a plan wants counts as held until the
- * commit that gives it up is answered. What a plan wants more counts at once.
+ * What is held for reservations, by this steward and for the next one. Nothing that the store says
+ * is held is given to others before the store says that it no longer is: what is more in the store
+ * than a plan wants counts as held until the commit that gives it up is answered. What a plan wants
+ * more counts at once.
  */
 public final class HoldKeeper {
   private static final Logger LOG = LoggerFactory.getLogger(HoldKeeper.class);
 
-  /** Facts that what is held for one reservation is spread over, so that a change rewrites a part of it. */
+  /**
+   * Facts that what is held for one reservation is spread over, so that a change rewrites a part of
+   * it.
+   */
   private static final int PIECES = 4;
 
-  /** So much less or more than the store says is written at once, as a share of it; the rest by and by. */
+  /**
+   * So much less or more than the store says is written at once, as a share of it; the rest by and
+   * by.
+   */
   private static final double NOTABLE = 0.05;
 
   /** Report periods after which any difference is written. */
@@ -53,8 +60,10 @@
   private final List<Machine> marked = new ArrayList<>();
   private List<Reservation> terms = List.of();
   private final InForce<List<Reservation>> inForce;
+
   /** As the store is known to hold it, and as the last plan wants it. */
   private Map<String, Amount[]> kept = Map.of();
+
   private Map<String, Amount[]> wanted = Map.of();
   private Map<String, Amount[]> perhaps = Map.of();
   private long perhapsOf = -1;
@@ -72,8 +81,13 @@
     OperatorSettings.Reserve own = env.operator().reserve();
     this.inForce =
         new InForce<>(
-            shared, TERMS, own.terms(), own.generation(), ReserveCodec.writeTerms(own.generation(), own.terms()),
-            ReserveCodec::readTerms, this::use);
+            shared,
+            TERMS,
+            own.terms(),
+            own.generation(),
+            ReserveCodec.writeTerms(own.generation(), own.terms()),
+            ReserveCodec::readTerms,
+            this::use);
   }
 
   /** The shared facts have been read. */
@@ -86,12 +100,16 @@
     // What of it is not seen yet is not to be given up before it had time to report.
     writtenAt = loadedAt;
     if (!kept.isEmpty()) {
-      LOG.info("reservations of generation {}: held on {} machines", inForce.generation(), kept.size());
+      LOG.info(
+          "reservations of generation {}: held on {} machines", inForce.generation(), kept.size());
     }
   }
 
   private void use(List<Reservation> now) {
-    terms = now.isEmpty() && env.operator().reserve().live() ? List.of(env.operator().reserve().byDefault()) : now;
+    terms =
+        now.isEmpty() && env.operator().reserve().live()
+            ? List.of(env.operator().reserve().byDefault())
+            : now;
     usage.clear();
     wanted = Map.of();
     kept = stored();
@@ -116,10 +134,12 @@
 
   private void add(ObjectNode piece, int term, Map<String, Amount[]> to) {
     if (piece != null) {
-      ReserveCodec.readHeld(piece).forEach((machine, a) -> {
-        Amount[] there = to.computeIfAbsent(machine, x -> nothing());
-        there[term] = there[term].max(new Amount(a[0], a[1], a[2]));
-      });
+      ReserveCodec.readHeld(piece)
+          .forEach(
+              (machine, a) -> {
+                Amount[] there = to.computeIfAbsent(machine, x -> nothing());
+                there[term] = there[term].max(new Amount(a[0], a[1], a[2]));
+              });
     }
   }
 
@@ -156,13 +176,18 @@
       return Holds.NONE;
     }
     Map<String, Amount[]> held = new HashMap<>(wanted);
-    perhapsStored().forEach((machine, there) -> {
-      Amount[] w = wanted.get(machine);
-      held.put(machine, w == null ? there : max(there, w));
-    });
+    perhapsStored()
+        .forEach(
+            (machine, there) -> {
+              Amount[] w = wanted.get(machine);
+              held.put(machine, w == null ? there : max(there, w));
+            });
     usage.keySet().removeIf(m -> ledger.machines.get(m.name) != m);
     mark(held);
-    lastTerms = terms.stream().map(r -> new Holds.Term(r, Spare.of(r, headroom, ledger, env.operator()))).toList();
+    lastTerms =
+        terms.stream()
+            .map(r -> new Holds.Term(r, Spare.of(r, headroom, ledger, env.operator())))
+            .toList();
     return new Holds(lastTerms, held, this::used);
   }
 
@@ -170,18 +195,19 @@
   private void mark(Map<String, Amount[]> held) {
     marked.forEach(m -> keep(m, Amount.ZERO));
     marked.clear();
-    held.forEach((name, amounts) -> {
-      Machine m = ledger.machines.get(name);
-      if (m != null) {
-        Amount[] u = used(m);
-        Amount free = Amount.ZERO;
-        for (int i = 0; i < amounts.length; i++) {
-          free = free.plus(u == null ? amounts[i] : amounts[i].less(u[i]), 1);
-        }
-        keep(m, free);
-        marked.add(m);
-      }
-    });
+    held.forEach(
+        (name, amounts) -> {
+          Machine m = ledger.machines.get(name);
+          if (m != null) {
+            Amount[] u = used(m);
+            Amount free = Amount.ZERO;
+            for (int i = 0; i < amounts.length; i++) {
+              free = free.plus(u == null ? amounts[i] : amounts[i].less(u[i]), 1);
+            }
+            keep(m, free);
+            marked.add(m);
+          }
+        });
   }
 
   private static void keep(Machine m, Amount free) {
@@ -198,7 +224,10 @@
     return out;
   }
 
-  /** What the work of each reservation takes of a machine; null if nothing. Summed up anew only when that has changed. */
+  /**
+   * What the work of each reservation takes of a machine; null if nothing. Summed up anew only when
+   * that has changed.
+   */
   private Amount[] used(Machine m) {
     Used u = usage.get(m);
     if (u == null || u.version != m.version || u.terms != terms.size()) {
@@ -228,24 +257,32 @@
     }
     double now = env.clock().now();
     Map<String, Amount[]> next = new TreeMap<>(held);
-    wanted.forEach((name, a) -> {
-      if (!next.containsKey(name) && a.length == terms.size() && mayComeBack(ledger.machines.get(name), now)) {
-        next.put(name, a);
-      }
-    });
+    wanted.forEach(
+        (name, a) -> {
+          if (!next.containsKey(name)
+              && a.length == terms.size()
+              && mayComeBack(ledger.machines.get(name), now)) {
+            next.put(name, a);
+          }
+        });
     wanted = next;
     write(now);
   }
 
   /**
-   * Nothing is known against the machine, it just can't be planned with; or, right after a takeover, it has not been
-   * heard yet. What is held on such machines was once given up by each new steward, and lent when they reported.
+   * Nothing is known against the machine, it just can't be planned with; or, right after a
+   * takeover, it has not been heard yet. What is held on such machines was once given up by each
+   * new steward, and lent when they reported.
    */
   private boolean mayComeBack(Machine m, double now) {
     if (m == null) {
       return now - loadedAt < env.settings().workers().leaseS();
     }
-    return !m.deleting && !m.failed && !m.cordoned && m.recallAt < 0 && !Planner.usable(m, now, env.settings());
+    return !m.deleting
+        && !m.failed
+        && !m.cordoned
+        && m.recallAt < 0
+        && !Planner.usable(m, now, env.settings());
   }
 
   private void write(double now) {
@@ -264,7 +301,8 @@
         difference += Arrays.stream(e.getValue()).mapToDouble(HoldKeeper::weight).sum();
       }
     }
-    boolean due = difference > NOTABLE * size ? now - writtenAt > report : now - writtenAt > PERIODS * report;
+    boolean due =
+        difference > NOTABLE * size ? now - writtenAt > report : now - writtenAt > PERIODS * report;
     if (difference <= 0 || !due) {
       return;
     }
@@ -283,24 +321,30 @@
   private void writePiece(int term, int k) {
     Map<String, double[]> held = new TreeMap<>();
     int most = (int) (env.settings().stateFloor().valueKb() * 1024 / BYTES_PER_MACHINE);
-    wanted.forEach((name, a) -> {
-      if (Math.floorMod(name.hashCode(), PIECES) == k && !a[term].isZero() && held.size() < most) {
-        held.put(name, new double[] {a[term].cpus(), a[term].gpus(), a[term].memGb()});
-      }
-    });
+    wanted.forEach(
+        (name, a) -> {
+          if (Math.floorMod(name.hashCode(), PIECES) == k
+              && !a[term].isZero()
+              && held.size() < most) {
+            held.put(name, new double[] {a[term].cpus(), a[term].gpus(), a[term].memGb()});
+          }
+        });
     String name = piece(terms.get(term), k);
     ObjectNode value = ReserveCodec.writeHeld(held);
     ObjectNode there = shared.get(name);
     boolean same = there == null ? held.isEmpty() : there.path("on").equals(value.path("on"));
     if (!same && !shared.pending(name)) {
       long of = inForce.generation();
-      shared.put(name, value, () -> {
-        if (of == inForce.generation()) {
-          kept = stored();
-          changedAt = env.clock().now();
-          say();
-        }
-      });
+      shared.put(
+          name,
+          value,
+          () -> {
+            if (of == inForce.generation()) {
+              kept = stored();
+              changedAt = env.clock().now();
+              say();
+            }
+          });
     }
   }
 
@@ -313,8 +357,14 @@
       long now = Math.round(s.held.gpus() * 1000 + s.held.cpus());
       if (terms.size() > 1 || now != told) {
         told = now;
-        LOG.info("reservation {}: {} GPUs and {} CPUs held on {} machines, {} and {} of it filled", terms.get(i).name(),
-            s.held.gpus(), s.held.cpus(), s.machines, s.filled.gpus(), s.filled.cpus());
+        LOG.info(
+            "reservation {}: {} GPUs and {} CPUs held on {} machines, {} and {} of it filled",
+            terms.get(i).name(),
+            s.held.gpus(),
+            s.held.cpus(),
+            s.machines,
+            s.filled.gpus(),
+            s.filled.cpus());
       }
     }
   }
@@ -337,7 +387,10 @@
       filled = filled.plus(used, 1);
       machines++;
       Amount free = e.getValue()[term].less(used);
-      double share = Math.max(free.cpus() / Math.max(1, m.type.cpus()), m.type.gpus() > 0 ? free.gpus() / m.type.gpus() : 0);
+      double share =
+          Math.max(
+              free.cpus() / Math.max(1, m.type.cpus()),
+              m.type.gpus() > 0 ? free.gpus() / m.type.gpus() : 0);
       idle += m.type.price() * Math.min(1, share);
     }
     return new Seen(held, filled, machines, idle);
@@ -360,7 +413,8 @@
         }
       }
       amount(o.putObject("wanted"), s.filled.plus(free, 1));
-      o.put("since_s", Math.round(now - changedAt)).put("idle_cost_per_hour", Math.round(s.idlePerHour * 100) / 100.0);
+      o.put("since_s", Math.round(now - changedAt))
+          .put("idle_cost_per_hour", Math.round(s.idlePerHour * 100) / 100.0);
     }
   }
 
--- a/src/main/java/io/embernotch/reserve/Spare.java
+++ b/src/main/java/io/embernotch/reserve/Spare.java
@@ -18,7 +18,8 @@
 final class Spare {
   private Spare() {}
 
-  static List<Headroom> of(Reservation r, List<Headroom> headroom, Ledger ledger, OperatorSettings operator) {
+  static List<Headroom> of(
+      Reservation r, List<Headroom> headroom, Ledger ledger, OperatorSettings operator) {
     Amount used = Amount.ZERO;
     int tasks = 0;
     JobSpec like = null;
@@ -34,7 +35,10 @@
     for (Headroom h : headroom) {
       if (r.serves(h.like())) {
         like = h.like();
-        double each = operator.serviceSpare() > 0 && h.like().shape() == Shape.SERVICE ? r.deviations() / operator.serviceSpare() : r.deviations();
+        double each =
+            operator.serviceSpare() > 0 && h.like().shape() == Shape.SERVICE
+                ? r.deviations() / operator.serviceSpare()
+                : r.deviations();
         int n = (int) Math.round(h.count() * each);
         served += n;
         if (n > 0) {
@@ -54,12 +58,22 @@
   }
 
   /** What is missing to a fixed amount beyond what is free anyway. */
-  private static void missing(Reservation r, Amount used, JobSpec like, double served, Ledger ledger, List<Headroom> out) {
+  private static void missing(
+      Reservation r, Amount used, JobSpec like, double served, Ledger ledger, List<Headroom> out) {
     if (r.machines() > 0) {
-      MachineType type = ledger.types.values().stream().filter(t -> r.allowsType(t.name())).findFirst().orElse(null);
+      MachineType type =
+          ledger.types.values().stream()
+              .filter(t -> r.allowsType(t.name()))
+              .findFirst()
+              .orElse(null);
       if (type != null) {
         Amount whole = new Amount(type.cpus(), type.gpus(), type.memGb());
-        int filled = (int) Math.ceil(Math.max(used.cpus() / Math.max(1, whole.cpus()), type.gpus() > 0 ? used.gpus() / type.gpus() : 0));
+        int filled =
+            (int)
+                Math.ceil(
+                    Math.max(
+                        used.cpus() / Math.max(1, whole.cpus()),
+                        type.gpus() > 0 ? used.gpus() / type.gpus() : 0));
         if (r.machines() > filled) {
           out.add(new Headroom(task(r, whole), r.machines() - filled));
         }
@@ -71,8 +85,14 @@
       return;
     }
     Amount unit = like != null ? Amount.of(like) : unit(r);
-    int n = (int) Math.ceil(Math.max(
-        ratio(left.cpus(), unit.cpus()), Math.max(ratio(left.gpus(), unit.gpus()), ratio(left.memGb(), unit.memGb()))) - served);
+    int n =
+        (int)
+            Math.ceil(
+                Math.max(
+                        ratio(left.cpus(), unit.cpus()),
+                        Math.max(
+                            ratio(left.gpus(), unit.gpus()), ratio(left.memGb(), unit.memGb())))
+                    - served);
     if (n > 0) {
       out.add(new Headroom(like != null ? like.withTasks(1) : task(r, unit), n));
     }
@@ -92,8 +112,26 @@
     Selector s = r.serves().get(0);
     Priority priority = s.priority() == null ? Priority.PRODUCTION : s.priority();
     return new JobSpec(
-        "", s.jobClass() == null ? r.name() : s.jobClass(), s.team() == null ? "" : s.team(),
-        s.shape() == null ? Shape.SERVICE : s.shape(), priority, 1, a.cpus(), a.gpus(), a.memGb(), "", 0,
-        r.types().isEmpty() ? null : r.types(), null, false, false, false, 0, 0, 0, null, List.of());
+        "",
+        s.jobClass() == null ? r.name() : s.jobClass(),
+        s.team() == null ? "" : s.team(),
+        s.shape() == null ? Shape.SERVICE : s.shape(),
+        priority,
+        1,
+        a.cpus(),
+        a.gpus(),
+        a.memGb(),
+        "",
+        0,
+        r.types().isEmpty() ? null : r.types(),
+        null,
+        false,
+        false,
+        false,
+        0,
+        0,
+        0,
+        null,
+        List.of());
   }
 }
--- a/src/main/java/io/embernotch/rounds/PartPost.java
+++ b/src/main/java/io/embernotch/rounds/PartPost.java
@@ -5,13 +5,18 @@
 import io.embernotch.straggler.MachineView;
 import io.embernotch.straggler.PartKeeper;
 
-/** Brings a steward's views of machines to the controllers in whose parts they are, this one or another. */
+/**
+ * Brings a steward's views of machines to the controllers in whose parts they are, this one or
+ * another.
+ */
 public final class PartPost {
   private final String node;
   private final PartKeeper part;
   private final PeerLink peers;
 
-  /** @param part this controller's own, {@code node} its name */
+  /**
+   * @param part this controller's own, {@code node} its name
+   */
   public PartPost(String node, PartKeeper part, PeerLink peers) {
     this.node = node;
     this.part = part;
--- a/src/main/java/io/embernotch/rounds/RestartDesk.java
+++ b/src/main/java/io/embernotch/rounds/RestartDesk.java
@@ -39,7 +39,10 @@
     this.stops = stops;
   }
 
-  /** A round's proposals, cut into batches that one commit can hold. A newer round replaces an older one. */
+  /**
+   * A round's proposals, cut into batches that one commit can hold. A newer round replaces an older
+   * one.
+   */
   public void propose(String from, List<Restart> restarts) {
     int batch = Math.max(1, env.settings().stateFloor().txnOps() - 1);
     Deque<List<Restart>> queue = new ArrayDeque<>();
@@ -49,7 +52,9 @@
     proposed.put(from, queue);
   }
 
-  /** Commits what is due, and has it stopped where it runs; it starts anew where the round wished. */
+  /**
+   * Commits what is due, and has it stopped where it runs; it starts anew where the round wished.
+   */
   public void carryOut() {
     due().forEach(this::restart);
   }
@@ -57,13 +62,18 @@
   private void restart(Restart r) {
     Job job = ledger.jobs.get(r.ref());
     Attempt a = job.open.get(r.task());
-    LOG.info("restarting slow task {} on {} (gain {})", a, r.target(), String.format("%.4f", r.gain()));
+    LOG.info(
+        "restarting slow task {} on {} (gain {})", a, r.target(), String.format("%.4f", r.gain()));
     job.wishes.put(r.task(), r.target());
-    committer.now(job, r.task(), Rank.USUAL, () -> {
-      if (Ledger.isOpen(a) && !a.stopping && job.end == null) {
-        stops.want(a, a.job.spec.checkpointS() > 0 ? a.job.spec.saveS() : 0);
-      }
-    });
+    committer.now(
+        job,
+        r.task(),
+        Rank.USUAL,
+        () -> {
+          if (Ledger.isOpen(a) && !a.stopping && job.end == null) {
+            stops.want(a, a.job.spec.checkpointS() > 0 ? a.job.spec.saveS() : 0);
+          }
+        });
   }
 
   private List<Restart> due() {
@@ -83,11 +93,17 @@
     return out;
   }
 
-  /** The world may have moved since the round: the task must still run there, and the room be free. */
+  /**
+   * The world may have moved since the round: the task must still run there, and the room be free.
+   */
   private boolean valid(Restart r) {
     Job job = ledger.jobs.get(r.ref());
     Machine target = ledger.machines.get(r.target());
-    if (job == null || job.end != null || job.spec.shape() != Shape.ARRAY || target == null || target.type == null) {
+    if (job == null
+        || job.end != null
+        || job.spec.shape() != Shape.ARRAY
+        || target == null
+        || target.type == null) {
       return false;
     }
     Attempt a = job.open.get(r.task());
--- a/src/main/java/io/embernotch/rounds/Rounds.java
+++ b/src/main/java/io/embernotch/rounds/Rounds.java
@@ -24,7 +24,8 @@
     this.env = env;
     this.part = part;
     this.propose = propose;
-    this.round = new Round(env.operator().flagRatio(), env.operator().beta(), env.operator().roundS());
+    this.round =
+        new Round(env.operator().flagRatio(), env.operator().beta(), env.operator().roundS());
   }
 
   public void start() {
--- a/src/main/java/io/embernotch/rounds/StragglerFeed.java
+++ b/src/main/java/io/embernotch/rounds/StragglerFeed.java
@@ -19,10 +19,15 @@
 
 /** Streams starts, finishes and free room of each machine to the owner of its part. */
 public final class StragglerFeed {
-  /** Views that have not changed are sent again after this many rounds, lest a lost one be missed. */
+  /**
+   * Views that have not changed are sent again after this many rounds, lest a lost one be missed.
+   */
   private static final int REPEAT_ROUNDS = 4;
 
-  /** Machines are looked at in turns, all of them in so many calls: a look at all of them took a fifth of the core's time. */
+  /**
+   * Machines are looked at in turns, all of them in so many calls: a look at all of them took a
+   * fifth of the core's time.
+   */
   private static final int TURNS = 4;
 
   /** What was last sent of a machine, and to whom. */
@@ -49,7 +54,10 @@
   private int turn;
 
   public StragglerFeed(
-      Env env, Ledger ledger, BiConsumer<String, MachineView> send, BiConsumer<String, String> forget) {
+      Env env,
+      Ledger ledger,
+      BiConsumer<String, MachineView> send,
+      BiConsumer<String, String> forget) {
     this.env = env;
     this.ledger = ledger;
     this.send = send;
@@ -81,14 +89,16 @@
         send.accept(sent.owner, view(m, now));
       }
     }
-    sentTo.entrySet().removeIf(
-        e -> {
-          boolean gone = !ledger.machines.containsKey(e.getKey());
-          if (gone) {
-            forget.accept(e.getValue().owner, e.getKey());
-          }
-          return gone;
-        });
+    sentTo
+        .entrySet()
+        .removeIf(
+            e -> {
+              boolean gone = !ledger.machines.containsKey(e.getKey());
+              if (gone) {
+                forget.accept(e.getValue().owner, e.getKey());
+              }
+              return gone;
+            });
   }
 
   /** Views sent so far. */
@@ -145,16 +155,39 @@
       gpus -= j.gpus();
       mem -= j.memGb();
       busy++;
-      if (j.shape() == Shape.ARRAY && a.state == TaskState.RUNNING && a.runningAt >= 0 && !a.stopping) {
+      if (j.shape() == Shape.ARRAY
+          && a.state == TaskState.RUNNING
+          && a.runningAt >= 0
+          && !a.stopping) {
         tasks.add(
             new TaskView(
-                j.ref(), a.task, a.number, now - a.runningAt, a.job.meanS(), j.cpus(), j.gpus(),
-                j.memGb(), j.spot(), j.zone(), j.types()));
+                j.ref(),
+                a.task,
+                a.number,
+                now - a.runningAt,
+                a.job.meanS(),
+                j.cpus(),
+                j.gpus(),
+                j.memGb(),
+                j.spot(),
+                j.zone(),
+                j.types()));
       }
     }
     double perS = (m.spot ? m.type.spotPrice() : m.type.price()) / 3600;
     return new MachineView(
-        m.name, m.type.name(), m.zone, m.spot, (int) Math.max(1, m.type.cpus()), perS, usable(m),
-        cpus, gpus, mem, busy, List.copyOf(m.ratios), tasks);
+        m.name,
+        m.type.name(),
+        m.zone,
+        m.spot,
+        (int) Math.max(1, m.type.cpus()),
+        perS,
+        usable(m),
+        cpus,
+        gpus,
+        mem,
+        busy,
+        List.copyOf(m.ratios),
+        tasks);
   }
 }
--- a/src/main/java/io/embernotch/settings/OperatorSettings.java
+++ b/src/main/java/io/embernotch/settings/OperatorSettings.java
@@ -39,7 +39,8 @@
   /**
    * Reserved capacity.
    *
-   * @param generation of the reservations: a controller with a lower one goes by what the others know
+   * @param generation of the reservations: a controller with a lower one goes by what the others
+   *     know
    * @param live without any, one is made for what runs at the priority of live services
    * @param spare deviations of what comes of live services that are kept free for them
    */
@@ -56,7 +57,20 @@
 
   /** What holds without an operator file; the same values as operator.proto gives. */
   public static final OperatorSettings DEFAULTS =
-      new OperatorSettings(true, 1.5, 0.5, 5.0, 2.0, 0.2, 2.0, 1.0, 0.5, 0, 0.1, new Snapshots(null, 60, 10, true), new Reserve(0, true, List.of(), 2.0),
+      new OperatorSettings(
+          true,
+          1.5,
+          0.5,
+          5.0,
+          2.0,
+          0.2,
+          2.0,
+          1.0,
+          0.5,
+          0,
+          0.1,
+          new Snapshots(null, 60, 10, true),
+          new Reserve(0, true, List.of(), 2.0),
           new Calendar(0, List.of()));
 
   public static OperatorSettings read(Path file) {
@@ -92,11 +106,18 @@
             : 0,
         within("leadership.lease_share", b.getLeadership().getLeaseShare(), 0.02, 1),
         snapshots(b.getSnapshots()),
-        new Reserve(b.getGeneration(), b.getReserveLive(), ReservationReader.read(b.getReserveList(), b.getGeneration()), f.getServiceSpare()),
+        new Reserve(
+            b.getGeneration(),
+            b.getReserveLive(),
+            ReservationReader.read(b.getReserveList(), b.getGeneration()),
+            f.getServiceSpare()),
         new Calendar(b.getGeneration(), CalendarReader.read(b.getCalendar(), b.getGeneration())));
   }
 
-  /** Checks what this file says of teams and zones against the platform's; mistakes are told with their place. */
+  /**
+   * Checks what this file says of teams and zones against the platform's; mistakes are told with
+   * their place.
+   */
   public OperatorSettings against(Settings platform) {
     for (int i = 0; i < reserve.terms().size(); i++) {
       Reservation r = reserve.terms().get(i);
@@ -109,7 +130,14 @@
       for (Selector s : r.serves()) {
         Settings.Team t = s.team() == null ? null : platform.teams().get(s.team());
         if (r.serves().size() == 1 && t != null && t.gpusMax() > 0 && r.gpus() > t.gpusMax()) {
-          throw new SettingsException("reserve[" + i + "].gpus: team " + t.name() + " may use " + t.gpusMax() + " at the most");
+          throw new SettingsException(
+              "reserve["
+                  + i
+                  + "].gpus: team "
+                  + t.name()
+                  + " may use "
+                  + t.gpusMax()
+                  + " at the most");
         }
       }
     }
@@ -131,11 +159,14 @@
   private static Snapshots snapshots(OperatorFile.Snapshots s) {
     Path directory = s.getDirectory().isEmpty() ? null : Path.of(s.getDirectory());
     if (directory != null && !Files.isWritable(directory)) {
-      throw new SettingsException("snapshots.directory: " + directory + " is not a directory that can be written to");
+      throw new SettingsException(
+          "snapshots.directory: " + directory + " is not a directory that can be written to");
     }
     return new Snapshots(
-        directory, within("snapshots.every_s", s.getEveryS(), 1, 86400),
-        (int) within("snapshots.keep", s.getKeep(), 1, 10_000), s.getRestoreWhenEmpty());
+        directory,
+        within("snapshots.every_s", s.getEveryS(), 1, 86400),
+        (int) within("snapshots.keep", s.getKeep(), 1, 10_000),
+        s.getRestoreWhenEmpty());
   }
 
   static double within(String name, double v, double low, double high) {
--- a/src/main/java/io/embernotch/settings/Release.java
+++ b/src/main/java/io/embernotch/settings/Release.java
@@ -16,7 +16,8 @@
  * @param except dates on which it does not
  * @param also dates added, with their time
  * @param moved dates on which its time is another; a null time: the embargo is lifted
- * @param orders the work, any of these; of two releases that order the same work the first in the file counts
+ * @param orders the work, any of these; of two releases that order the same work the first in the
+ *     file counts
  * @param leadS seconds before the deadline by which the work is to be done
  */
 public record Release(
--- a/src/main/java/io/embernotch/settings/Reservation.java
+++ b/src/main/java/io/embernotch/settings/Reservation.java
@@ -5,8 +5,9 @@
 import java.util.Map;
 
 /**
- * Capacity that only some work may begin on. How much: what that work holds, and free beside it the larger of what is
- * missing to a fixed amount, and of a share of what it holds plus some deviations of what comes of it in a boot time.
+ * Capacity that only some work may begin on. How much: what that work holds, and free beside it the
+ * larger of what is missing to a fixed amount, and of a share of what it holds plus some deviations
+ * of what comes of it in a boot time.
  *
  * @param serves the work: any of these
  * @param machines whole machines; 0: slices of machines, by the amounts
@@ -38,7 +39,9 @@
     return types.isEmpty() || types.contains(type);
   }
 
-  /** It is given as an amount, which is restored by stopping others where no machine is to be had. */
+  /**
+   * It is given as an amount, which is restored by stopping others where no machine is to be had.
+   */
   public boolean fixed() {
     return machines > 0 || cpus > 0 || gpus > 0 || memGb > 0;
   }
--- a/src/main/java/io/embernotch/settings/Settings.java
+++ b/src/main/java/io/embernotch/settings/Settings.java
@@ -42,28 +42,38 @@
   /** One aim; fields that its kind does not use are 0 or null. */
   public record Objective(String kind, String jobClass, double withinS, double share) {}
 
+  /** Times that the workers go by, in seconds. */
   public record Workers(
       double reportS, double leaseS, double gangWaitS, double gangPeerS, double cancelS) {}
 
   /** Limits of the state service; {@code stateNext} are those that it will have, or the same. */
   public record State(double rps, double writeRps, double valueKb, int txnOps) {}
 
+  /** Limits of the cloud: requests a second, and by how many seconds its lists lag. */
   public record Cloud(double rps, double listLagS) {
-    /** Most machines that one request may rent, and most names that one may delete ("Cloud" in the protocol). */
+    /**
+     * Most machines that one request may rent, and most names that one may delete ("Cloud" in the
+     * protocol).
+     */
     public static final int MAX_RENT = 50;
 
     public static final int MAX_DELETE = 100;
   }
 
+  /** What this process may use. */
   public record Quota(double cpuShare, double memoryMb, int maxConnections) {
-    /** Calls to workers that may be under way at a time: most of the connections are theirs to us, and users'. */
+    /**
+     * Calls to workers that may be under way at a time: most of the connections are theirs to us,
+     * and users'.
+     */
     public int directCalls() {
       return Math.max(8, maxConnections / 5);
     }
 
     /**
-     * Connections taken at a time from which on workers' are closed with each answer: what is left beside our
-     * own calls must do for users, health checks and other controllers, however many workers there are.
+     * Connections taken at a time from which on workers' are closed with each answer: what is left
+     * beside our own calls must do for users, health checks and other controllers, however many
+     * workers there are.
      */
     public int crowd() {
       return (maxConnections - directCalls()) * 3 / 4;
@@ -74,7 +84,10 @@
       return 32 * maxConnections;
     }
 
-    /** More machines than a fleet has whose workers share this many connections; for what is remembered of each. */
+    /**
+     * More machines than a fleet has whose workers share this many connections; for what is
+     * remembered of each.
+     */
     public int machines() {
       return 4 * maxConnections;
     }
@@ -104,17 +117,17 @@
 
   /**
    * How long worker leases are renewed by those who cannot reach a steward or prove to be one: a
-   * steward cut off from the state service, and a controller cut off with its zone. One worker lease
-   * longer than {@link #formerHoldS}; so a cancellation is only told once each task of the job is
-   * proven gone, or must be in time whoever renews ("ran_cancelled" in ARCHITECTURE).
+   * steward cut off from the state service, and a controller cut off with its zone. One worker
+   * lease longer than {@link #formerHoldS}; so a cancellation is only told once each task of the
+   * job is proven gone, or must be in time whoever renews ("ran_cancelled" in ARCHITECTURE).
    */
   public double holdS() {
     return formerHoldS() + workers.leaseS();
   }
 
   /**
-   * The same while a controller of the version before may take over, which tells cancellations at once:
-   * this hold and a worker lease together stay below {@code cancel_s}.
+   * The same while a controller of the version before may take over, which tells cancellations at
+   * once: this hold and a worker lease together stay below {@code cancel_s}.
    */
   public double formerHoldS() {
     return 0.8 * Math.max(0, workers.cancelS() - workers.leaseS());
--- a/src/main/java/io/embernotch/settings/SettingsReader.java
+++ b/src/main/java/io/embernotch/settings/SettingsReader.java
@@ -134,7 +134,10 @@
     for (Table t : cluster.tables("objectives")) {
       out.add(
           new Settings.Objective(
-              t.text("kind"), t.textOr("class", null), t.number("within_s", 0), t.number("share", 0)));
+              t.text("kind"),
+              t.textOr("class", null),
+              t.number("within_s", 0),
+              t.number("share", 0)));
     }
     return List.copyOf(out);
   }
--- a/src/main/java/io/embernotch/shared/InForce.java
+++ b/src/main/java/io/embernotch/shared/InForce.java
@@ -10,8 +10,9 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * What the operators' files say, of the highest generation that any steward had. A steward with a newer file writes what
- * it says, and goes by it once that is in the store; one with an older file goes by what is there, and never writes.
+ * What the operators' files say, of the highest generation that any steward had. A steward with a
+ * newer file writes what it says, and goes by it once that is in the store; one with an older file
+ * goes by what is there, and never writes.
  *
  * @param <T> what a file says
  */
@@ -30,11 +31,18 @@
 
   /**
    * @param name of the fact
-   * @param written what this controller's file says, as the fact's value; its field {@code gen} is the generation
+   * @param written what this controller's file says, as the fact's value; its field {@code gen} is
+   *     the generation
    * @param changed is told when something else has come into force
    */
   public InForce(
-      SharedState shared, String name, T own, long ownGeneration, ObjectNode written, Function<JsonNode, T> read, Consumer<T> changed) {
+      SharedState shared,
+      String name,
+      T own,
+      long ownGeneration,
+      ObjectNode written,
+      Function<JsonNode, T> read,
+      Consumer<T> changed) {
     this.shared = shared;
     this.name = name;
     this.own = own;
@@ -61,11 +69,14 @@
       take(stored);
     }
     if (ownGeneration > 0 && (stored == null || generation < ownGeneration)) {
-      shared.put(name, written, () -> {
-        value = own;
-        generation = ownGeneration;
-        changed.accept(value);
-      });
+      shared.put(
+          name,
+          written,
+          () -> {
+            value = own;
+            generation = ownGeneration;
+            changed.accept(value);
+          });
     }
   }
 
@@ -74,9 +85,16 @@
       T there = read.apply(stored);
       long since = Json.whole(stored, "gen");
       if (since == ownGeneration && !there.equals(own)) {
-        LOG.error("the operators' file says something else of {} than the state service, both of generation {}: the latter holds", name, since);
+        LOG.error(
+            "the operators' file says something else of {} than the state service, both of generation {}: the latter holds",
+            name,
+            since);
       } else if (since > ownGeneration) {
-        LOG.info("{} of generation {} is in force, the operators' file here is of {}", name, since, ownGeneration);
+        LOG.info(
+            "{} of generation {} is in force, the operators' file here is of {}",
+            name,
+            since,
+            ownGeneration);
       }
       value = there;
       generation = since;
--- a/src/main/java/io/embernotch/shared/SharedState.java
+++ b/src/main/java/io/embernotch/shared/SharedState.java
@@ -19,13 +19,15 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Facts that a stewardship hands to the next one: under {@code shared/} in the state service, read before anything is
- * planned, written by the steward alone with its key and each fact's own stamp as conditions. What is told of a fact is
- * only what the store is known to hold: a change counts once its commit is answered. A commit without an answer is
- * unknown, and the keys are read again before anything else is written.
+ * Facts that a stewardship hands to the next one: under {@code shared/} in the state service, read
+ * before anything is planned, written by the steward alone with its key and each fact's own stamp
+ * as conditions. What is told of a fact is only what the store is known to hold: a change counts
+ * once its commit is answered. A commit without an answer is unknown, and the keys are read again
+ * before anything else is written.
  *
- * <p>Each value carries a version {@code n}, higher than all before it; where two copies of the state differ, the higher
- * one counts ({@link Versions}). All writing together is bounded to a share of the store's changes.
+ * <p>Each value carries a version {@code n}, higher than all before it; where two copies of the
+ * state differ, the higher one counts ({@link Versions}). All writing together is bounded to a
+ * share of the store's changes.
  */
 public final class SharedState {
   private static final Logger LOG = LoggerFactory.getLogger(SharedState.class);
@@ -97,11 +99,12 @@
   /** The facts whose names begin so, as the store is known to hold them. */
   public Map<String, ObjectNode> all(String prefix) {
     Map<String, ObjectNode> out = new TreeMap<>();
-    facts.forEach((name, f) -> {
-      if (name.startsWith(prefix)) {
-        out.put(name, f.value);
-      }
-    });
+    facts.forEach(
+        (name, f) -> {
+          if (name.startsWith(prefix)) {
+            out.put(name, f.value);
+          }
+        });
     return out;
   }
 
@@ -128,8 +131,9 @@
   }
 
   /**
-   * Has a fact written, in place of what was wanted of it before; {@code durable} runs once the store holds this value or
-   * a later one. A value that is no longer wanted is written as an empty object: its version must outlive it.
+   * Has a fact written, in place of what was wanted of it before; {@code durable} runs once the
+   * store holds this value or a later one. A value that is no longer wanted is written as an empty
+   * object: its version must outlive it.
    */
   public void put(String name, ObjectNode value, Runnable durable) {
     ObjectNode versioned = value.deepCopy();
@@ -147,10 +151,13 @@
       return;
     }
     armed = true;
-    env.timers().after(Math.max(0.001, nextAt - env.clock().now()), () -> {
-      armed = false;
-      write();
-    });
+    env.timers()
+        .after(
+            Math.max(0.001, nextAt - env.clock().now()),
+            () -> {
+              armed = false;
+              write();
+            });
   }
 
   private void write() {
@@ -205,48 +212,58 @@
     }
     LOG.info("facts {} were not written: {}", batch.keySet(), e.getMessage());
     if (StoreFailure.kindOf(e) == StoreFailure.Kind.MALFORMED) {
-      // One that the store does not take must hold up no other; what the store holds of it stays true.
+      // One that the store does not take must hold up no other; what the store holds of it stays
+      // true.
       LOG.error("the state service does not take the facts {}", batch.keySet());
       batch.forEach(wanted::remove);
     }
     if (StoreFailure.kindOf(e) == StoreFailure.Kind.UNKNOWN) {
       reread();
     } else {
-      later(() -> {
-        busy = false;
-        arm();
-      });
+      later(
+          () -> {
+            busy = false;
+            arm();
+          });
     }
   }
 
   private void later(Runnable what) {
-    env.timers().after(env.settings().workers().reportS() / 6, () -> {
-      if (!closed) {
-        what.run();
-      }
-    });
+    env.timers()
+        .after(
+            env.settings().workers().reportS() / 6,
+            () -> {
+              if (!closed) {
+                what.run();
+              }
+            });
   }
 
-  /** The last commit may have been applied, or be applied yet: stamps that are read now make it fail from then on. */
+  /**
+   * The last commit may have been applied, or be applied yet: stamps that are read now make it fail
+   * from then on.
+   */
   private void reread() {
     env.store()
         .list(RunCodec.SHARED)
-        .onSuccess(read -> {
-          if (closed) {
-            return;
-          }
-          Map<String, Fact> base = new TreeMap<>(facts);
-          load(read.events());
-          // What stands beneath the store's keys in this era is in none of them.
-          base.forEach((name, f) -> {
-            if (f.stamp == 0) {
-              facts.putIfAbsent(name, f);
-            }
-          });
-          settle();
-          busy = false;
-          arm();
-        })
+        .onSuccess(
+            read -> {
+              if (closed) {
+                return;
+              }
+              Map<String, Fact> base = new TreeMap<>(facts);
+              load(read.events());
+              // What stands beneath the store's keys in this era is in none of them.
+              base.forEach(
+                  (name, f) -> {
+                    if (f.stamp == 0) {
+                      facts.putIfAbsent(name, f);
+                    }
+                  });
+              settle();
+              busy = false;
+              arm();
+            })
         .onFailure(e -> later(this::reread));
   }
 
@@ -254,14 +271,20 @@
   private void settle() {
     edition++;
     List<Runnable> durable = new ArrayList<>();
-    wanted.entrySet().removeIf(e -> {
-      Fact f = facts.get(e.getKey());
-      boolean there = f != null && f.stamp > 0 && Versions.of(f.value) >= Versions.of(e.getValue().value);
-      if (there) {
-        durable.addAll(e.getValue().durable);
-      }
-      return there;
-    });
+    wanted
+        .entrySet()
+        .removeIf(
+            e -> {
+              Fact f = facts.get(e.getKey());
+              boolean there =
+                  f != null
+                      && f.stamp > 0
+                      && Versions.of(f.value) >= Versions.of(e.getValue().value);
+              if (there) {
+                durable.addAll(e.getValue().durable);
+              }
+              return there;
+            });
     durable.forEach(Runnable::run);
   }
 }
--- a/src/main/java/io/embernotch/snapshot/Snapshot.java
+++ b/src/main/java/io/embernotch/snapshot/Snapshot.java
@@ -17,9 +17,9 @@
 
 /**
  * One snapshot as a ZIP archive, so that common tools can look at it too: {@code head} is a {@link
- * SnapshotHead}, each {@code part-K} a {@link Copy} of some of the jobs. ZIP has a checksum for each of
- * them; the head has the number of parts and one checksum over all, since an archive that lacks its last
- * parts would look whole.
+ * SnapshotHead}, each {@code part-K} a {@link Copy} of some of the jobs. ZIP has a checksum for
+ * each of them; the head has the number of parts and one checksum over all, since an archive that
+ * lacks its last parts would look whole.
  */
 public final class Snapshot {
   private static final int VERSION = 1;
@@ -59,8 +59,15 @@
     List<byte[]> parts = parts(copy);
     SnapshotHead head =
         SnapshotHead.newBuilder()
-            .setVersion(VERSION).setEra(era).setEpoch(copy.getEpoch()).setWallMs(copy.getWallMs())
-            .setJobs(copy.getJobCount()).setEnded(copy.getEndedCount()).setParts(parts.size()).setCrc(sum(parts)).build();
+            .setVersion(VERSION)
+            .setEra(era)
+            .setEpoch(copy.getEpoch())
+            .setWallMs(copy.getWallMs())
+            .setJobs(copy.getJobCount())
+            .setEnded(copy.getEndedCount())
+            .setParts(parts.size())
+            .setCrc(sum(parts))
+            .build();
     ZipOutputStream zip = new ZipOutputStream(out);
     entry(zip, "head", head.toByteArray());
     for (int k = 0; k < parts.size(); k++) {
@@ -69,7 +76,9 @@
     zip.finish();
   }
 
-  /** @throws Damaged if it is not a whole snapshot, with the place; nothing of it is to be used then */
+  /**
+   * @throws Damaged if it is not a whole snapshot, with the place; nothing of it is to be used then
+   */
   public static Snapshot read(InputStream in) throws IOException {
     ZipInputStream zip = new ZipInputStream(in);
     SnapshotHead head;
@@ -87,24 +96,38 @@
         copy.mergeFrom(Copy.parseFrom(parts.get(k)));
       }
     } catch (ZipException | EOFException | InvalidProtocolBufferException e) {
-      throw new Damaged(at + ": " + (e.getMessage() == null ? "the file ends too early" : e.getMessage()));
+      throw new Damaged(
+          at + ": " + (e.getMessage() == null ? "the file ends too early" : e.getMessage()));
     }
-    if (sum(parts) != head.getCrc() || copy.getJobCount() != head.getJobs() || copy.getEndedCount() != head.getEnded()) {
+    if (sum(parts) != head.getCrc()
+        || copy.getJobCount() != head.getJobs()
+        || copy.getEndedCount() != head.getEnded()) {
       throw new Damaged("head: the checksum over all parts, or their contents' count, is another");
     }
-    return new Snapshot(head, copy.setEpoch(head.getEpoch()).setWallMs(head.getWallMs()).setComplete(false).build());
+    return new Snapshot(
+        head,
+        copy.setEpoch(head.getEpoch()).setWallMs(head.getWallMs()).setComplete(false).build());
   }
 
   private static List<byte[]> parts(Copy copy) {
     List<byte[]> out = new ArrayList<>();
     for (int from = 0; from < copy.getJobCount(); from += JOBS) {
-      out.add(Copy.newBuilder().addAllJob(copy.getJobList().subList(from, Math.min(copy.getJobCount(), from + JOBS))).build().toByteArray());
+      out.add(
+          Copy.newBuilder()
+              .addAllJob(copy.getJobList().subList(from, Math.min(copy.getJobCount(), from + JOBS)))
+              .build()
+              .toByteArray());
     }
     if (copy.getSharedCount() > 0) {
       out.add(Copy.newBuilder().addAllShared(copy.getSharedList()).build().toByteArray());
     }
     for (int from = 0; from < copy.getEndedCount(); from += ENDS) {
-      out.add(Copy.newBuilder().addAllEnded(copy.getEndedList().subList(from, Math.min(copy.getEndedCount(), from + ENDS))).build().toByteArray());
+      out.add(
+          Copy.newBuilder()
+              .addAllEnded(
+                  copy.getEndedList().subList(from, Math.min(copy.getEndedCount(), from + ENDS)))
+              .build()
+              .toByteArray());
     }
     return out;
   }
--- a/src/main/java/io/embernotch/snapshot/SnapshotDiff.java
+++ b/src/main/java/io/embernotch/snapshot/SnapshotDiff.java
@@ -22,7 +22,11 @@
   public static ObjectNode line(JobCopy j) {
     return Json.object()
         .put("ref", j.getRef())
-        .put("phase", j.hasEnd() ? j.getEnd().name().toLowerCase() : j.getOpenCount() > 0 ? "running" : "queued")
+        .put(
+            "phase",
+            j.hasEnd()
+                ? j.getEnd().name().toLowerCase()
+                : j.getOpenCount() > 0 ? "running" : "queued")
         .put("done", BitSet.valueOf(j.getDone().toByteArray()).cardinality())
         .put("open", j.getOpenCount())
         .put("next", j.getNextAttempt());
@@ -30,10 +34,17 @@
 
   /** A job of which only the end is left. */
   public static ObjectNode line(EndedCopy e) {
-    return Json.object().put("ref", e.getRef()).put("phase", e.getEnd().name().toLowerCase()).put("done", e.getDone()).put("open", 0);
+    return Json.object()
+        .put("ref", e.getRef())
+        .put("phase", e.getEnd().name().toLowerCase())
+        .put("done", e.getDone())
+        .put("open", 0);
   }
 
-  /** The jobs that are not the same in both, in the order of their ids, as they are in each; empty if all are. */
+  /**
+   * The jobs that are not the same in both, in the order of their ids, as they are in each; empty
+   * if all are.
+   */
   public static List<ObjectNode> of(Copy a, Copy b) {
     Map<String, Message> before = byRef(a);
     Map<String, Message> after = byRef(b);
@@ -62,7 +73,12 @@
       return "absent";
     }
     ObjectNode line = m instanceof JobCopy j ? line(j) : line((EndedCopy) m);
-    return line.path("phase").asText() + ", " + line.path("done").asText() + " done, " + line.path("open").asText()
-        + " open, next " + line.path("next").asText("-");
+    return line.path("phase").asText()
+        + ", "
+        + line.path("done").asText()
+        + " done, "
+        + line.path("open").asText()
+        + " open, next "
+        + line.path("next").asText("-");
   }
 }
--- a/src/main/java/io/embernotch/snapshot/SnapshotDir.java
+++ b/src/main/java/io/embernotch/snapshot/SnapshotDir.java
@@ -19,9 +19,9 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * A directory of snapshots. A file is there whole or not at all: it is written under another name, synced,
- * and renamed. Its name holds the epoch and the time of day, so that names sort by age; the epoch comes
- * first, since clocks of controllers differ. All calls block.
+ * A directory of snapshots. A file is there whole or not at all: it is written under another name,
+ * synced, and renamed. Its name holds the epoch and the time of day, so that names sort by age; the
+ * epoch comes first, since clocks of controllers differ. All calls block.
  */
 public final class SnapshotDir {
   private static final Logger LOG = LoggerFactory.getLogger(SnapshotDir.class);
@@ -31,7 +31,9 @@
   private final Path directory;
   private final int keep;
 
-  /** @param keep how many are kept when another is written, at least one */
+  /**
+   * @param keep how many are kept when another is written, at least one
+   */
   public SnapshotDir(Path directory, int keep) {
     this.directory = directory;
     this.keep = keep;
@@ -43,7 +45,11 @@
     Path unfinished = directory.resolve(name + UNFINISHED);
     Path file = directory.resolve(name + END);
     try (FileChannel channel =
-        FileChannel.open(unfinished, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE)) {
+        FileChannel.open(
+            unfinished,
+            StandardOpenOption.CREATE,
+            StandardOpenOption.TRUNCATE_EXISTING,
+            StandardOpenOption.WRITE)) {
       OutputStream out = new BufferedOutputStream(Channels.newOutputStream(channel));
       Snapshot.write(copy, era, out);
       out.flush();
@@ -71,7 +77,9 @@
     }
   }
 
-  /** The newest that is whole; null if there is none. Damaged ones are named in the log, and left. */
+  /**
+   * The newest that is whole; null if there is none. Damaged ones are named in the log, and left.
+   */
   public Snapshot newest() throws IOException {
     for (Path file : list()) {
       try {
@@ -83,7 +91,9 @@
     return null;
   }
 
-  /** @throws Snapshot.Damaged if it is not whole, with the place of the damage */
+  /**
+   * @throws Snapshot.Damaged if it is not whole, with the place of the damage
+   */
   public static Snapshot read(Path file) throws IOException {
     try (InputStream in = new BufferedInputStream(Files.newInputStream(file))) {
       return Snapshot.read(in);
--- a/src/main/java/io/embernotch/snapshot/Snapshots.java
+++ b/src/main/java/io/embernotch/snapshot/Snapshots.java
@@ -28,12 +28,17 @@
   public Snapshots(Env env) {
     this.env = env;
     this.settings = env.operator().snapshots();
-    this.directory = settings.directory() == null ? null : new SnapshotDir(settings.directory(), settings.keep());
+    this.directory =
+        settings.directory() == null
+            ? null
+            : new SnapshotDir(settings.directory(), settings.keep());
     this.takenAt = env.clock().now();
     this.triedAt = takenAt;
   }
 
-  /** Time has gone by on a steward; {@code copy}: what it knows, null if it knows too little yet. */
+  /**
+   * Time has gone by on a steward; {@code copy}: what it knows, null if it knows too little yet.
+   */
   public void tick(String era, Supplier<Copy> copy) {
     double now = env.clock().now();
     if (directory == null || writing || now - triedAt < settings.everyS()) {
@@ -46,18 +51,20 @@
     }
     took.record("copy", env.clock().now() - now);
     writing = true;
-    env.blocking().execute(() -> {
-      String failure = null;
-      Path file = null;
-      try {
-        file = directory.write(taken, era);
-      } catch (IOException e) {
-        failure = e.toString();
-      }
-      Path written = file;
-      String why = failure;
-      env.loop().execute(() -> written(written, taken, why));
-    });
+    env.blocking()
+        .execute(
+            () -> {
+              String failure = null;
+              Path file = null;
+              try {
+                file = directory.write(taken, era);
+              } catch (IOException e) {
+                failure = e.toString();
+              }
+              Path written = file;
+              String why = failure;
+              env.loop().execute(() -> written(written, taken, why));
+            });
   }
 
   private void written(Path file, Copy copy, String failure) {
@@ -65,7 +72,12 @@
     double now = env.clock().now();
     if (failure == null) {
       takenAt = now;
-      LOG.info("snapshot {}: {} jobs, {} ends; {}", file.getFileName(), copy.getJobCount(), copy.getEndedCount(), took.line());
+      LOG.info(
+          "snapshot {}: {} jobs, {} ends; {}",
+          file.getFileName(),
+          copy.getJobCount(),
+          copy.getEndedCount(),
+          took.line());
     } else {
       LOG.error("no snapshot could be written: {}", failure);
     }
@@ -75,8 +87,8 @@
   }
 
   /**
-   * The newest copy in the directory; null if there is none, or none may be used. Blocks: to be called only
-   * where nothing can be done without it.
+   * The newest copy in the directory; null if there is none, or none may be used. Blocks: to be
+   * called only where nothing can be done without it.
    */
   public Copy newest() {
     if (directory == null || !settings.restoreWhenEmpty()) {
--- a/src/main/java/io/embernotch/steward/Beats.java
+++ b/src/main/java/io/embernotch/steward/Beats.java
@@ -6,7 +6,9 @@
 import io.embernotch.peer.PeerLink;
 import io.embernotch.settings.Settings;
 
-/** What a controller tells the others of itself, a few times in a report period and when it matters. */
+/**
+ * What a controller tells the others of itself, a few times in a report period and when it matters.
+ */
 final class Beats {
   private final Env env;
   private final PeerLink peers;
@@ -18,13 +20,18 @@
     this.eras = eras;
   }
 
-  /** {@code steward}: whom this node takes for it, null if nobody; {@code epoch}: that stewardship's. */
+  /**
+   * {@code steward}: whom this node takes for it, null if nobody; {@code epoch}: that
+   * stewardship's.
+   */
   void send(String steward, long epoch) {
     Settings s = env.settings();
     boolean served = env.store().failingForS() == 0;
     // While data is lost, no steward and an epoch that the store can't reach tell the others so.
     Frame.Beat beat =
-        eras.lost() ? new Frame.Beat(s.node(), null, eras.lostMark(), served) : new Frame.Beat(s.node(), steward, epoch, served);
+        eras.lost()
+            ? new Frame.Beat(s.node(), null, eras.lostMark(), served)
+            : new Frame.Beat(s.node(), steward, epoch, served);
     s.members().forEach(m -> peers.send(m.node(), beat));
   }
 }
--- a/src/main/java/io/embernotch/steward/EarlyReports.java
+++ b/src/main/java/io/embernotch/steward/EarlyReports.java
@@ -53,7 +53,8 @@
     slice(left, loop, to);
   }
 
-  private static void slice(ArrayDeque<StewardMessage> left, Executor loop, Consumer<StewardMessage> to) {
+  private static void slice(
+      ArrayDeque<StewardMessage> left, Executor loop, Consumer<StewardMessage> to) {
     for (int i = 0; i < SLICE && !left.isEmpty(); i++) {
       to.accept(left.poll());
     }
--- a/src/main/java/io/embernotch/steward/Facts.java
+++ b/src/main/java/io/embernotch/steward/Facts.java
@@ -15,7 +15,10 @@
 import java.util.Map;
 import java.util.function.Consumer;
 
-/** What a stewardship takes over beside jobs, and hands on: read before anything but live services is planned. */
+/**
+ * What a stewardship takes over beside jobs, and hands on: read before anything but live services
+ * is planned.
+ */
 final class Facts {
   private final SharedState shared;
   private final HoldKeeper holds;
--- a/src/main/java/io/embernotch/steward/ImageNews.java
+++ b/src/main/java/io/embernotch/steward/ImageNews.java
@@ -18,7 +18,9 @@
   private final Map<String, List<String>> known;
   private long epoch;
 
-  /** @param most machines to remember; those whose end was lost on the way must not fill memory */
+  /**
+   * @param most machines to remember; those whose end was lost on the way must not fill memory
+   */
   ImageNews(int most) {
     known = new Recent<>(most);
   }
--- a/src/main/java/io/embernotch/steward/Inquiries.java
+++ b/src/main/java/io/embernotch/steward/Inquiries.java
@@ -12,11 +12,13 @@
 import java.util.function.Predicate;
 
 /**
- * What users ask of a job at any controller: an end that is known is told at once, the steward is asked
- * else, and the store while there is none.
+ * What users ask of a job at any controller: an end that is known is told at once, the steward is
+ * asked else, and the store while there is none.
  */
 final class Inquiries {
-  /** Passes a question on to the steward, wherever it is; 503 if there is none to be had in time. */
+  /**
+   * Passes a question on to the steward, wherever it is; 503 if there is none to be had in time.
+   */
   interface ToSteward {
     Future<Answer> ask(Frame.Ask.What what, String ref, double withinS);
   }
@@ -27,6 +29,7 @@
   private final StoredStatus stored;
   private final Predicate<String> accepted;
   private final ToSteward steward;
+
   /** A flood of polls costs other nodes and the state service nothing, and workers little. */
   private final PollTurns turns;
 
@@ -51,15 +54,18 @@
     if (!turns.admit(ref)) {
       return answer(Answer.later("too many polls"));
     }
-    return status(ref).onSuccess(a -> {
-      if (a.status() != 503) {
-        turns.told(ref);
-      }
-    });
+    return status(ref)
+        .onSuccess(
+            a -> {
+              if (a.status() != 503) {
+                turns.told(ref);
+              }
+            });
   }
 
   private Future<Answer> status(String ref) {
-    return steward.ask(Frame.Ask.What.POLL, ref, env.settings().workers().reportS() / 6)
+    return steward
+        .ask(Frame.Ask.What.POLL, ref, env.settings().workers().reportS() / 6)
         .compose(a -> a.status() == 503 ? readStatus(ref) : answer(a));
   }
 
@@ -84,12 +90,15 @@
       return answer(Answer.error(404, "no such job"));
     }
     Answer known = ended.brief(ref);
-    return known != null ? answer(known) : steward.ask(Frame.Ask.What.ABORT, ref, env.settings().workers().reportS());
+    return known != null
+        ? answer(known)
+        : steward.ask(Frame.Ask.What.ABORT, ref, env.settings().workers().reportS());
   }
 
   /**
-   * A job that was accepted here is not denied: that it is not there shows that data is lost. One that was accepted while
-   * the read was under way shows nothing: such a read was once taken for a loss, and an older copy restored.
+   * A job that was accepted here is not denied: that it is not there shows that data is lost. One
+   * that was accepted while the read was under way shows nothing: such a read was once taken for a
+   * loss, and an older copy restored.
    */
   private Answer denied(String ref, Answer a, boolean acceptedBefore) {
     if (!accepted.test(ref)) {
--- a/src/main/java/io/embernotch/steward/JobNews.java
+++ b/src/main/java/io/embernotch/steward/JobNews.java
@@ -26,7 +26,8 @@
   static void heard(byte[] value, String era, StoreClient store, Consumer<StewardMessage> steward) {
     try {
       ObjectNode o = Json.parseObject(value);
-      StewardMessage.JobCreated job = new StewardMessage.JobCreated(RunCodec.readJob(o), RunCodec.readPiece(o));
+      StewardMessage.JobCreated job =
+          new StewardMessage.JobCreated(RunCodec.readJob(o), RunCodec.readPiece(o));
       if (!era.isEmpty() && era.equals(EraCodec.toldEra(o))) {
         // Contents that were put back to just before it would else be taken for present.
         store.told(RunCodec.JOB + job.job().spec.ref(), EraCodec.toldEpoch(o));
--- a/src/main/java/io/embernotch/steward/Planning.java
+++ b/src/main/java/io/embernotch/steward/Planning.java
@@ -44,16 +44,31 @@
   private double loadedAt = -1;
   private boolean closed;
   private boolean armed;
+
   /** A job has been let go, and a plan is to be made in this turn. */
   private boolean asked;
+
   private double plannedAt = -1e9;
   private double tookS;
   private long planned;
 
-  /** {@code pressed}: workers' reports wait; {@code ask} has {@link #make} called in a turn of the steward's own. */
+  /**
+   * {@code pressed}: workers' reports wait; {@code ask} has {@link #make} called in a turn of the
+   * steward's own.
+   */
   Planning(
-      Env env, Ledger ledger, Chains chains, Demand demand, FleetKeeper fleet, Starts starts, Stops stops,
-      Facts facts, double acquiredAt, BooleanSupplier live, BooleanSupplier pressed, Runnable ask) {
+      Env env,
+      Ledger ledger,
+      Chains chains,
+      Demand demand,
+      FleetKeeper fleet,
+      Starts starts,
+      Stops stops,
+      Facts facts,
+      double acquiredAt,
+      BooleanSupplier live,
+      BooleanSupplier pressed,
+      Runnable ask) {
     this.env = env;
     this.ledger = ledger;
     this.chains = chains;
@@ -108,9 +123,12 @@
   void soon() {
     if (!armed && loadedAt >= 0 && !closed) {
       armed = true;
-      // However long a plan takes, most of the time stays for reports. While these wait for their turn that is measured
-      // by our share of the processor: four times as long as the last one took left plans half of it after a takeover.
-      double pause = pressed.getAsBoolean() ? 3 * tookS / env.settings().quota().cpuShare() : 4 * tookS;
+      // However long a plan takes, most of the time stays for reports. While these wait for their
+      // turn that is measured
+      // by our share of the processor: four times as long as the last one took left plans half of
+      // it after a takeover.
+      double pause =
+          pressed.getAsBoolean() ? 3 * tookS / env.settings().quota().cpuShare() : 4 * tookS;
       double spacing = Math.max(env.settings().workers().reportS() / 60, pause);
       double wait = Math.max(0.001, plannedAt + spacing - env.clock().now());
       env.timers().after(wait, ask);
@@ -122,7 +140,10 @@
     armed = false;
     asked = false;
     double now = env.clock().now();
-    if (!live.getAsBoolean() || (!fleet.listedOnce() && now - acquiredAt < env.settings().workers().reportS() && ledger.machines.isEmpty())) {
+    if (!live.getAsBoolean()
+        || (!fleet.listedOnce()
+            && now - acquiredAt < env.settings().workers().reportS()
+            && ledger.machines.isEmpty())) {
       return;
     }
     plannedAt = now;
@@ -133,13 +154,25 @@
     facts.calendar().apply(wallMs);
     List<Fleet.Headroom> room =
         demand.headroom(env.operator(), ledger.types.values(), ledger.jobs.values(), now).stream()
-            .map(h -> facts.calendar().near(h.like(), wallMs) ? new Fleet.Headroom(h.like(), (int) Math.ceil(NEAR * h.count())) : h)
+            .map(
+                h ->
+                    facts.calendar().near(h.like(), wallMs)
+                        ? new Fleet.Headroom(h.like(), (int) Math.ceil(NEAR * h.count()))
+                        : h)
             .toList();
     Holds held = facts.holds().holds(room);
     Situation at =
         new Situation(
-            now, wallMs, ledger.jobs.values(), ledger.machines.values(), ledger.types, fleet::exhausted,
-            fleet.expected(), room, held, fleet.risk());
+            now,
+            wallMs,
+            ledger.jobs.values(),
+            ledger.machines.values(),
+            ledger.types,
+            fleet::exhausted,
+            fleet.expected(),
+            room,
+            held,
+            fleet.risk());
     Plan plan = liveFirst ? planner.liveOnly(at) : planner.plan(at);
     facts.holds().planned(plan.held);
     tookS = env.clock().now() - now;
@@ -163,12 +196,14 @@
   }
 
   /**
-   * Right after a takeover live services have plans of their own. The first whole plan takes some 0.4 s on
-   * a starved core, knows few machines yet, and keeps the next one waiting for four times that.
+   * Right after a takeover live services have plans of their own. The first whole plan takes some
+   * 0.4 s on a starved core, knows few machines yet, and keeps the next one waiting for four times
+   * that.
    */
   private boolean liveWaits(double now) {
     return now - loadedAt < firstS()
-        && ledger.jobs.values().stream().anyMatch(j -> j.spec.priority() == Priority.PRODUCTION && j.pendingCount() > 0);
+        && ledger.jobs.values().stream()
+            .anyMatch(j -> j.spec.priority() == Priority.PRODUCTION && j.pendingCount() > 0);
   }
 
   /** So long after a takeover live services come before what else there is to do. */
--- a/src/main/java/io/embernotch/steward/ReportQueue.java
+++ b/src/main/java/io/embernotch/steward/ReportQueue.java
@@ -12,10 +12,11 @@
  * takeover a thousand come at once; while each turn took all that had come, the commits of live
  * services, which need two turns each, took 2.6 s instead of 20 ms.
  *
- * <p>Where more come than can be taken, only what its worker still waits for is worth taking: of a machine the last
- * one, none that is older than its worker's patience, and the youngest first once they wait for long. Taken in the order
- * they came, each was answered just too late: answers took 6.8 s at the 95th percentile where workers wait for 4, and what
- * ran on those machines ended with its lease.
+ * <p>Where more come than can be taken, only what its worker still waits for is worth taking: of a
+ * machine the last one, none that is older than its worker's patience, and the youngest first once
+ * they wait for long. Taken in the order they came, each was answered just too late: answers took
+ * 6.8 s at the 95th percentile where workers wait for 4, and what ran on those machines ended with
+ * its lease.
  */
 final class ReportQueue {
   private static final int SLICE = 8;
@@ -23,7 +24,10 @@
   /** The shortest pause: the next turn of the loop. */
   private static final double PAUSE_S = 0.001;
 
-  /** Seconds that a worker waits for an answer ("Workers"), and from which on the youngest report goes first. */
+  /**
+   * Seconds that a worker waits for an answer ("Workers"), and from which on the youngest report
+   * goes first.
+   */
   private static final double PATIENCE_S = 4;
 
   private static final double LONG_S = PATIENCE_S / 4;
@@ -34,15 +38,21 @@
   private final Timers timers;
   private final Consumer<StewardMessage.Report> take;
   private final Consumer<StewardMessage.Report> drop;
+
   /** In the order they came. */
   private final TreeMap<Long, Waiting> queue = new TreeMap<>();
+
   private final Map<String, Long> places = new HashMap<>();
   private long next;
   private int left = SLICE;
   private boolean armed;
 
   /** {@code drop} is told of reports that nobody waits for any more. */
-  ReportQueue(Clock clock, Timers timers, Consumer<StewardMessage.Report> take, Consumer<StewardMessage.Report> drop) {
+  ReportQueue(
+      Clock clock,
+      Timers timers,
+      Consumer<StewardMessage.Report> take,
+      Consumer<StewardMessage.Report> drop) {
     this.clock = clock;
     this.timers = timers;
     this.take = take;
@@ -61,7 +71,8 @@
     Long place = places.get(machine);
     StewardMessage.Report before = place == null ? null : queue.get(place).message;
     if (before != null && !m.report().newerThan(before.report().session(), before.report().seq())) {
-      // A copy that came late, or one of another life: it must not displace the one that is waited for.
+      // A copy that came late, or one of another life: it must not displace the one that is waited
+      // for.
       drop.accept(m);
       return;
     }
--- a/src/main/java/io/embernotch/steward/StewardMessage.java
+++ b/src/main/java/io/embernotch/steward/StewardMessage.java
@@ -11,12 +11,15 @@
 /** What the steward may be told. */
 sealed interface StewardMessage {
   /**
-   * A worker reports, by the controller whose life {@code via} is; {@code reply} gets the body of the 200, or null if
-   * it must not get one.
+   * A worker reports, by the controller whose life {@code via} is; {@code reply} gets the body of
+   * the 200, or null if it must not get one.
    */
   record Report(WorkerReport report, long via, Promise<byte[]> reply) implements StewardMessage {}
 
-  /** What a worker reported to another controller before there was a steward; nobody waits for an answer. */
+  /**
+   * What a worker reported to another controller before there was a steward; nobody waits for an
+   * answer.
+   */
   record Heard(WorkerReport report) implements StewardMessage {}
 
   record Ask(Frame.Ask.What what, String ref, Promise<Answer> reply) implements StewardMessage {}
--- a/src/main/java/io/embernotch/store/LeaseKeeper.java
+++ b/src/main/java/io/embernotch/store/LeaseKeeper.java
@@ -32,16 +32,27 @@
   private final double stuckS;
   private final AtomicReference<Proof> proof = new AtomicReference<>();
   private volatile double coreAliveAt;
+
   /** The lease that is kept, 0 if none; owned by the keeper's loop. */
   private long permit;
 
   /**
-   * @param loop runs the keeper, {@code caller} and {@code timers}; {@code core} is told what becomes of the lease
-   * @param lifeS life of the lease in seconds; a renewal counts from its sending, less {@code drift}
+   * @param loop runs the keeper, {@code caller} and {@code timers}; {@code core} is told what
+   *     becomes of the lease
+   * @param lifeS life of the lease in seconds; a renewal counts from its sending, less {@code
+   *     drift}
    * @param stuckS seconds without a sign of the core after which nothing is renewed any more
    */
   public LeaseKeeper(
-      Caller caller, HostPort state, Clock clock, Timers timers, Executor loop, Executor core, double lifeS, double drift, double stuckS) {
+      Caller caller,
+      HostPort state,
+      Clock clock,
+      Timers timers,
+      Executor loop,
+      Executor core,
+      double lifeS,
+      double drift,
+      double stuckS) {
     this.caller = caller;
     this.state = state;
     this.clock = clock;
@@ -57,7 +68,10 @@
     return lifeS;
   }
 
-  /** The lease cannot have ended before this time of the steady clock; below 0 if none is held. Any thread. */
+  /**
+   * The lease cannot have ended before this time of the steady clock; below 0 if none is held. Any
+   * thread.
+   */
   public double provenUntil() {
     Proof p = proof.get();
     return p == null ? -1 : p.until;
@@ -68,7 +82,10 @@
     coreAliveAt = clock.now();
   }
 
-  /** Keeps a lease that was granted by a request sent at {@code sentAt}; tells the core once it has ended. */
+  /**
+   * Keeps a lease that was granted by a request sent at {@code sentAt}; tells the core once it has
+   * ended.
+   */
   public void keep(long granted, double sentAt, LongConsumer ended) {
     alive();
     proof.set(new Proof(granted, sentAt + driftless));
@@ -107,8 +124,12 @@
               } else if (reply.status() == 200) {
                 // An answer about a lease that was let go meanwhile proves nothing of the next one.
                 proof.updateAndGet(
-                    p -> p != null && p.permit == which ? new Proof(which, Math.max(p.until, sentAt + driftless)) : p);
-                timers.after(Math.max(0, sentAt + lifeS / 3 - clock.now()), () -> renew(which, ended));
+                    p ->
+                        p != null && p.permit == which
+                            ? new Proof(which, Math.max(p.until, sentAt + driftless))
+                            : p);
+                timers.after(
+                    Math.max(0, sentAt + lifeS / 3 - clock.now()), () -> renew(which, ended));
               } else {
                 timers.after(lifeS / 15, () -> renew(which, ended));
               }
--- a/src/main/java/io/embernotch/store/Lives.java
+++ b/src/main/java/io/embernotch/store/Lives.java
@@ -6,10 +6,10 @@
 /**
  * What tells one life of the state service's contents from another.
  *
- * <p>The revision of its contents never falls. So an answer to a request that was sent after some answer
- * had shown revision E shows E at least, in whatever order answers arrive: what shows less comes from
- * contents that were put back or begun anew. Answers to requests from before a loss was noticed say
- * nothing of what there is now, and are nobody's any more.
+ * <p>The revision of its contents never falls. So an answer to a request that was sent after some
+ * answer had shown revision E shows E at least, in whatever order answers arrive: what shows less
+ * comes from contents that were put back or begun anew. Answers to requests from before a loss was
+ * noticed say nothing of what there is now, and are nobody's any more.
  *
  * <p>The fence is a key of the present era that every transaction conditions on: revisions may be
  * overtaken, stamps repeat after a loss, the fence does not.
@@ -39,7 +39,9 @@
     return new Mark(life, seen);
   }
 
-  /** False if the contents that the request meant are no more; {@code epoch} is then meaningless. */
+  /**
+   * False if the contents that the request meant are no more; {@code epoch} is then meaningless.
+   */
   boolean isOf(Mark m) {
     return m.life == life;
   }
@@ -53,7 +55,10 @@
     return true;
   }
 
-  /** A transaction that wrote {@code key} was answered: a change raises the revision. False if that proves a loss. */
+  /**
+   * A transaction that wrote {@code key} was answered: a change raises the revision. False if that
+   * proves a loss.
+   */
   boolean wrote(Mark m, String key, long epoch) {
     if (epoch <= m.least) {
       return false;
--- a/src/main/java/io/embernotch/store/StoreFailure.java
+++ b/src/main/java/io/embernotch/store/StoreFailure.java
@@ -4,6 +4,7 @@
 public final class StoreFailure extends RuntimeException {
   private static final long serialVersionUID = 1L;
 
+  /** What is known of the request that failed. */
   public enum Kind {
     /** It was not executed and never will be. */
     REFUSED,
@@ -15,7 +16,10 @@
     NO_LEASE,
     /** The watch asks for changes that are no longer kept. */
     TOO_OLD,
-    /** What was asked was asked of contents that are no more: the service has lost data, or another era began. */
+    /**
+     * What was asked was asked of contents that are no more: the service has lost data, or another
+     * era began.
+     */
     LOST
   }
 
--- a/src/main/java/io/embernotch/straggler/PartKeeper.java
+++ b/src/main/java/io/embernotch/straggler/PartKeeper.java
@@ -64,11 +64,31 @@
     for (MachineView.TaskView t : m.tasks()) {
       tasks.add(
           new MachineView.TaskView(
-              t.ref(), t.task(), t.attempt(), t.elapsedS() + by, t.jobMeanS(), t.cpus(), t.gpus(),
-              t.memGb(), t.spotAllowed(), t.zone(), t.types()));
+              t.ref(),
+              t.task(),
+              t.attempt(),
+              t.elapsedS() + by,
+              t.jobMeanS(),
+              t.cpus(),
+              t.gpus(),
+              t.memGb(),
+              t.spotAllowed(),
+              t.zone(),
+              t.types()));
     }
     return new MachineView(
-        m.machine(), m.type(), m.zone(), m.spot(), m.cores(), m.pricePerS(), m.usable(),
-        m.freeCpus(), m.freeGpus(), m.freeMemGb(), m.busyTasks(), m.ratios(), tasks);
+        m.machine(),
+        m.type(),
+        m.zone(),
+        m.spot(),
+        m.cores(),
+        m.pricePerS(),
+        m.usable(),
+        m.freeCpus(),
+        m.freeGpus(),
+        m.freeMemGb(),
+        m.busyTasks(),
+        m.ratios(),
+        tasks);
   }
 }
--- a/src/main/java/io/embernotch/straggler/Parts.java
+++ b/src/main/java/io/embernotch/straggler/Parts.java
@@ -4,7 +4,10 @@
 import java.util.Collection;
 import java.util.zip.CRC32;
 
-/** Splits machines among live controllers by rendezvous hashing: a change of one moves only its part. */
+/**
+ * Splits machines among live controllers by rendezvous hashing: a change of one moves only its
+ * part.
+ */
 public final class Parts {
   private Parts() {}
 
--- a/src/main/java/io/embernotch/straggler/Round.java
+++ b/src/main/java/io/embernotch/straggler/Round.java
@@ -108,8 +108,18 @@
 
   private static MachineView without(MachineView m, TaskView t) {
     return new MachineView(
-        m.machine(), m.type(), m.zone(), m.spot(), m.cores(), m.pricePerS(), m.usable(),
-        m.freeCpus() - t.cpus(), m.freeGpus() - t.gpus(), m.freeMemGb() - t.memGb(),
-        m.busyTasks() + 1, m.ratios(), m.tasks());
+        m.machine(),
+        m.type(),
+        m.zone(),
+        m.spot(),
+        m.cores(),
+        m.pricePerS(),
+        m.usable(),
+        m.freeCpus() - t.cpus(),
+        m.freeGpus() - t.gpus(),
+        m.freeMemGb() - t.memGb(),
+        m.busyTasks() + 1,
+        m.ratios(),
+        m.tasks());
   }
 }
--- a/src/main/java/io/embernotch/users/Admission.java
+++ b/src/main/java/io/embernotch/users/Admission.java
@@ -7,12 +7,15 @@
 import java.util.Collection;
 import java.util.Map;
 
-/** Tells jobs that can never run. Depends on nothing that changes, so a repeat gets the same answer. */
+/**
+ * Tells jobs that can never run. Depends on nothing that changes, so a repeat gets the same answer.
+ */
 public final class Admission {
   private Admission() {}
 
   /** Why the job can never run, or null. */
-  public static String neverRuns(JobSpec job, Map<String, Settings.Team> teams, Collection<MachineType> types) {
+  public static String neverRuns(
+      JobSpec job, Map<String, Settings.Team> teams, Collection<MachineType> types) {
     Settings.Team team = teams.get(job.team());
     if (team == null) {
       return "unknown team " + job.team();
@@ -25,10 +28,14 @@
       return "a task fits no allowed machine type";
     }
     int together = job.shape() == Shape.ARRAY ? 1 : job.tasks();
-    if (over(job.cpus() * together, team.cpusMax()) || over(job.gpus() * together, team.gpusMax())) {
+    if (over(job.cpus() * together, team.cpusMax())
+        || over(job.gpus() * together, team.gpusMax())) {
       return "needs more than the limit of team " + job.team();
     }
-    if (job.spread() && job.tasks() > 1 && job.shape() != Shape.ARRAY && (job.oneZone() || job.zone() != null)) {
+    if (job.spread()
+        && job.tasks() > 1
+        && job.shape() != Shape.ARRAY
+        && (job.oneZone() || job.zone() != null)) {
       return "must be spread, yet may use one zone only";
     }
     return null;
--- a/src/main/java/io/embernotch/users/Awaited.java
+++ b/src/main/java/io/embernotch/users/Awaited.java
@@ -15,14 +15,15 @@
 import java.util.function.Supplier;
 
 /**
- * Checks the jobs that a submission names. That one was never accepted only the store can tell; that
- * it was, and whether it is a service, never changes, so it is read once.
+ * Checks the jobs that a submission names. That one was never accepted only the store can tell;
+ * that it was, and whether it is a service, never changes, so it is read once.
  */
 public final class Awaited {
   private static final int MOST = 20_000;
 
   private final Env env;
   private final Supplier<Base> base;
+
   /** Accepted jobs, and whether they are services. */
   private final Map<String, Boolean> accepted = new Recent<>(MOST);
 
@@ -52,7 +53,10 @@
       Boolean known = accepted.get(ref);
       all.add(known != null ? Future.succeededFuture(complaint(ref, known)) : read(ref));
     }
-    return Future.all(all).map(f -> all.stream().map(Future::result).filter(Objects::nonNull).findFirst().orElse(null));
+    return Future.all(all)
+        .map(
+            f ->
+                all.stream().map(Future::result).filter(Objects::nonNull).findFirst().orElse(null));
   }
 
   private Future<String> read(String ref) {
--- a/src/main/java/io/embernotch/users/PollTurns.java
+++ b/src/main/java/io/embernotch/users/PollTurns.java
@@ -9,10 +9,11 @@
 import java.util.Map;
 
 /**
- * Which polls are answered where more come than a node can ask the steward about. A job whose every question is
- * refused for {@link #FORGOTTEN_S} is as good as forgotten, so who is refused must not be left to chance: the fewer polls
- * can still be answered, the longer a job must have gone without an answer here to get one. With {@code n} jobs polled at a
- * node that can answer {@code c} polls a second that is n/c seconds at most, and a poll's interval on top.
+ * Which polls are answered where more come than a node can ask the steward about. A job whose every
+ * question is refused for {@link #FORGOTTEN_S} is as good as forgotten, so who is refused must not
+ * be left to chance: the fewer polls can still be answered, the longer a job must have gone without
+ * an answer here to get one. With {@code n} jobs polled at a node that can answer {@code c} polls a
+ * second that is n/c seconds at most, and a poll's interval on top.
  */
 public final class PollTurns {
   /** Seconds without an answer after which the operators count a job as forgotten. */
@@ -31,6 +32,7 @@
   private final double perS;
   private final double startedAt;
   private final Pacer pacer;
+
   /** When each job was last told of here. */
   private final Map<String, Double> toldAt;
 
@@ -48,8 +50,10 @@
     double now = clock.now();
     double most = MOST_SHARE * FORGOTTEN_S;
     double pressed = Math.max(0, 1 - credit / (EASY_SHARE * perS));
-    // Jobs that this life of the node has told nothing of are spread, or their turns would all come at the same time.
-    double told = toldAt.getOrDefault(ref, startedAt - most * ((ref.hashCode() * SPREAD) >>> 16) / 65536.0);
+    // Jobs that this life of the node has told nothing of are spread, or their turns would all come
+    // at the same time.
+    double told =
+        toldAt.getOrDefault(ref, startedAt - most * ((ref.hashCode() * SPREAD) >>> 16) / 65536.0);
     if (credit < 1 || now - told < pressed * most) {
       return false;
     }
--- a/src/main/java/io/embernotch/users/StoredStatus.java
+++ b/src/main/java/io/embernotch/users/StoredStatus.java
@@ -54,7 +54,8 @@
               if (job.end != null) {
                 return answer(told(job, job.end));
               }
-              return before(job, new ArrayDeque<>(job.spec.awaits()), new HashSet<>(job.spec.awaits()), 0);
+              return before(
+                  job, new ArrayDeque<>(job.spec.awaits()), new HashSet<>(job.spec.awaits()), 0);
             })
         .otherwise(e -> Answer.later("the state service does not answer"));
   }
@@ -85,7 +86,8 @@
                 ended.put(next, Phase.DONE, other.done.cardinality());
               }
               // All that was before a job that is done is done too.
-              List<String> more = other == null || other.end == Phase.DONE ? List.of() : other.spec.awaits();
+              List<String> more =
+                  other == null || other.end == Phase.DONE ? List.of() : other.spec.awaits();
               more.stream().filter(seen::add).forEach(left::add);
               return before(job, left, seen, read + 1);
             });
--- a/src/main/java/io/embernotch/users/Submissions.java
+++ b/src/main/java/io/embernotch/users/Submissions.java
@@ -60,10 +60,16 @@
   private final int pieceSize;
   private final Host host;
   private final Awaited awaited;
-  /** Descriptions that this node has lately written: a steward that knew nothing of them yet may lose them. */
+
+  /**
+   * Descriptions that this node has lately written: a steward that knew nothing of them yet may
+   * lose them.
+   */
   private final Map<String, byte[]> accepted;
+
   /** After this time without an answer of the store, another controller is asked. */
   private final double hedgeS;
+
   /** After this time the user is told to come back. */
   private final double patienceS;
 
@@ -73,7 +79,11 @@
     this.pieceSize = pieceSize;
     this.host = host;
     this.awaited = new Awaited(env, host::base);
-    this.accepted = new Recent<>((int) Math.ceil(env.settings().stateFloor().writeRps() * env.settings().workers().leaseS()));
+    this.accepted =
+        new Recent<>(
+            (int)
+                Math.ceil(
+                    env.settings().stateFloor().writeRps() * env.settings().workers().leaseS()));
     this.hedgeS = env.settings().workers().reportS() / 20;
     this.patienceS = env.settings().workers().reportS() / 3;
   }
@@ -126,7 +136,8 @@
     }
     double waitS = env.store().waitS();
     if (waitS > patienceS / 2) {
-      Answer refusal = Answer.later("more is submitted than the state service takes", (int) Math.ceil(waitS));
+      Answer refusal =
+          Answer.later("more is submitted than the state service takes", (int) Math.ceil(waitS));
       return mayPassOn ? handOn(body, refusal) : Future.succeededFuture(refusal);
     }
     Job job = new Job(spec, env.clock().wallMs());
@@ -157,21 +168,32 @@
   private void again(String ref, ObjectNode value) {
     String key = RunCodec.JOB + ref;
     String name = host.era();
-    env.store().turn(1, Rank.USUAL, () ->
-        env.store()
-            .commitInTurn(new Txn().when(key, 0).write(key, value), Rank.USUAL)
-            .onSuccess(
-                c -> {
-                  if (c.applied()) {
-                    LOG.info("job {} was accepted shortly before the loss, and is written again", ref);
-                    host.accepted(RunCodec.readJob(value), value, c.epoch());
-                  }
-                })
-            .onFailure(e -> env.timers().after(patienceS, () -> {
-              if (host.era().equals(name)) {
-                again(ref, value);
-              }
-            })));
+    env.store()
+        .turn(
+            1,
+            Rank.USUAL,
+            () ->
+                env.store()
+                    .commitInTurn(new Txn().when(key, 0).write(key, value), Rank.USUAL)
+                    .onSuccess(
+                        c -> {
+                          if (c.applied()) {
+                            LOG.info(
+                                "job {} was accepted shortly before the loss, and is written again",
+                                ref);
+                            host.accepted(RunCodec.readJob(value), value, c.epoch());
+                          }
+                        })
+                    .onFailure(
+                        e ->
+                            env.timers()
+                                .after(
+                                    patienceS,
+                                    () -> {
+                                      if (host.era().equals(name)) {
+                                        again(ref, value);
+                                      }
+                                    })));
   }
 
   /**
@@ -180,7 +202,9 @@
    */
   private Future<Answer> handOn(byte[] body, Answer refusal) {
     Future<Answer> other =
-        handedOn < env.settings().stateFloor().writeRps() / 4 ? host.elsewhere(body, patienceS) : null;
+        handedOn < env.settings().stateFloor().writeRps() / 4
+            ? host.elsewhere(body, patienceS)
+            : null;
     if (other == null) {
       return Future.succeededFuture(refusal);
     }
@@ -199,7 +223,9 @@
     return host.poll(ref).map(known -> known.status() == 404 ? refusal : known);
   }
 
-  /** One submission under way; the first good answer, from the store or another node, is the user's. */
+  /**
+   * One submission under way; the first good answer, from the store or another node, is the user's.
+   */
   private final class Taking {
     private final Job job;
     private final ObjectNode value;
@@ -218,7 +244,10 @@
     }
 
     Future<Answer> go() {
-      env.timers().after(patienceS, () -> reply.tryComplete(Answer.later("the state service does not answer")));
+      env.timers()
+          .after(
+              patienceS,
+              () -> reply.tryComplete(Answer.later("the state service does not answer")));
       if (env.store().failingForS() > 0 || env.store().waitS() > hedgeS) {
         // Another has changes to spare while ours wait behind starts.
         passOn();
--- a/src/main/java/io/embernotch/weights/WeightsKeeper.java
+++ b/src/main/java/io/embernotch/weights/WeightsKeeper.java
@@ -20,10 +20,11 @@
 import java.util.TreeMap;
 
 /**
- * Which machines have the weights of live services, handed to the next steward through the store: what controllers tell
- * each other of images is gone when all of them end. Only where it pays: images of services whose fetch takes longer than
- * a report period. A few pieces are written in turn, one at a time, so it is never a burst. What is stale costs a fetch and
- * nothing else: a worker fetches what it lacks, whatever we believe.
+ * Which machines have the weights of live services, handed to the next steward through the store:
+ * what controllers tell each other of images is gone when all of them end. Only where it pays:
+ * images of services whose fetch takes longer than a report period. A few pieces are written in
+ * turn, one at a time, so it is never a burst. What is stale costs a fetch and nothing else: a
+ * worker fetches what it lacks, whatever we believe.
  */
 public final class WeightsKeeper {
   private static final String PREFIX = "weights/";
@@ -56,15 +57,20 @@
 
   private void read(ObjectNode o) {
     JsonNode images = o.path("images");
-    o.path("on").fields().forEachRemaining(e -> {
-      List<String> on = new ArrayList<>();
-      e.getValue().forEach(i -> {
-        if (i.asInt() >= 0 && i.asInt() < images.size()) {
-          on.add(images.get(i.asInt()).asText());
-        }
-      });
-      known.put(e.getKey(), on);
-    });
+    o.path("on")
+        .fields()
+        .forEachRemaining(
+            e -> {
+              List<String> on = new ArrayList<>();
+              e.getValue()
+                  .forEach(
+                      i -> {
+                        if (i.asInt() >= 0 && i.asInt() < images.size()) {
+                          on.add(images.get(i.asInt()).asText());
+                        }
+                      });
+              known.put(e.getKey(), on);
+            });
   }
 
   /** What a former steward knew a machine to have. */
@@ -81,7 +87,11 @@
     String name = PREFIX + piece;
     ObjectNode value = piece(piece, worthKeeping());
     ObjectNode there = shared.get(name);
-    boolean same = there == null ? value.path("on").isEmpty() : there.path("on").equals(value.path("on")) && there.path("images").equals(value.path("images"));
+    boolean same =
+        there == null
+            ? value.path("on").isEmpty()
+            : there.path("on").equals(value.path("on"))
+                && there.path("images").equals(value.path("images"));
     if (!same && !shared.pending(name)) {
       shared.put(name, value, () -> {});
     }
@@ -91,7 +101,12 @@
     Set<String> out = new HashSet<>();
     for (Job j : ledger.jobs.values()) {
       if (j.spec.shape() == Shape.SERVICE && j.end == null && !out.contains(j.spec.image())) {
-        double fetchS = ledger.types.values().stream().filter(t -> t.fits(j.spec)).mapToDouble((MachineType t) -> t.fetchS(j.spec)).min().orElse(0);
+        double fetchS =
+            ledger.types.values().stream()
+                .filter(t -> t.fits(j.spec))
+                .mapToDouble((MachineType t) -> t.fetchS(j.spec))
+                .min()
+                .orElse(0);
         if (fetchS > env.settings().workers().reportS()) {
           out.add(j.spec.image());
         }
