--- a/src/test/java/io/embernotch/meetings/Scenario.java
+++ b/src/test/java/io/embernotch/meetings/Scenario.java
@@ -7,11 +7,13 @@
 import io.embernotch.testkit.Told;
 import io.embernotch.testkit.World;
 import io.embernotch.testkit.World.Fate;
-import io.embernotch.testkit.World.Node;
 import java.util.List;
 import java.util.SplittableRandom;
 
-/** Three controllers, what their users were told, and the end that every meeting of troubles has in common. */
+/**
+ * Three controllers, what their users were told, and the end that every meeting of troubles has in
+ * common.
+ */
 final class Scenario {
   /** So long after the last trouble everything is expected to run again. */
   private static final double RECOVERY_S = 20;
@@ -58,7 +60,10 @@
 
   /** How often tasks of a job were started on the machines that are there. */
   long starts(String ref) {
-    return world.workers.values().stream().flatMap(w -> w.started.stream()).filter(s -> s.startsWith(ref + "/")).count();
+    return world.workers.values().stream()
+        .flatMap(w -> w.started.stream())
+        .filter(s -> s.startsWith(ref + "/"))
+        .count();
   }
 
   /** Asks for a job's state at every node in turn, {@code everyS} apart. */
@@ -70,7 +75,9 @@
     }
   }
 
-  /** Asks for a cancellation, at another node each time, until it is confirmed or the time is out. */
+  /**
+   * Asks for a cancellation, at another node each time, until it is confirmed or the time is out.
+   */
   void cancelUntilTold(String ref, int firstNode, double forS) {
     for (int i = 0; i < forS; i++) {
       int node = (firstNode + i) % world.nodes.size();
@@ -96,20 +103,28 @@
     if (world.state.outage) {
       world.state.recover();
     }
-    world.nodes.forEach(n -> {
-      n.noState = n.noPeers = n.noWorkers = n.silentState = false;
-      if (n.down) {
-        n.start();
-      }
-    });
-    world.workers.values().forEach(w -> {
-      w.cut = w.deaf = w.mute = false;
-      w.goOn();
-    });
+    world.nodes.forEach(
+        n -> {
+          n.noState = n.noPeers = n.noWorkers = n.silentState = false;
+          if (n.down) {
+            n.start();
+          }
+        });
+    world
+        .workers
+        .values()
+        .forEach(
+            w -> {
+              w.cut = w.deaf = w.mute = false;
+              w.goOn();
+            });
     world.releaseHeld();
   }
 
-  /** Troubles are over: all that was accepted is answered for, nothing waits beside room, and no rule was broken. */
+  /**
+   * Troubles are over: all that was accepted is answered for, nothing waits beside room, and no
+   * rule was broken.
+   */
   void allIsWell() {
     mend();
     world.pass(RECOVERY_S);
--- a/src/test/java/io/embernotch/meetings/SmallJobsTest.java
+++ b/src/test/java/io/embernotch/meetings/SmallJobsTest.java
@@ -11,7 +11,10 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-/** One-task jobs come four a second for minutes, a quarter of them cancelled, at the limits of a small state service. */
+/**
+ * One-task jobs come four a second for minutes, a quarter of them cancelled, at the limits of a
+ * small state service.
+ */
 class SmallJobsTest {
   private static final double EVERY_S = 0.25;
   private static final int JOBS = 600;
@@ -30,7 +33,8 @@
     int mostKnown = 0;
     for (int i = 0; i < JOBS; i++) {
       String ref = "j-" + i;
-      world.askSubmit(i % 3, job(ref, "array", 1).replace("\"rank\":\"standard\"", "\"rank\":\"high\""));
+      world.askSubmit(
+          i % 3, job(ref, "array", 1).replace("\"rank\":\"standard\"", "\"rank\":\"high\""));
       under.add(ref);
       if (i % 4 == 3) {
         scenario.cancelUntilTold(ref, i % 3, 3);
--- a/src/test/java/io/embernotch/meetings/TeamLimitTest.java
+++ b/src/test/java/io/embernotch/meetings/TeamLimitTest.java
@@ -11,8 +11,9 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /**
- * Every team is at its limit while jobs are cancelled whose machines are cut off, hang or are deaf, and the leader
- * changes. What may still run counts, in the former and in the next leader; what waits starts once that is over.
+ * Every team is at its limit while jobs are cancelled whose machines are cut off, hang or are deaf,
+ * and the leader changes. What may still run counts, in the former and in the next leader; what
+ * waits starts once that is over.
  */
 class TeamLimitTest {
   private static final int RED_LIMIT = 24;
@@ -22,7 +23,8 @@
   private final World world = scenario.world;
 
   private void submit(String ref, String team, int tasks) {
-    String json = job(ref, "array", tasks).replace("\"owner\":\"red\"", "\"owner\":\"" + team + "\"");
+    String json =
+        job(ref, "array", tasks).replace("\"owner\":\"red\"", "\"owner\":\"" + team + "\"");
     assertThat(world.submit(ref.charAt(2) % 3, json).status()).isEqualTo(201);
     scenario.told.accepted.add(ref);
   }
@@ -31,7 +33,8 @@
   @CsvSource({
     "cut,-2", "cut,1", "cut,12", "hung,-2", "hung,1", "hung,12", "deaf,-2", "deaf,1", "deaf,12"
   })
-  void allTeamsAtTheirLimitsWhileJobsAreCancelledAndTheLeaderChanges(String how, int leaderEndsAtS) {
+  void allTeamsAtTheirLimitsWhileJobsAreCancelledAndTheLeaderChanges(
+      String how, int leaderEndsAtS) {
     world.settle(3);
     submit("j-1", "red", RED_LIMIT);
     submit("j-2", "blue", BLUE_LIMIT);
@@ -44,11 +47,12 @@
     assertThat(world.running("j-3")).isEmpty();
     List<FakeWorker> hit = world.workers.values().stream().limit(world.workers.size() / 2).toList();
     world.cloud.down = true;
-    hit.forEach(w -> {
-      w.cut = how.equals("cut");
-      w.hung = how.equals("hung");
-      w.deaf = how.equals("deaf");
-    });
+    hit.forEach(
+        w -> {
+          w.cut = how.equals("cut");
+          w.hung = how.equals("hung");
+          w.deaf = how.equals("deaf");
+        });
     Node leader = world.steward();
     world.time.after(3 + leaderEndsAtS, leader::kill);
     world.time.after(20 + leaderEndsAtS, leader::start);
@@ -57,10 +61,11 @@
     scenario.cancelUntilTold("j-2", 1, scenario.cancelS());
     world.pass(scenario.leaseS() - 8);
     // Within their leases: what is on them has run on, unless it was stopped.
-    hit.forEach(w -> {
-      w.cut = w.deaf = false;
-      w.goOn();
-    });
+    hit.forEach(
+        w -> {
+          w.cut = w.deaf = false;
+          w.goOn();
+        });
     world.cloud.down = false;
     world.pass(scenario.cancelS());
     scenario.allIsWell();
--- a/src/test/java/io/embernotch/peer/FormerVersionTest.java
+++ b/src/test/java/io/embernotch/peer/FormerVersionTest.java
@@ -51,7 +51,8 @@
     RunCodec.readRun(value("run.json"), job, piece, 0);
     assertThat(job.open.keySet()).containsExactly(3, 8);
     assertThat(job.wishes).containsEntry(3, "n-9");
-    assertThat(Json.bytes(RunCodec.writeRun(job, piece, 0))).isEqualTo(Json.bytes(value("run.json")));
+    assertThat(Json.bytes(RunCodec.writeRun(job, piece, 0)))
+        .isEqualTo(Json.bytes(value("run.json")));
     job.end = Phase.CANCELLED;
     job.endedMs = 99;
     ObjectNode ended = RunCodec.writeRun(job, piece, 0);
--- a/src/test/java/io/embernotch/peer/FrameTest.java
+++ b/src/test/java/io/embernotch/peer/FrameTest.java
@@ -18,14 +18,34 @@
 class FrameTest {
   private static final MachineView VIEW =
       new MachineView(
-          "n-1", "g8", "z1", true, 48, 0.004, true, 1.5, 2, 3, 4, List.of(0.5, 1.25),
+          "n-1",
+          "g8",
+          "z1",
+          true,
+          48,
+          0.004,
+          true,
+          1.5,
+          2,
+          3,
+          4,
+          List.of(0.5, 1.25),
           List.of(
               new MachineView.TaskView("j-1", 7, 3, 12, 40, 5, 1, 27, true, null, null),
-              new MachineView.TaskView("j-2", 8, 4, 13, 0, 5, 1, 27, false, "z1", List.of("g8", "h9"))));
+              new MachineView.TaskView(
+                  "j-2", 8, 4, 13, 0, 5, 1, 27, false, "z1", List.of("g8", "h9"))));
 
   private static final WorkerReport REPORT =
       new WorkerReport(
-          "n-1", "10.1.0.2:9000", "g8", "z1", true, 2, 88, 41L << 20, 12.5,
+          "n-1",
+          "10.1.0.2:9000",
+          "g8",
+          "z1",
+          true,
+          2,
+          88,
+          41L << 20,
+          12.5,
           List.of(
               new TaskReport("j-1", 7, 3, TaskState.RUNNING, null, false),
               new TaskReport("j-2", 8, 4, TaskState.EXITED, Cause.STOPPED, true)));
--- a/src/test/java/io/embernotch/plan/DeadlinesTest.java
+++ b/src/test/java/io/embernotch/plan/DeadlinesTest.java
@@ -20,17 +20,19 @@
 import java.util.function.BiConsumer;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
-import net.jqwik.api.constraints.Size;
 import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
 
 /** Who is in time where not all can be. */
 class DeadlinesTest {
-  private static final MachineType G8 = new MachineType("g8", 48, 8, 288, 100, 1, 12, 4, 60, List.of("z1", "z2"));
+  private static final MachineType G8 =
+      new MachineType("g8", 48, 8, 288, 100, 1, 12, 4, 60, List.of("z1", "z2"));
 
   /** No choice of others serves more of them: all subsets are tried. */
   @Property(tries = 300)
-  void noOtherChoiceServesMore(@ForAll @Size(max = 9) List<@IntRange(min = 1, max = 400) Integer> numbers) {
+  void noOtherChoiceServesMore(
+      @ForAll @Size(max = 9) List<@IntRange(min = 1, max = 400) Integer> numbers) {
     List<Item> items = new ArrayList<>();
     for (int i = 0; i < numbers.size(); i++) {
       items.add(new Item("j-" + i, 1 + numbers.get(i) % 20, numbers.get(i) / 6.0));
@@ -38,7 +40,11 @@
     int most = 0;
     for (int set = 0; set < 1 << items.size(); set++) {
       int chosen = set;
-      List<Item> in = items.stream().filter(x -> (chosen >> items.indexOf(x) & 1) == 1).sorted((a, b) -> Double.compare(a.dueS(), b.dueS())).toList();
+      List<Item> in =
+          items.stream()
+              .filter(x -> (chosen >> items.indexOf(x) & 1) == 1)
+              .sorted((a, b) -> Double.compare(a.dueS(), b.dueS()))
+              .toList();
       double at = 0;
       boolean fits = true;
       for (Item x : in) {
@@ -51,7 +57,13 @@
   }
 
   private static final class Day {
-    final Planner planner = new Planner(SettingsReader.parse(World.toml(0).replace("gpus_max = 64.0", "gpus_max = 0.0").replace("gpus = 8.0\ngpus_max = 0.0", "gpus = 0.0\ngpus_max = 0.0")), OperatorSettings.DEFAULTS);
+    final Planner planner =
+        new Planner(
+            SettingsReader.parse(
+                World.toml(0)
+                    .replace("gpus_max = 64.0", "gpus_max = 0.0")
+                    .replace("gpus = 8.0\ngpus_max = 0.0", "gpus = 0.0\ngpus_max = 0.0")),
+            OperatorSettings.DEFAULTS);
     final List<Job> jobs = new ArrayList<>();
     final List<Machine> machines = new ArrayList<>();
     final Map<Attempt, Double> ends = new HashMap<>();
@@ -60,7 +72,10 @@
     double now = 1000;
   }
 
-  /** Share of the members served in time, and the least served share of a class, of a morning at this load. */
+  /**
+   * Share of the members served in time, and the least served share of a class, of a morning at
+   * this load.
+   */
   private static double[] morning(double load, long seed, BiConsumer<Job, Double> order) {
     SplittableRandom random = new SplittableRandom(seed);
     Day d = new Day();
@@ -97,8 +112,13 @@
         int run = 20 + random.nextInt(40);
         // Owners' estimates are wrong by up to half.
         double estimate = run * (0.5 + random.nextDouble());
-        String json = World.job("j-" + next++, "array", tasks).replace("\"expect_s\":30.0", "\"expect_s\":" + estimate).replace("red", "blue")
-            .replace("\"jobclass\":\"c\"", "\"jobclass\":\"" + (next % 3 == 0 ? "rest" : "wire") + "\"");
+        String json =
+            World.job("j-" + next++, "array", tasks)
+                .replace("\"expect_s\":30.0", "\"expect_s\":" + estimate)
+                .replace("red", "blue")
+                .replace(
+                    "\"jobclass\":\"c\"",
+                    "\"jobclass\":\"" + (next % 3 == 0 ? "rest" : "wire") + "\"");
         Job j = new Job(JobCodec.read(Json.parseObject(json.getBytes())), Math.round(d.now * 1000));
         double due = d.now + run * 1.5 + random.nextInt(300);
         if (j.spec.jobClass().equals("wire")) {
@@ -111,8 +131,19 @@
         d.jobs.add(j);
         owed -= tasks * (double) run;
       }
-      Plan plan = d.planner.plan(new Situation(
-          d.now, Math.round(d.now * 1000), d.jobs, d.machines, Map.of("g8", G8), (t, z, s) -> true, List.of(), List.of(), Holds.NONE, Risk.NONE));
+      Plan plan =
+          d.planner.plan(
+              new Situation(
+                  d.now,
+                  Math.round(d.now * 1000),
+                  d.jobs,
+                  d.machines,
+                  Map.of("g8", G8),
+                  (t, z, s) -> true,
+                  List.of(),
+                  List.of(),
+                  Holds.NONE,
+                  Risk.NONE));
       for (Plan.Start s : plan.starts) {
         for (Plan.Placement p : s.placements()) {
           Attempt a = new Attempt(s.job(), p.task(), 1, p.machine().name, "z1", 0);
@@ -148,18 +179,29 @@
     return sum;
   }
 
-  /** Members served in time by order of arrival, of what jobs ask for themselves, and of the calendar. */
+  /**
+   * Members served in time by order of arrival, of what jobs ask for themselves, and of the
+   * calendar.
+   */
   @Test
   void theCalendarServesMoreMembersInTimeThanArrivalOrDeadlinesAlone() {
     BiConsumer<Job, Double> arrival = (j, due) -> {};
-    BiConsumer<Job, Double> own = (j, due) -> j.startByMs = Math.round(due * 1000 - j.spec.expectS() * 1000);
+    BiConsumer<Job, Double> own =
+        (j, due) -> j.startByMs = Math.round(due * 1000 - j.spec.expectS() * 1000);
     BiConsumer<Job, Double> calendar = (j, due) -> j.releaseByMs = Math.round(due * 1000);
     for (double load : new double[] {0.7, 1.0, 1.5}) {
       double byArrival = mean(load, arrival, 0);
       double byOwn = mean(load, own, 0);
       double byCalendar = mean(load, calendar, 0);
-      System.out.printf("load %.1f: arrival %.3f, due %.3f, calendar %.3f; rest %.3f %.3f %.3f%n", load, byArrival, byOwn, byCalendar,
-          mean(load, arrival, 1), mean(load, own, 1), mean(load, calendar, 1));
+      System.out.printf(
+          "load %.1f: arrival %.3f, due %.3f, calendar %.3f; rest %.3f %.3f %.3f%n",
+          load,
+          byArrival,
+          byOwn,
+          byCalendar,
+          mean(load, arrival, 1),
+          mean(load, own, 1),
+          mean(load, calendar, 1));
       assertThat(byCalendar).isGreaterThanOrEqualTo(byArrival - 0.005);
       assertThat(mean(load, calendar, 1)).isGreaterThan(0.5);
     }
--- a/src/test/java/io/embernotch/plan/PlannerTest.java
+++ b/src/test/java/io/embernotch/plan/PlannerTest.java
@@ -25,9 +25,11 @@
       new MachineType("g8", 48, 8, 288, 100, 1, 12, 4, 60, List.of("z1", "z2"));
 
   /** A team without a guarantee. */
-  private static final String GUESTS = "[[cluster.teams]]\nname = 'guests'\ngpus = 0.0\ngpus_max = 0.0\n";
+  private static final String GUESTS =
+      "[[cluster.teams]]\nname = 'guests'\ngpus = 0.0\ngpus_max = 0.0\n";
 
-  private final Planner planner = new Planner(SettingsReader.parse(World.toml(0) + GUESTS), OperatorSettings.DEFAULTS);
+  private final Planner planner =
+      new Planner(SettingsReader.parse(World.toml(0) + GUESTS), OperatorSettings.DEFAULTS);
   private final List<Job> jobs = new ArrayList<>();
   private final List<Machine> machines = new ArrayList<>();
   private boolean full;
@@ -40,7 +42,16 @@
 
   private Situation situation() {
     return new Situation(
-        1000, wallMs, jobs, machines, Map.of("g8", G8), (t, z, s) -> full || s && spotFull, List.of(), List.of(), Holds.NONE, Risk.NONE);
+        1000,
+        wallMs,
+        jobs,
+        machines,
+        Map.of("g8", G8),
+        (t, z, s) -> full || s && spotFull,
+        List.of(),
+        List.of(),
+        Holds.NONE,
+        Risk.NONE);
   }
 
   private Job add(String json) {
@@ -62,9 +73,15 @@
     return m;
   }
 
-  private static final String WHOLE = job("j-9", "group", 3).replace("\"cards\":1.0", "\"cards\":8.0").replace("\"loaner\":true", "\"loaner\":false");
+  private static final String WHOLE =
+      job("j-9", "group", 3)
+          .replace("\"cards\":1.0", "\"cards\":8.0")
+          .replace("\"loaner\":true", "\"loaner\":false");
 
-  /** Seconds until a gang of whole machines begins on a full fleet whose small tasks, always enough, last 20 s each. */
+  /**
+   * Seconds until a gang of whole machines begins on a full fleet whose small tasks, always enough,
+   * last 20 s each.
+   */
   private int gangBeginsAfter(int mostS) {
     full = true;
     Job small = add(job("j-1", "array", 100_000).replace("red", "blue"));
@@ -81,7 +98,8 @@
           ends.remove(a);
           small.done.set(a.task);
           small.open.remove(a.task);
-          Machine m = machines.stream().filter(x -> x.name.equals(a.machine)).findFirst().orElseThrow();
+          Machine m =
+              machines.stream().filter(x -> x.name.equals(a.machine)).findFirst().orElseThrow();
           m.open.remove(Machine.taskKey("j-1", a.task));
           m.touched();
         }
@@ -115,7 +133,10 @@
   }
 
   private static String gang(String ref) {
-    return job(ref, "group", 1).replace("standard", "high").replace("\"cards\":1.0", "\"cards\":8.0").replace("\"owner\":\"red\"", "\"owner\":\"blue\"");
+    return job(ref, "group", 1)
+        .replace("standard", "high")
+        .replace("\"cards\":1.0", "\"cards\":8.0")
+        .replace("\"owner\":\"red\"", "\"owner\":\"blue\"");
   }
 
   private Job guests(String ref, int tasks, Machine m) {
@@ -126,12 +147,19 @@
     return array;
   }
 
-  /** A guest's array on every machine kept gangs within their team's guarantee waiting for minutes. */
+  /**
+   * A guest's array on every machine kept gangs within their team's guarantee waiting for minutes.
+   */
   @Test
   void whatIsGuaranteedHasGuestsStoppedOnceNoMachineIsToBeHad() {
     Machine m = machine("n-1", false);
     Job array = guests("j-1", 8, m);
-    Job tiny = add(job("j-2", "array", 1).replace("\"owner\":\"red\"", "\"owner\":\"guests\"").replace("\"cards\":1.0", "\"cards\":0.0").replace("standard", "idle"));
+    Job tiny =
+        add(
+            job("j-2", "array", 1)
+                .replace("\"owner\":\"red\"", "\"owner\":\"guests\"")
+                .replace("\"cards\":1.0", "\"cards\":0.0")
+                .replace("standard", "idle"));
     run(tiny, 0, m);
     add(gang("j-3").replace("\"cores\":4.0", "\"cores\":8.0"));
     assertThat(plan().stops).isEmpty();
@@ -144,11 +172,15 @@
     assertThat(plan().stops).isEmpty();
   }
 
-  /** A guest's array had every ordinary machine rented, which left none for gangs within their guarantee. */
+  /**
+   * A guest's array had every ordinary machine rented, which left none for gangs within their
+   * guarantee.
+   */
   @Test
   void guestsHaveNoDearMachinesRentedWhileThereAreCheapOnes() {
     spotFull = true;
-    Job array = add(job("j-1", "array", 50_000).replace("\"owner\":\"red\"", "\"owner\":\"guests\""));
+    Job array =
+        add(job("j-1", "array", 50_000).replace("\"owner\":\"red\"", "\"owner\":\"guests\""));
     machine("n-1", true);
     Plan plan = plan();
     assertThat(plan.starts.get(0).placements()).hasSize(8);
@@ -171,7 +203,11 @@
     for (int i = 0; i < 4; i++) {
       run(array, i, m);
     }
-    Job two = add(gang("j-2").replace("\"shards\":1", "\"shards\":2").replace("\"cards\":8.0", "\"cards\":4.0"));
+    Job two =
+        add(
+            gang("j-2")
+                .replace("\"shards\":1", "\"shards\":2")
+                .replace("\"cards\":8.0", "\"cards\":4.0"));
     assertThat(plan().stops).isEmpty();
     jobs.remove(two);
     add(gang("j-3").replace("\"owner\":\"blue\"", "\"owner\":\"guests\""));
@@ -190,14 +226,20 @@
     assertThat(plan().stops).isEmpty();
   }
 
-  /** After a takeover live services waited for a plan of everything, and four times as long for the next. */
+  /**
+   * After a takeover live services waited for a plan of everything, and four times as long for the
+   * next.
+   */
   @Test
   void aPlanForLiveServicesPlacesThemAsTheWholePlanDoesAndTouchesNothingElse() {
     machine("n-1", false);
     machine("n-2", true);
     Job array = add(job("j-1", "array", 8));
     Job live =
-        add(job("j-2", "standing", 2).replace("standard", "production").replace("\"loaner\":true", "\"loaner\":false"));
+        add(
+            job("j-2", "standing", 2)
+                .replace("standard", "production")
+                .replace("\"loaner\":true", "\"loaner\":false"));
     Plan all = plan();
     Plan first = planner.liveOnly(situation());
     assertThat(all.starts).extracting(s -> s.job()).containsExactly(live, array);
@@ -214,7 +256,10 @@
     for (int t = 0; t < 8; t++) {
       run(array, t, m);
     }
-    add(job("j-2", "standing", 1).replace("standard", "production").replace("\"loaner\":true", "\"loaner\":false"));
+    add(
+        job("j-2", "standing", 1)
+            .replace("standard", "production")
+            .replace("\"loaner\":true", "\"loaner\":false"));
     Plan p = plan();
     assertThat(p.stops).hasSize(1);
     assertThat(p.stops.get(0).graceS()).isZero();
@@ -284,7 +329,10 @@
   @Test
   void aGangWhoseZoneLacksRoomWaitsForMachinesInOneZone() {
     machine("n-1", false);
-    add(gang("j-1").replace("\"shards\":1", "\"shards\":3").replace("\"one_zone\":false", "\"one_zone\":true"));
+    add(
+        gang("j-1")
+            .replace("\"shards\":1", "\"shards\":3")
+            .replace("\"one_zone\":false", "\"one_zone\":true"));
     Plan p = plan();
     assertThat(p.starts).isEmpty();
     assertThat(p.buys).hasSize(1);
@@ -301,7 +349,11 @@
     for (int t = 0; t < 8; t++) {
       run(array, t, cached);
     }
-    Job service = add(job("j-2", "standing", 1).replace("standard", "production").replace("\"loaner\":true", "\"loaner\":false"));
+    Job service =
+        add(
+            job("j-2", "standing", 1)
+                .replace("standard", "production")
+                .replace("\"loaner\":true", "\"loaner\":false"));
     // A new service takes the empty machine; nobody is stopped for an image.
     assertThat(plan().starts.get(0).placements().get(0).machine()).isSameAs(empty);
     service.restarted.set(0);
@@ -318,7 +370,8 @@
 
   @Test
   void shortTasksQueueForMachinesThatBootLongerThanTheyRun() {
-    // Machines boot in 60 s and the tasks run 30: two in a row wait no longer than for another boot.
+    // Machines boot in 60 s and the tasks run 30: two in a row wait no longer than for another
+    // boot.
     add(job("j-1", "array", 24));
     assertThat(plan().buys.stream().mapToInt(Plan.Buy::number).sum()).isEqualTo(1);
     jobs.clear();
@@ -342,7 +395,9 @@
   }
 
   private static String small(String ref, int tasks) {
-    return job(ref, "array", tasks).replace("\"cards\":1.0", "\"cards\":0.0").replace("\"cores\":4.0", "\"cores\":2.0")
+    return job(ref, "array", tasks)
+        .replace("\"cards\":1.0", "\"cards\":0.0")
+        .replace("\"cores\":4.0", "\"cores\":2.0")
         .replace("\"mem_gb\":20.0", "\"mem_gb\":4.0");
   }
 
--- a/src/test/java/io/embernotch/plan/SpreadTest.java
+++ b/src/test/java/io/embernotch/plan/SpreadTest.java
@@ -22,11 +22,14 @@
 
 /** Where replicas go: where their weights lie, against the wish to spread. */
 class SpreadTest {
-  private static final MachineType G8 = new MachineType("g8", 48, 8, 288, 200, 1, 12, 4, 60, List.of("z1", "z2"));
+  private static final MachineType G8 =
+      new MachineType("g8", 48, 8, 288, 200, 1, 12, 4, 60, List.of("z1", "z2"));
   private static final double LEASE_S = 30;
 
   private final Planner planner =
-      new Planner(SettingsReader.parse(World.toml(0).replace("gpus_max = 64.0", "gpus_max = 4000.0")), OperatorSettings.DEFAULTS);
+      new Planner(
+          SettingsReader.parse(World.toml(0).replace("gpus_max = 64.0", "gpus_max = 4000.0")),
+          OperatorSettings.DEFAULTS);
   private final List<Job> jobs = new ArrayList<>();
   private final List<Machine> machines = new ArrayList<>();
   private double now = 1000;
@@ -44,22 +47,38 @@
   }
 
   private Job service(String ref, int replicas, double gb) {
-    String json = World.job(ref, "standing", replicas).replace("standard", "production").replace("\"owner\":\"red\"", "\"owner\":\"blue\"")
-        .replace("\"loaner\":true", "\"loaner\":false").replace("\"bundle\":\"img\"", "\"bundle\":\"img-" + ref + "\"")
-        .replace("\"size_gb\":1.0", "\"size_gb\":" + gb);
+    String json =
+        World.job(ref, "standing", replicas)
+            .replace("standard", "production")
+            .replace("\"owner\":\"red\"", "\"owner\":\"blue\"")
+            .replace("\"loaner\":true", "\"loaner\":false")
+            .replace("\"bundle\":\"img\"", "\"bundle\":\"img-" + ref + "\"")
+            .replace("\"size_gb\":1.0", "\"size_gb\":" + gb);
     Job j = new Job(JobCodec.read(Json.parseObject(json.getBytes())), jobs.size());
     jobs.add(j);
     return j;
   }
 
   private Plan plan(Risk risk) {
-    return planner.plan(new Situation(
-        now, Math.round(now * 1000), jobs, machines, Map.of("g8", G8), (t, z, s) -> true, List.of(), List.of(), Holds.NONE, risk));
+    return planner.plan(
+        new Situation(
+            now,
+            Math.round(now * 1000),
+            jobs,
+            machines,
+            Map.of("g8", G8),
+            (t, z, s) -> true,
+            List.of(),
+            List.of(),
+            Holds.NONE,
+            risk));
   }
 
   private Map<Machine, Integer> placed(Risk risk) {
     Map<Machine, Integer> out = new HashMap<>();
-    plan(risk).starts.forEach(s -> s.placements().forEach(p -> out.merge(p.machine(), 1, Integer::sum)));
+    plan(risk)
+        .starts
+        .forEach(s -> s.placements().forEach(p -> out.merge(p.machine(), 1, Integer::sum)));
     return out;
   }
 
@@ -110,12 +129,17 @@
 
   private static final class Day {
     double lost;
+
     /** The same, each second by the share of the service that is down. */
     double weighted;
+
     double fetchedGb;
   }
 
-  /** An hour of forty services with weights of 20 to 120 GB on 64 machines; machines fail, and once a fifth of a zone. */
+  /**
+   * An hour of forty services with weights of 20 to 120 GB on 64 machines; machines fail, and once
+   * a fifth of a zone.
+   */
   private static Day day(long seed, Risk risk) {
     SplittableRandom random = new SplittableRandom(seed);
     SpreadTest t = new SpreadTest();
@@ -130,7 +154,8 @@
     for (int second = 0; second < 3600; second++, t.now++) {
       Set<Machine> dead = new HashSet<>();
       for (Machine m : t.machines) {
-        if (random.nextInt(3600) < 2 || (second == 1800 && m.zone.equals("z1") && random.nextInt(5) == 0)) {
+        if (random.nextInt(3600) < 2
+            || (second == 1800 && m.zone.equals("z1") && random.nextInt(5) == 0)) {
           dead.add(m);
         }
       }
@@ -178,10 +203,17 @@
   }
 
   private double gb(String image) {
-    return jobs.stream().filter(j -> j.spec.image().equals(image)).mapToDouble(j -> j.spec.imageGb()).findFirst().orElse(0);
+    return jobs.stream()
+        .filter(j -> j.spec.image().equals(image))
+        .mapToDouble(j -> j.spec.imageGb())
+        .findFirst()
+        .orElse(0);
   }
 
-  /** Replica time lost and fetched, by weights alone, spread alone, and both weighed at the rates that there are. */
+  /**
+   * Replica time lost and fetched, by weights alone, spread alone, and both weighed at the rates
+   * that there are.
+   */
   @Test
   void theObjectiveLosesNoMoreThanEitherAlone() {
     Map<String, Risk> ways = new java.util.LinkedHashMap<>();
@@ -189,17 +221,21 @@
     ways.put("spread", new Risk(1, 1, 1e6, LEASE_S));
     ways.put("objective", new Risk(2 / 3600.0, 1 / 36_000.0, 5 * LEASE_S, LEASE_S));
     Map<String, Double> lost = new HashMap<>();
-    ways.forEach((name, risk) -> {
-      Day sum = new Day();
-      for (long seed = 1; seed <= 3; seed++) {
-        Day d = day(seed, risk);
-        sum.lost += d.lost / 3;
-        sum.weighted += d.weighted / 3;
-        sum.fetchedGb += d.fetchedGb / 3;
-      }
-      System.out.printf("%s: %.0f replica seconds lost, %.0f by the share down at once, %.0f GB fetched%n", name, sum.lost, sum.weighted, sum.fetchedGb);
-      lost.put(name, sum.weighted);
-    });
-    assertThat(lost.get("objective")).isLessThanOrEqualTo(1.03 * Math.min(lost.get("weights"), lost.get("spread")));
+    ways.forEach(
+        (name, risk) -> {
+          Day sum = new Day();
+          for (long seed = 1; seed <= 3; seed++) {
+            Day d = day(seed, risk);
+            sum.lost += d.lost / 3;
+            sum.weighted += d.weighted / 3;
+            sum.fetchedGb += d.fetchedGb / 3;
+          }
+          System.out.printf(
+              "%s: %.0f replica seconds lost, %.0f by the share down at once, %.0f GB fetched%n",
+              name, sum.lost, sum.weighted, sum.fetchedGb);
+          lost.put(name, sum.weighted);
+        });
+    assertThat(lost.get("objective"))
+        .isLessThanOrEqualTo(1.03 * Math.min(lost.get("weights"), lost.get("spread")));
   }
 }
--- a/src/test/java/io/embernotch/relay/AloneTest.java
+++ b/src/test/java/io/embernotch/relay/AloneTest.java
@@ -73,7 +73,10 @@
     assertThat(world.leastLeft).isGreaterThan(0.4);
   }
 
-  /** The next leader held workers for as long as the former version counts on, since the one cut off had not written to it. */
+  /**
+   * The next leader held workers for as long as the former version counts on, since the one cut off
+   * had not written to it.
+   */
   @ParameterizedTest
   @CsvSource({"true", "false"})
   void anOutageAfterALeaderWasCutOffEndsNothing(boolean ends) {
@@ -97,7 +100,10 @@
     assertThat(world.running("j-1")).isEqualTo(before);
   }
 
-  /** Where the next steward has reached a worker it serves it too: one that shows its token is sent away at once. */
+  /**
+   * Where the next steward has reached a worker it serves it too: one that shows its token is sent
+   * away at once.
+   */
   @ParameterizedTest
   @CsvSource({"true", "false"})
   void sendsAwayWhoHasSeenALaterSteward(boolean steward) {
@@ -113,10 +119,13 @@
     }
     world.settle(4);
     // The new steward reaches all machines directly.
-    assertThat(world.submit(world.steward().index, job("j-2", "array", 150)).status()).isEqualTo(201);
+    assertThat(world.submit(world.steward().index, job("j-2", "array", 150)).status())
+        .isEqualTo(201);
     world.pass(6);
-    List<FakeWorker> reached = world.workers.values().stream()
-        .filter(w -> w.node == n.index && w.token >= Tokens.base(world.state.stamp("steward"))).toList();
+    List<FakeWorker> reached =
+        world.workers.values().stream()
+            .filter(w -> w.node == n.index && w.token >= Tokens.base(world.state.stamp("steward")))
+            .toList();
     world.pass(1.5);
     assertThat(reached).noneMatch(w -> w.node == n.index);
     world.pass(10);
--- a/src/test/java/io/embernotch/relay/QuestionsTest.java
+++ b/src/test/java/io/embernotch/relay/QuestionsTest.java
@@ -20,7 +20,10 @@
     return new Questions(time, this, names);
   }
 
-  /** Numbers that began at 1 in each life had the answer to one user's poll taken for that to another's. */
+  /**
+   * Numbers that began at 1 in each life had the answer to one user's poll taken for that to
+   * another's.
+   */
   @Test
   void anAnswerToAFormerLifeAnswersNothingOfThisOne() {
     life("one").ask("c1", id -> new Frame.Ask(id, Frame.Ask.What.POLL, "j-1"), 2);
--- a/src/test/java/io/embernotch/relay/StandbyTest.java
+++ b/src/test/java/io/embernotch/relay/StandbyTest.java
@@ -22,7 +22,10 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
-/** A zone that is cut off: what runs there runs on, and no rule gives way for it. Node 2 is in zone z2. */
+/**
+ * A zone that is cut off: what runs there runs on, and no rule gives way for it. Node 2 is in zone
+ * z2.
+ */
 class StandbyTest {
   private static final double CUT_S = 56;
 
@@ -37,7 +40,11 @@
       world.pass(6);
       world.nodes.get(2).start();
     }
-    assertThat(world.submit(0, job(ref, "standing", 6).replace("\"scatter\":false", "\"scatter\":true")).status()).isEqualTo(201);
+    assertThat(
+            world
+                .submit(0, job(ref, "standing", 6).replace("\"scatter\":false", "\"scatter\":true"))
+                .status())
+        .isEqualTo(201);
     world.pass(15);
     Map<String, FakeWorker> on = world.running(ref);
     assertThat(on).hasSize(6);
@@ -67,13 +74,30 @@
     assertThat(world.running("j-1")).isEqualTo(before);
   }
 
-  /** What an earlier cut left behind had a worker sent away at the next one before it was renewed once. */
+  /**
+   * What an earlier cut left behind had a worker sent away at the next one before it was renewed
+   * once.
+   */
   @Test
   void eachCutRenewsWorkersBeforeItSendsThemAway() {
     FakeTime time = new FakeTime();
     Settings far = world.nodes.get(2).settings;
-    Standby standby = new Standby(new Env(far, OperatorSettings.DEFAULTS, time, time, time, Work.NONE, null, null, null, () -> "x", null));
-    WorkerReport report = new WorkerReport("n-1", "10.0.0.9:9", "g8", "z2", false, 1, 1, 5, null, List.of());
+    Standby standby =
+        new Standby(
+            new Env(
+                far,
+                OperatorSettings.DEFAULTS,
+                time,
+                time,
+                time,
+                Work.NONE,
+                null,
+                null,
+                null,
+                () -> "x",
+                null));
+    WorkerReport report =
+        new WorkerReport("n-1", "10.0.0.9:9", "g8", "z2", false, 1, 1, 5, null, List.of());
     for (int cut = 0; cut < 2; cut++) {
       standby.noted(new Frame.Noted(1, standby.here().seq(), true));
       time.pass(far.contactS() * 1.1);
@@ -158,14 +182,31 @@
     assertThat(anyInZ2("j-1")).isFalse();
   }
 
-  /** They began at the time of day, which goes back, so a former life's acknowledgments counted for the next. */
+  /**
+   * They began at the time of day, which goes back, so a former life's acknowledgments counted for
+   * the next.
+   */
   @Test
   void noTwoLivesGiveTheSameNumbers() {
     FakeTime time = new FakeTime();
     Settings far = world.nodes.get(2).settings;
     List<Frame.Here> first =
         Stream.of("one", "two")
-            .map(name -> new Standby(new Env(far, OperatorSettings.DEFAULTS, time, time, time, Work.NONE, null, null, null, () -> name, null)))
+            .map(
+                name ->
+                    new Standby(
+                        new Env(
+                            far,
+                            OperatorSettings.DEFAULTS,
+                            time,
+                            time,
+                            time,
+                            Work.NONE,
+                            null,
+                            null,
+                            null,
+                            () -> name,
+                            null)))
             .map(Standby::here)
             .toList();
     assertThat(first.get(0).seq()).isNotEqualTo(first.get(1).seq());
@@ -187,7 +228,8 @@
     assertThat(delegations.heard(new Frame.Here("c1", 1, 0, -1), 7, true, 200).granted()).isTrue();
     assertThat(delegations.heard(new Frame.Here("c2", 2, 1, -1), 7, true, 202).granted()).isTrue();
     delegations.heard(new Frame.Here("c2", 3, 2, -1), 7, true, 204);
-    // 3 acknowledges 2, which acknowledged 1, answered at 200: until contactS after that it renewed nothing.
+    // 3 acknowledges 2, which acknowledged 1, answered at 200: until contactS after that it renewed
+    // nothing.
     assertThat(delegations.renewedUntil("z2", 200 + s.contactS())).isEqualTo(100 + hold);
     // From then on it may have, until the right that it was given at 204 ends.
     assertThat(delegations.renewedUntil("z2", 220)).isEqualTo(220);
--- a/src/test/java/io/embernotch/reserve/HeldRoom.java
+++ b/src/test/java/io/embernotch/reserve/HeldRoom.java
@@ -11,7 +11,10 @@
 import java.util.Set;
 import java.util.TreeSet;
 
-/** Checks that nobody else's task begins on what the state service says is held; every task takes one GPU of eight. */
+/**
+ * Checks that nobody else's task begins on what the state service says is held; every task takes
+ * one GPU of eight.
+ */
 final class HeldRoom {
   private static final int GPUS = 8;
 
@@ -53,10 +56,19 @@
         w.alive().stream().filter(x -> !live(x)).forEach(others::add);
         Set<String> new_ = new TreeSet<>(others);
         new_.removeAll(before.getOrDefault(w.name, Set.of()));
-        // What was committed just before a hold was written may begin just after it, so both must say so.
+        // What was committed just before a hold was written may begin just after it, so both must
+        // say so.
         double held = Math.min(heldBefore.getOrDefault(w.name, 0.0), held(w.name));
         if (!new_.isEmpty() && others.size() + held > GPUS + 1e-6) {
-          wrong.add(new_ + " began on " + w.name + " where " + held + " GPUs are held beside " + others.size() + " of others");
+          wrong.add(
+              new_
+                  + " began on "
+                  + w.name
+                  + " where "
+                  + held
+                  + " GPUs are held beside "
+                  + others.size()
+                  + " of others");
         }
         before.put(w.name, others);
       }
--- a/src/test/java/io/embernotch/reserve/ReservationTest.java
+++ b/src/test/java/io/embernotch/reserve/ReservationTest.java
@@ -22,7 +22,8 @@
 class ReservationTest {
   private static final int SEEDS = Integer.getInteger("reserve.seeds", 60);
   private static final int FROM = Integer.getInteger("reserve.from", 1);
-  private static final String TEN = "generation: 1 reserve { name: 'live' serves { priority: LIVE } gpus: 10 }";
+  private static final String TEN =
+      "generation: 1 reserve { name: 'live' serves { priority: LIVE } gpus: 10 }";
 
   private World world;
   private HeldRoom room;
@@ -34,7 +35,9 @@
   }
 
   private static String live(String ref, int tasks) {
-    return job(ref, "standing", tasks).replace("standard", "production").replace("\"loaner\":true", "\"loaner\":false");
+    return job(ref, "standing", tasks)
+        .replace("standard", "production")
+        .replace("\"loaner\":true", "\"loaner\":false");
   }
 
   private static String array(String ref, int tasks) {
@@ -42,11 +45,15 @@
   }
 
   private JsonNode seen() {
-    JsonNode cluster = Json.parseObject(world.await(world.steward().controller.overview()).body()).get("cluster");
+    JsonNode cluster =
+        Json.parseObject(world.await(world.steward().controller.overview()).body()).get("cluster");
     return cluster.get("reserved").get("reservations").get(0);
   }
 
-  /** Room for ten is held, others fill the rest, and what the services that come use of it is theirs at once. */
+  /**
+   * Room for ten is held, others fill the rest, and what the services that come use of it is theirs
+   * at once.
+   */
   @Test
   void aFixedAmountIsHeldAgainstABurstAndFilledByWhatItIsFor() {
     begin(TEN);
@@ -64,7 +71,9 @@
     assertThat(room.wrong).isEmpty();
   }
 
-  /** A restarted controller lends nothing: replicas that were lost while nobody led find their room. */
+  /**
+   * A restarted controller lends nothing: replicas that were lost while nobody led find their room.
+   */
   @Test
   void allControllersEndWhileABurstWaitsAndNothingIsLent() {
     begin("");
@@ -141,7 +150,10 @@
     assertThat(world.running("j-2").size()).isLessThanOrEqualTo(world.workers.size() * 8 - 10);
   }
 
-  /** A value of the store's is given up by commit before it is used; one commit that is lost or late changes nothing. */
+  /**
+   * A value of the store's is given up by commit before it is used; one commit that is lost or late
+   * changes nothing.
+   */
   @Test
   void whatIsGivenUpIsLentOnlyOnceThatIsKnownToBeWritten() {
     begin("");
@@ -164,7 +176,10 @@
     assertThat(room.wrong).isEmpty();
   }
 
-  /** Where no machine is to be had the amount is restored by stopping lesser work, and by none of its equals. */
+  /**
+   * Where no machine is to be had the amount is restored by stopping lesser work, and by none of
+   * its equals.
+   */
   @Test
   void aFixedAmountIsRestoredByStoppingLesserWork() {
     begin("reserve_live: false");
@@ -192,7 +207,10 @@
     world.settle(8);
   }
 
-  /** A controller that is started with an older file goes by the newer one, and never writes its own over it. */
+  /**
+   * A controller that is started with an older file goes by the newer one, and never writes its own
+   * over it.
+   */
   @Test
   void anOlderFileNeverUndoesANewerGeneration() {
     begin("generation: 3 reserve { name: 'new' serves { priority: LIVE } gpus: 12 }");
@@ -218,7 +236,8 @@
     world.state.loseAll();
     room.pass(40);
     world.settle(5);
-    assertThat(seen().get("held").get("gpus").asDouble()).isGreaterThanOrEqualTo(Math.min(held, 10));
+    assertThat(seen().get("held").get("gpus").asDouble())
+        .isGreaterThanOrEqualTo(Math.min(held, 10));
     assertThat(world.running("j-1")).hasSize(6);
     assertThat(room.wrong).isEmpty();
   }
@@ -282,8 +301,12 @@
     mistake("reserve { name: 'a' serves { priority: LIVE } gpus: 1 }", "reserve[0]: generation");
     mistake("generation: 1 reserve { name: 'a' gpus: 1 }", "reserve[0].serves: missing");
     mistake("generation: 1 reserve { name: 'a' serves { priority: LIVE } }", "reserves nothing");
-    mistake(TEN + " reserve { name: 'b' serves { team: 'red' } gpus: 1 }", "reserve[1].serves: the same work may be served by live");
-    mistake("generation: 1 reserve { name: 'a' serves { shape: GANG } machines: 1 gpus: 2 }", "either whole machines or amounts");
+    mistake(
+        TEN + " reserve { name: 'b' serves { team: 'red' } gpus: 1 }",
+        "reserve[1].serves: the same work may be served by live");
+    mistake(
+        "generation: 1 reserve { name: 'a' serves { shape: GANG } machines: 1 gpus: 2 }",
+        "either whole machines or amounts");
     mistake(
         "generation: 1 reserve { name: 'a' serves { shape: GANG } gpus: 2 zone { name: 'x' least_share: 0.7 } zone { name: 'y' least_share: 0.6 } }",
         "reserve[0].zone: the shares add up to 1.29");
@@ -291,6 +314,8 @@
   }
 
   private static void mistake(String file, String why) {
-    assertThatThrownBy(() -> OperatorSettings.parse(file)).isInstanceOf(SettingsException.class).hasMessageContaining(why);
+    assertThatThrownBy(() -> OperatorSettings.parse(file))
+        .isInstanceOf(SettingsException.class)
+        .hasMessageContaining(why);
   }
 }
--- a/src/test/java/io/embernotch/rounds/StragglerFeedTest.java
+++ b/src/test/java/io/embernotch/rounds/StragglerFeedTest.java
@@ -23,8 +23,21 @@
   private final List<MachineView> views = new ArrayList<>();
   private final StragglerFeed feed =
       new StragglerFeed(
-          new Env(SettingsReader.parse(World.toml(0)), OperatorSettings.DEFAULTS, time, time, time, Work.NONE, null, null, null, null, null),
-          ledger, (owner, view) -> views.add(view), (owner, machine) -> {});
+          new Env(
+              SettingsReader.parse(World.toml(0)),
+              OperatorSettings.DEFAULTS,
+              time,
+              time,
+              time,
+              Work.NONE,
+              null,
+              null,
+              null,
+              null,
+              null),
+          ledger,
+          (owner, view) -> views.add(view),
+          (owner, machine) -> {});
 
   /** Restarts are proposed for free room; what is held for reservations is none. */
   @Test
@@ -42,9 +55,11 @@
       time.pass(0.4);
     }
     assertThat(views).hasSize(40);
-    assertThat(views).allSatisfy(v -> {
-      assertThat(v.freeGpus()).isEqualTo(5);
-      assertThat(v.freeCpus()).isEqualTo(36);
-    });
+    assertThat(views)
+        .allSatisfy(
+            v -> {
+              assertThat(v.freeGpus()).isEqualTo(5);
+              assertThat(v.freeCpus()).isEqualTo(36);
+            });
   }
 }
--- a/src/test/java/io/embernotch/settings/SettingsTest.java
+++ b/src/test/java/io/embernotch/settings/SettingsTest.java
@@ -59,8 +59,11 @@
 
   @Test
   void operatorSettingsAreChecked() {
-    assertThat(OperatorSettings.parse("straggler { beta: 0.4 enabled: false }").beta()).isEqualTo(0.4);
-    assertThatThrownBy(() -> OperatorSettings.parse("straggler { beta: 4 }")).hasMessageContaining("straggler.beta");
-    assertThatThrownBy(() -> OperatorSettings.parse("stragler { }")).hasMessageContaining("stragler");
+    assertThat(OperatorSettings.parse("straggler { beta: 0.4 enabled: false }").beta())
+        .isEqualTo(0.4);
+    assertThatThrownBy(() -> OperatorSettings.parse("straggler { beta: 4 }"))
+        .hasMessageContaining("straggler.beta");
+    assertThatThrownBy(() -> OperatorSettings.parse("stragler { }"))
+        .hasMessageContaining("stragler");
   }
 }
--- a/src/test/java/io/embernotch/snapshot/SnapshotTest.java
+++ b/src/test/java/io/embernotch/snapshot/SnapshotTest.java
@@ -34,9 +34,23 @@
     Copy.Builder c = Copy.newBuilder().setEpoch(epoch).setWallMs(1000 * epoch).setComplete(false);
     for (int i = 0; i < jobs; i++) {
       c.addJob(
-          JobCopy.newBuilder().setRef("j-" + i).setValue(ByteString.copyFromUtf8("{\"n\":" + i + "}")).setNextAttempt(i)
-              .addOpen(OpenCopy.newBuilder().setTask(i).setNumber(7).setMachine("n-" + i).setZone("z1")));
-      c.addEnded(EndedCopy.newBuilder().setRef("j-9" + i).setEnd(End.DONE).setTasks(3).setDone(3).setAtMs(i));
+          JobCopy.newBuilder()
+              .setRef("j-" + i)
+              .setValue(ByteString.copyFromUtf8("{\"n\":" + i + "}"))
+              .setNextAttempt(i)
+              .addOpen(
+                  OpenCopy.newBuilder()
+                      .setTask(i)
+                      .setNumber(7)
+                      .setMachine("n-" + i)
+                      .setZone("z1")));
+      c.addEnded(
+          EndedCopy.newBuilder()
+              .setRef("j-9" + i)
+              .setEnd(End.DONE)
+              .setTasks(3)
+              .setDone(3)
+              .setAtMs(i));
     }
     return c.build();
   }
@@ -76,12 +90,16 @@
   void blocksAreWholeOrRefused() {
     Copy c = copy(300, 5);
     Blocks packed = Blocks.pack(c, 1024);
-    assertThat(packed.blocks()).hasSizeGreaterThan(2).allSatisfy(b -> assertThat(b.length * 4 / 3).isLessThan(1024));
+    assertThat(packed.blocks())
+        .hasSizeGreaterThan(2)
+        .allSatisfy(b -> assertThat(b.length * 4 / 3).isLessThan(1024));
     assertThat(packed.unpack()).isEqualTo(c);
     List<byte[]> swapped = new ArrayList<>(packed.blocks());
     swapped.add(swapped.remove(0));
-    assertThatThrownBy(() -> new Blocks(swapped, packed.crc()).unpack()).isInstanceOf(BadInput.class);
-    assertThatThrownBy(() -> new Blocks(packed.blocks().subList(0, 1), packed.crc()).unpack()).isInstanceOf(BadInput.class);
+    assertThatThrownBy(() -> new Blocks(swapped, packed.crc()).unpack())
+        .isInstanceOf(BadInput.class);
+    assertThatThrownBy(() -> new Blocks(packed.blocks().subList(0, 1), packed.crc()).unpack())
+        .isInstanceOf(BadInput.class);
   }
 
   @Test
@@ -102,8 +120,12 @@
     assertThat(Main.run("snapshot", "verify", newest.toString())).isEqualTo(1);
     List<Path> files = snapshots.list();
     assertThat(Main.run("snapshot", "show", files.get(1).toString())).isZero();
-    assertThat(Main.run("snapshot", "diff", files.get(1).toString(), files.get(1).toString())).isZero();
-    assertThat(Main.run("snapshot", "diff", files.get(1).toString(), files.get(2).toString(), "--json")).isEqualTo(1);
+    assertThat(Main.run("snapshot", "diff", files.get(1).toString(), files.get(1).toString()))
+        .isZero();
+    assertThat(
+            Main.run(
+                "snapshot", "diff", files.get(1).toString(), files.get(2).toString(), "--json"))
+        .isEqualTo(1);
     assertThat(Main.run("snapshot", "diff", files.get(1).toString())).isEqualTo(2);
     assertThat(SnapshotDiff.of(copy(2, 1), copy(3, 1))).hasSize(2);
   }
@@ -111,7 +133,8 @@
   @Test
   void allControllersAndAllDataGoneAndASnapshotIsLeft() {
     World world =
-        new World(OperatorSettings.parse("snapshots { directory: '" + dir + "' every_s: 5 keep: 2 }"));
+        new World(
+            OperatorSettings.parse("snapshots { directory: '" + dir + "' every_s: 5 keep: 2 }"));
     world.settle(8);
     world.submit(0, job("j-1", "array", 2));
     world.submit(0, job("j-2", "standing", 3));
--- a/src/test/java/io/embernotch/steward/BadNightsTest.java
+++ b/src/test/java/io/embernotch/steward/BadNightsTest.java
@@ -32,7 +32,8 @@
       w.node = next++ % 3;
     }
     for (int j = 0; j < 12; j++) {
-      assertThat(world.submit(j % 3, job("j-" + j, "standing", REPLICAS / 12)).status()).isEqualTo(201);
+      assertThat(world.submit(j % 3, job("j-" + j, "standing", REPLICAS / 12)).status())
+          .isEqualTo(201);
       told.accepted.add("j-" + j);
     }
     world.pass(20);
@@ -42,7 +43,10 @@
 
   /** Replicas on machines that are there. */
   private int up() {
-    return world.workers.values().stream().filter(w -> !w.cut).mapToInt(w -> w.alive().size()).sum();
+    return world.workers.values().stream()
+        .filter(w -> !w.cut)
+        .mapToInt(w -> w.alive().size())
+        .sum();
   }
 
   /** The least share of the replicas that was up over any 30 s. */
@@ -55,7 +59,10 @@
     }
     double worst = 1;
     for (int i = 0; i + 30 <= ups.size(); i++) {
-      worst = Math.min(worst, ups.subList(i, i + 30).stream().mapToInt(u -> u).average().orElse(0) / REPLICAS);
+      worst =
+          Math.min(
+              worst,
+              ups.subList(i, i + 30).stream().mapToInt(u -> u).average().orElse(0) / REPLICAS);
     }
     return worst;
   }
@@ -78,7 +85,10 @@
     assertThat(hit.stream().mapToInt(w -> w.startsLost).sum()).isLessThanOrEqualTo(8 * DEAF);
   }
 
-  /** Deaf machines, copies of all that was reported 40 s ago, the steward alone with its workers, and all back at once. */
+  /**
+   * Deaf machines, copies of all that was reported 40 s ago, the steward alone with its workers,
+   * and all back at once.
+   */
   @Test
   void allTogetherCostWhatTheDeafMachinesCost() {
     services();
@@ -90,28 +100,34 @@
     alone.noState = true;
     alone.noPeers = true;
     int[] second = new int[1];
-    double worst = worstHalfMinute(90, () -> {
-      int s = second[0]++;
-      for (FakeWorker w : List.copyOf(world.workers.values())) {
-        List<byte[]> said = world.reportsOf(w.name);
-        if (said.size() > 45) {
-          world.late(world.nodes.get((s + w.name.hashCode() % 3 + 3) % 3), said.get(said.size() - 41));
-        }
-      }
-      if (s == 60) {
-        alone.noState = false;
-        alone.noPeers = false;
-      }
-      if (s % 20 == 19) {
-        world.nodes.forEach(Node::kill);
-        world.pass(0.2);
-        world.nodes.forEach(Node::start);
-      }
-    });
+    double worst =
+        worstHalfMinute(
+            90,
+            () -> {
+              int s = second[0]++;
+              for (FakeWorker w : List.copyOf(world.workers.values())) {
+                List<byte[]> said = world.reportsOf(w.name);
+                if (said.size() > 45) {
+                  world.late(
+                      world.nodes.get((s + w.name.hashCode() % 3 + 3) % 3),
+                      said.get(said.size() - 41));
+                }
+              }
+              if (s == 60) {
+                alone.noState = false;
+                alone.noPeers = false;
+              }
+              if (s % 20 == 19) {
+                world.nodes.forEach(Node::kill);
+                world.pass(0.2);
+                world.nodes.forEach(Node::start);
+              }
+            });
     assertThat(worst).isGreaterThan(0.95);
     world.pass(60);
     assertThat(sound.stream().filter(world.workers::containsValue).map(w -> w.session).toList())
-        .isEqualTo(sessions.subList(0, (int) sound.stream().filter(world.workers::containsValue).count()));
+        .isEqualTo(
+            sessions.subList(0, (int) sound.stream().filter(world.workers::containsValue).count()));
     told.atTheEnd();
     assertThat(told.wrong).isEmpty();
   }
--- a/src/test/java/io/embernotch/steward/ChainsTest.java
+++ b/src/test/java/io/embernotch/steward/ChainsTest.java
@@ -14,7 +14,9 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Jobs that wait for others: nothing starts too early, and no job is left behind a cancelled one. */
+/**
+ * Jobs that wait for others: nothing starts too early, and no job is left behind a cancelled one.
+ */
 class ChainsTest {
   private final World world = new World(3);
 
@@ -39,7 +41,11 @@
     world.settle(4);
     accept(0, job("j-1", "array", 2));
     accept(1, after("j-2", 2, "j-1"));
-    accept(2, after("j-3", 2, "j-1").replace("\"array\"", "\"group\"").replace("\"owner\":\"red\"", "\"owner\":\"blue\""));
+    accept(
+        2,
+        after("j-3", 2, "j-1")
+            .replace("\"array\"", "\"group\"")
+            .replace("\"owner\":\"red\"", "\"owner\":\"blue\""));
     accept(0, after("j-4", 1, "j-2", "j-3", "j-1", "j-2"));
     world.pass(15);
     Answer waiting = world.poll(1, "j-4");
@@ -71,8 +77,12 @@
     // All but one of the team's 24 cards are for the job that need not wait.
     assertThat(world.running("j-3")).hasSize(23);
     assertThat(world.running("j-2")).isEmpty();
-    assertThat(Json.parseObject(world.await(world.nodes.get(0).controller.overview()).body())
-            .get("cluster").get("waiting_for_others").asInt()).isEqualTo(1);
+    assertThat(
+            Json.parseObject(world.await(world.nodes.get(0).controller.overview()).body())
+                .get("cluster")
+                .get("waiting_for_others")
+                .asInt())
+        .isEqualTo(1);
     assertThat(machines).isPositive();
   }
 
@@ -179,7 +189,10 @@
     }
   }
 
-  /** The end of the first job is in the store in any case; how many of the others are is left to chance. */
+  /**
+   * The end of the first job is in the store in any case; how many of the others are is left to
+   * chance.
+   */
   @ParameterizedTest
   @ValueSource(doubles = {0, 0.01, 0.05, 0.2, 1})
   void noStepOfACascadeIsLostWithItsSteward(double afterS) {
@@ -238,7 +251,11 @@
     assertThat(new String(never.body())).contains("j-77");
     assertThat(world.submit(n.index, after("j-3", 1, "j-3")).status()).isEqualTo(422);
     assertThat(world.submit(n.index, after("j-3", 1, "j-1")).status()).isEqualTo(422);
-    assertThat(world.submit(n.index, job("j-3", "array", 1).replace("}", ",\"awaits\":\"j-2\"}")).status()).isEqualTo(400);
+    assertThat(
+            world
+                .submit(n.index, job("j-3", "array", 1).replace("}", ",\"awaits\":\"j-2\"}"))
+                .status())
+        .isEqualTo(400);
     accept(n.index, job("j-4", "array", 1).replace("}", ",\"awaits\":[]}"));
     // A store that does not answer proves nothing.
     world.state.outage = true;
--- a/src/test/java/io/embernotch/steward/LivesHuntTest.java
+++ b/src/test/java/io/embernotch/steward/LivesHuntTest.java
@@ -14,8 +14,9 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Processes and machines that are back at once at any moment, with late copies of what was said before and repeats
- * of what was carried out, drawn by a seed. {@code -Dlives.seeds=N} plays more, {@code -Dlives.from=N} others.
+ * Processes and machines that are back at once at any moment, with late copies of what was said
+ * before and repeats of what was carried out, drawn by a seed. {@code -Dlives.seeds=N} plays more,
+ * {@code -Dlives.from=N} others.
  */
 class LivesHuntTest {
   private static final int SEEDS = Integer.getInteger("lives.seeds", 200);
@@ -30,7 +31,12 @@
     for (int step = 0; step < 40; step++) {
       int node = random.nextInt(3);
       switch (random.nextInt(15)) {
-        case 0, 1, 2 -> told.submit(node, "j-" + next++, random.nextInt(3) == 0 ? "standing" : "array", 1 + random.nextInt(4));
+        case 0, 1, 2 ->
+            told.submit(
+                node,
+                "j-" + next++,
+                random.nextInt(3) == 0 ? "standing" : "array",
+                1 + random.nextInt(4));
         case 3 -> some(told, random).forEach(world::finish);
         case 4 -> some(told, random).forEach(ref -> told.cancel(node, ref));
         case 5 -> world.commitFate = Fate.values()[random.nextInt(3)];
@@ -75,7 +81,9 @@
   }
 
   private static List<String> some(Told told, SplittableRandom random) {
-    return told.accepted.isEmpty() ? List.of() : List.of(told.accepted.get(random.nextInt(told.accepted.size())));
+    return told.accepted.isEmpty()
+        ? List.of()
+        : List.of(told.accepted.get(random.nextInt(told.accepted.size())));
   }
 
   /** One loses the state service and the others, but not its workers; or has them again. */
--- a/src/test/java/io/embernotch/steward/LivesTest.java
+++ b/src/test/java/io/embernotch/steward/LivesTest.java
@@ -11,7 +11,10 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
-/** Processes and machines that are back within a fraction of a second, and what was said before and arrives after. */
+/**
+ * Processes and machines that are back within a fraction of a second, and what was said before and
+ * arrives after.
+ */
 class LivesTest {
   private static final double SOON_S = 0.2;
 
@@ -83,7 +86,10 @@
     }
   }
 
-  /** A beat that a former steward had sent made it the steward once more, for whoever had seen its key gone. */
+  /**
+   * A beat that a former steward had sent made it the steward once more, for whoever had seen its
+   * key gone.
+   */
   @Test
   void aBeatOfAStewardshipThatIsOverIsNotBelieved() {
     Followed followed = new Followed();
@@ -121,7 +127,10 @@
     assertThat(world.running("j-1")).hasSize(8);
   }
 
-  /** All that a machine said was taken for late once it counted anew, and what it had held stayed down for good. */
+  /**
+   * All that a machine said was taken for late once it counted anew, and what it had held stayed
+   * down for good.
+   */
   @Test
   void aMachineThatCountsAnewIsBelievedOnceItAnswers() {
     Map<String, FakeWorker> before = service();
--- a/src/test/java/io/embernotch/steward/ReceptionTest.java
+++ b/src/test/java/io/embernotch/steward/ReceptionTest.java
@@ -44,7 +44,8 @@
       world.submit(0, job("j-10" + i, "standing", 8));
     }
     world.pass(4);
-    assertThat(world.workers.values().stream().mapToInt(w -> w.alive().size()).sum()).isEqualTo(8 * count);
+    assertThat(world.workers.values().stream().mapToInt(w -> w.alive().size()).sum())
+        .isEqualTo(8 * count);
     assertThat(world.workers).hasSize(count);
   }
 
@@ -116,7 +117,8 @@
     Node old = world.settle(2);
     world.nodes.forEach(Node::kill);
     world.pass(5);
-    String key = "{\"when\":[],\"apply\":[{\"write\":\"steward\",\"v\":{\"node\":\"c9\",\"permit\":1}}]}";
+    String key =
+        "{\"when\":[],\"apply\":[{\"write\":\"steward\",\"v\":{\"node\":\"c9\",\"permit\":1}}]}";
     world.state.handle("POST", "/commit", key.getBytes(StandardCharsets.UTF_8));
     Node follower = world.other(old);
     follower.start();
@@ -173,7 +175,11 @@
     world.state.slowLists = true;
     old.kill();
     world.pass(5);
-    Node now = world.nodes.stream().filter(n -> n.controller != null && !n.down && n != next).findFirst().orElseThrow();
+    Node now =
+        world.nodes.stream()
+            .filter(n -> n.controller != null && !n.down && n != next)
+            .findFirst()
+            .orElseThrow();
     for (Node n : new Node[] {next, now}) {
       Answer a = report(n, w);
       assertThat(a.status()).isEqualTo(200);
@@ -206,20 +212,32 @@
 
   private static StewardMessage.Report reported(int machine, long seq) {
     return new StewardMessage.Report(
-        new WorkerReport("n-" + machine, "10.0.1.1:9000", "g8", "z1", false, 1, seq, 0, null, List.of()), 0, Promise.promise());
+        new WorkerReport(
+            "n-" + machine, "10.0.1.1:9000", "g8", "z1", false, 1, seq, 0, null, List.of()),
+        0,
+        Promise.promise());
   }
 
-  /** More came than could be taken; in the order they came all were answered after their workers had gone on. */
+  /**
+   * More came than could be taken; in the order they came all were answered after their workers had
+   * gone on.
+   */
   @Test
   void whereMoreReportsComeThanCanBeTakenOnlyThoseThatAreWaitedForAreTaken() {
     FakeTime time = new FakeTime();
     double[] at = new double[1000];
     List<Double> ages = new ArrayList<>();
-    ReportQueue queue = new ReportQueue(time, (after, task) -> time.after(after + 0.1, task), m -> {
-      int machine = Integer.parseInt(m.report().machine().substring(2));
-      ages.add(time.now() - at[machine]);
-    }, m -> {});
-    // A thousand workers, each again after four seconds and a second more; some 80 reports a second can be taken.
+    ReportQueue queue =
+        new ReportQueue(
+            time,
+            (after, task) -> time.after(after + 0.1, task),
+            m -> {
+              int machine = Integer.parseInt(m.report().machine().substring(2));
+              ages.add(time.now() - at[machine]);
+            },
+            m -> {});
+    // A thousand workers, each again after four seconds and a second more; some 80 reports a second
+    // can be taken.
     for (int round = 1; round <= 8; round++) {
       for (int i = 0; i < 1000; i++) {
         at[i] = time.now();
@@ -238,7 +256,19 @@
   @Test
   void aCopyOfWhatWasReportedLongAgoIsNotHandedOn() {
     FakeTime time = new FakeTime();
-    Env env = new Env(world.nodes.get(0).settings, OperatorSettings.DEFAULTS, time, time, time, Work.NONE, null, null, null, () -> "x", null);
+    Env env =
+        new Env(
+            world.nodes.get(0).settings,
+            OperatorSettings.DEFAULTS,
+            time,
+            time,
+            time,
+            Work.NONE,
+            null,
+            null,
+            null,
+            () -> "x",
+            null);
     Reception reception = new Reception(env, null);
     reception.stewardIs("c1", 1, false);
     reception.report(reported(1, 7).report());
--- a/src/test/java/io/embernotch/steward/RulesTest.java
+++ b/src/test/java/io/embernotch/steward/RulesTest.java
@@ -49,7 +49,10 @@
   void aGangIsPlacedWholeOrNotAtAll() {
     world.settle(2);
     world.cloud.noBoot = true;
-    String gang = job("j-2", "group", 2).replace("\"cards\":1.0", "\"cards\":8.0").replace("\"cores\":4.0", "\"cores\":40.0");
+    String gang =
+        job("j-2", "group", 2)
+            .replace("\"cards\":1.0", "\"cards\":8.0")
+            .replace("\"cores\":4.0", "\"cores\":40.0");
     assertThat(world.submit(0, gang).status()).isEqualTo(201);
     world.pass(3);
     world.cloud.noBoot = false;
@@ -297,7 +300,10 @@
     world.boot("g8", "z1", true);
     world.boot("g8", "z2", false);
     world.pass(8);
-    String picky = job("j-20", "standing", 2).replace("\"loaner\":true", "\"loaner\":false").replace("\"room\":null", "\"room\":\"z1\"");
+    String picky =
+        job("j-20", "standing", 2)
+            .replace("\"loaner\":true", "\"loaner\":false")
+            .replace("\"room\":null", "\"room\":\"z1\"");
     world.submit(0, picky);
     world.pass(12);
     assertThat(world.running("j-20")).hasSize(2);
@@ -312,7 +318,8 @@
     world.submit(0, job("j-21", "standing", 5).replace("\"scatter\":false", "\"scatter\":true"));
     world.pass(15);
     assertThat(world.running("j-21")).hasSize(5);
-    assertThat(world.running("j-21").values().stream().filter(w -> w.zone.equals("z1")).count()).isBetween(2L, 3L);
+    assertThat(world.running("j-21").values().stream().filter(w -> w.zone.equals("z1")).count())
+        .isBetween(2L, 3L);
   }
 
   @Test
@@ -344,7 +351,8 @@
 
   @Test
   void aMachineThatHangsIsReplacedSoonerThanOneThatIsCutOff() {
-    // Behind a cut a service runs on; on a machine that takes connections and never answers it does not.
+    // Behind a cut a service runs on; on a machine that takes connections and never answers it does
+    // not.
     world.settle(2);
     run(job("j-28", "standing", 8), "j-28", 8);
     FakeWorker hung = world.running("j-28").get("j-28/0");
@@ -412,7 +420,10 @@
   void aServiceBehindACutShorterThanItsLeaseRunsOn() {
     // Such machines were returned after a few reports, and their services started anew elsewhere.
     world.settle(2);
-    String live = job("j-70", "standing", 1).replace("standard", "production").replace("\"loaner\":true", "\"loaner\":false");
+    String live =
+        job("j-70", "standing", 1)
+            .replace("standard", "production")
+            .replace("\"loaner\":true", "\"loaner\":false");
     FakeWorker cut = run(live, "j-70", 1).get("j-70/0");
     world.boot("g8", "z1", false);
     world.pass(6);
--- a/src/test/java/io/embernotch/steward/ScaleTest.java
+++ b/src/test/java/io/embernotch/steward/ScaleTest.java
@@ -16,7 +16,8 @@
   private final World world = new World(3, 1000);
 
   private JsonNode cluster() {
-    return Json.parseObject(world.await(world.steward().controller.overview()).body()).get("cluster");
+    return Json.parseObject(world.await(world.steward().controller.overview()).body())
+        .get("cluster");
   }
 
   private void fill() {
@@ -30,7 +31,8 @@
     }
     world.pass(20);
     assertThat(world.running("j-0")).hasSize(PER_JOB);
-    assertThat(world.workers.values().stream().mapToInt(w -> w.alive().size()).sum()).isEqualTo(MACHINES * 8);
+    assertThat(world.workers.values().stream().mapToInt(w -> w.alive().size()).sum())
+        .isEqualTo(MACHINES * 8);
   }
 
   @Test
@@ -50,7 +52,8 @@
     assertThat(cluster().get("plans").asLong() - plans).isLessThanOrEqualTo((long) passed + 2);
     // Views are repeated every fourth round; beats come every third of a report period.
     long views = (long) Math.ceil(passed / 20 + 1) * MACHINES;
-    assertThat(world.frames - frames).isLessThanOrEqualTo((int) views + 6 * (int) (passed + 2) + 100);
+    assertThat(world.frames - frames)
+        .isLessThanOrEqualTo((int) views + 6 * (int) (passed + 2) + 100);
   }
 
   @Test
--- a/src/test/java/io/embernotch/steward/UpgradeTest.java
+++ b/src/test/java/io/embernotch/steward/UpgradeTest.java
@@ -25,7 +25,9 @@
 
   /** A job as the former version left it: its description, and its progress where it has any. */
   private void left(String ref, int tasks, String run) {
-    world.state.plant("job/" + ref, "{\"at\":900000,\"piece\":" + OLD_PIECE + ",\"job\":" + job(ref, "array", tasks) + "}");
+    world.state.plant(
+        "job/" + ref,
+        "{\"at\":900000,\"piece\":" + OLD_PIECE + ",\"job\":" + job(ref, "array", tasks) + "}");
     if (run != null) {
       world.state.plant("run/" + ref, run);
     }
@@ -40,12 +42,15 @@
     assertThat(world.broken()).isEmpty();
   }
 
-  /** One such value kept every new steward reading the store over and over, and all jobs waiting. */
+  /**
+   * One such value kept every new steward reading the store over and over, and all jobs waiting.
+   */
   @Test
   void aValueThatCannotBeReadKeepsNoOtherJobWaitingAndItsOwnStaysKnown() {
     left("j-1", 3, null);
     left("j-2", 3, "{\"next\":\"x\",\"open\":7}");
-    world.state.plant("job/j-3", "{\"at\":900000,\"piece\":85,\"job\":{\"ref\":\"j-3\",\"shards\":\"many\"}}");
+    world.state.plant(
+        "job/j-3", "{\"at\":900000,\"piece\":85,\"job\":{\"ref\":\"j-3\",\"shards\":\"many\"}}");
     world.settle(4);
     world.pass(12);
     assertThat(world.running("j-1")).hasSize(3);
@@ -86,8 +91,16 @@
   void aStewardOfTheFormerVersionMayGoInTheMiddleOfStarts() {
     String name = world.boot("g8", "z1", true);
     world.pass(6);
-    // Two starts are written, of which no command left or none arrived; one is on a machine that is gone.
-    left("j-1", 3, "{\"next\":6,\"open\":[[0,5,\"" + name + "\",\"z1\"],[1,5,\"" + name + "\",\"z1\"],[2,5,\"n-999999\",\"z1\"]]}");
+    // Two starts are written, of which no command left or none arrived; one is on a machine that is
+    // gone.
+    left(
+        "j-1",
+        3,
+        "{\"next\":6,\"open\":[[0,5,\""
+            + name
+            + "\",\"z1\"],[1,5,\""
+            + name
+            + "\",\"z1\"],[2,5,\"n-999999\",\"z1\"]]}");
     Node old = world.steward();
     old.kill();
     world.pass(12);
@@ -97,7 +110,9 @@
     assertThat(world.running("j-1")).hasSize(3);
   }
 
-  /** The demands of the former version's reader, which dies of a key or a value that it cannot read. */
+  /**
+   * The demands of the former version's reader, which dies of a key or a value that it cannot read.
+   */
   @Test
   void whatIsWrittenWhileTheLimitsAreAsBeforeTheFormerVersionReads() {
     left("j-1", 40, null);
@@ -111,9 +126,26 @@
       ObjectNode o = world.state.value(key);
       assertThat(o.get("at").isIntegralNumber()).isTrue();
       assertThat(o.get("piece").isIntegralNumber()).isTrue();
-      assertThat(o.get("job").fieldNames()).toIterable()
-          .contains("ref", "jobclass", "owner", "shape", "rank", "shards", "cores", "cards", "mem_gb", "bundle", "size_gb",
-              "one_zone", "scatter", "loaner", "expect_s", "snapshot_s", "flush_s")
+      assertThat(o.get("job").fieldNames())
+          .toIterable()
+          .contains(
+              "ref",
+              "jobclass",
+              "owner",
+              "shape",
+              "rank",
+              "shards",
+              "cores",
+              "cards",
+              "mem_gb",
+              "bundle",
+              "size_gb",
+              "one_zone",
+              "scatter",
+              "loaner",
+              "expect_s",
+              "snapshot_s",
+              "flush_s")
           .doesNotContain("awaits");
     }
     assertThat(world.state.keys("run/")).containsExactly("run/j-1", "run/j-2");
@@ -134,8 +166,12 @@
 
   @Test
   void aDescriptionAcceptedUnderLargerLimitsIsKnownForGood() {
-    String large = job("j-1", "array", 1).replace("\"img\"", "\"" + "i".repeat(450) + "\"").replace("\"c\"", "\"" + "c".repeat(450) + "\"");
-    world.state.plant("job/j-1", "{\"at\":900000,\"piece\":" + OLD_PIECE + ",\"job\":" + large + "}");
+    String large =
+        job("j-1", "array", 1)
+            .replace("\"img\"", "\"" + "i".repeat(450) + "\"")
+            .replace("\"c\"", "\"" + "c".repeat(450) + "\"");
+    world.state.plant(
+        "job/j-1", "{\"at\":900000,\"piece\":" + OLD_PIECE + ",\"job\":" + large + "}");
     world.settle(4);
     lower();
     for (int n = 0; n < 3; n++) {
--- a/src/test/java/io/embernotch/store/LeaseKeeperTest.java
+++ b/src/test/java/io/embernotch/store/LeaseKeeperTest.java
@@ -12,7 +12,9 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-/** The steward's lease while the core is busy, the service answers late, or leadership has moved on. */
+/**
+ * The steward's lease while the core is busy, the service answers late, or leadership has moved on.
+ */
 class LeaseKeeperTest {
   private static final double LIFE_S = 3;
 
@@ -21,8 +23,10 @@
   private final List<Long> ended = new ArrayList<>();
   private int status = 200;
   private Promise<Reply> late;
+
   /** What the core is told waits here, as if the core were busy. */
   private final List<Runnable> core = new ArrayList<>();
+
   private final LeaseKeeper keeper =
       new LeaseKeeper(
           (method, to, path, body, timeout) -> {
@@ -34,7 +38,14 @@
                 ? Future.failedFuture(new CallFailed(true, "no answer"))
                 : Future.succeededFuture(new Reply(status, new byte[0]));
           },
-          new HostPort("10.2.0.1", 2379), time, time, time, core::add, LIFE_S, 0.001, 8);
+          new HostPort("10.2.0.1", 2379),
+          time,
+          time,
+          time,
+          core::add,
+          LIFE_S,
+          0.001,
+          8);
 
   private double left() {
     return keeper.provenUntil() - time.now();
--- a/src/test/java/io/embernotch/store/StoreClientTest.java
+++ b/src/test/java/io/embernotch/store/StoreClientTest.java
@@ -21,7 +21,8 @@
 
   @Test
   void whatTheServiceRefusesForBeingTooMuchIsTriedAgainNoFasterThanItMay() {
-    // Trying again at will once made 1,400 requests a second, and leases were refused with the rest.
+    // Trying again at will once made 1,400 requests a second, and leases were refused with the
+    // rest.
     int[] calls = new int[1];
     StoreClient store =
         new StoreClient(
@@ -29,14 +30,20 @@
               calls[0]++;
               return Future.succeededFuture(new Reply(429, "{}".getBytes(StandardCharsets.UTF_8)));
             },
-            time, time, settings);
+            time,
+            time,
+            settings);
     store.leading(true);
     for (int i = 0; i < 500; i++) {
       String key = "job/" + i;
-      store.turn(1, Rank.USUAL, () -> store.commitInTurn(new Txn().when(key, 0).write(key, Json.object()), Rank.USUAL));
+      store.turn(
+          1,
+          Rank.USUAL,
+          () -> store.commitInTurn(new Txn().when(key, 0).write(key, Json.object()), Rank.USUAL));
     }
     time.pass(5);
-    assertThat(calls[0]).isLessThanOrEqualTo((int) (settings.stateLimits().writeRps() * 0.7 * 5.5) + 1);
+    assertThat(calls[0])
+        .isLessThanOrEqualTo((int) (settings.stateLimits().writeRps() * 0.7 * 5.5) + 1);
     assertThat(calls[0]).isGreaterThan(100);
   }
 
--- a/src/test/java/io/embernotch/straggler/RoundTest.java
+++ b/src/test/java/io/embernotch/straggler/RoundTest.java
@@ -16,8 +16,10 @@
     return new TaskView(ref, 0, 1, elapsed, mean, 5, 1, 10, true, null, null);
   }
 
-  private static MachineView machine(String name, double price, int busy, double gpus, List<Double> ratios, TaskView... tasks) {
-    return new MachineView(name, "g8", "z1", false, 4, price, true, 40, gpus, 100, busy, ratios, List.of(tasks));
+  private static MachineView machine(
+      String name, double price, int busy, double gpus, List<Double> ratios, TaskView... tasks) {
+    return new MachineView(
+        name, "g8", "z1", false, 4, price, true, 40, gpus, 100, busy, ratios, List.of(tasks));
   }
 
   @Test
@@ -37,7 +39,8 @@
     assertThat(round.gain(k, k.tasks().get(0), j, 0.6)).isCloseTo(530, within(1e-9));
     // One more task than cores: alpha = 5/4, Tc = 50, dT = 50, Pj = P'j = 8.
     MachineView full = machine("j", 4, 4, 1, List.of(1.0));
-    assertThat(round.gain(k, k.tasks().get(0), full, 0.6)).isCloseTo(2.5 * 50 + 8 * 100 - 8 * 50, within(1e-9));
+    assertThat(round.gain(k, k.tasks().get(0), full, 0.6))
+        .isCloseTo(2.5 * 50 + 8 * 100 - 8 * 50, within(1e-9));
   }
 
   @Test
@@ -50,7 +53,8 @@
 
   @Test
   void onlyTasksOnSlowMachinesSurviveAndTheWorstGoesFirst() {
-    MachineView slow = machine("slow", 1, 2, 0, List.of(0.2), task("bad", 70, 40), task("worse", 100, 40));
+    MachineView slow =
+        machine("slow", 1, 2, 0, List.of(0.2), task("bad", 70, 40), task("worse", 100, 40));
     MachineView fine = machine("fine", 1, 1, 0, List.of(1.0), task("unlucky", 300, 40));
     MachineView free = machine("free", 1, 0, 1, List.of(1.1));
     List<Restart> out = round.run(List.of(slow, fine, free));
@@ -64,7 +68,9 @@
     MachineView slow = machine("slow", 1, 1, 0, List.of(0.1), task("a", 70, 40));
     MachineView good = machine("good", 1, 0, 1, List.of(1.0));
     MachineView better = machine("better", 1, 0, 1, List.of(1.5));
-    assertThat(round.run(List.of(slow, good, better))).extracting(Restart::target).containsExactly("better");
+    assertThat(round.run(List.of(slow, good, better)))
+        .extracting(Restart::target)
+        .containsExactly("better");
     MachineView awful = machine("awful", 1, 0, 1, List.of(0.01));
     assertThat(round.run(List.of(slow, awful, machine("x", 1, 0, 0, List.of(2.0))))).isEmpty();
   }
--- a/src/test/java/io/embernotch/structure/StructureTest.java
+++ b/src/test/java/io/embernotch/structure/StructureTest.java
@@ -17,14 +17,18 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
-/** Each part of the program has a package of its own, small enough to be read, and knows only those below it. */
+/**
+ * Each part of the program has a package of its own, small enough to be read, and knows only those
+ * below it.
+ */
 @AnalyzeClasses(packages = "io.embernotch", importOptions = DoNotIncludeTests.class)
 class StructureTest {
   private static final Path SOURCES = Path.of("src/main/java/io/embernotch");
   private static final int LONGEST = 450;
 
   @ArchTest
-  static final ArchRule PACKAGES_ARE_ACYCLIC = slices().matching("io.embernotch.(*)..").should().beFreeOfCycles();
+  static final ArchRule PACKAGES_ARE_ACYCLIC =
+      slices().matching("io.embernotch.(*)..").should().beFreeOfCycles();
 
   @Test
   void noFileAndNoPackageIsTooLarge() {
@@ -32,7 +36,10 @@
     assertThat(lines.entrySet()).filteredOn(e -> e.getValue() > LONGEST).isEmpty();
     int all = lines.values().stream().mapToInt(n -> n).sum();
     Map<Path, Integer> packages =
-        lines.entrySet().stream().collect(Collectors.groupingBy(e -> e.getKey().getParent(), Collectors.summingInt(Map.Entry::getValue)));
+        lines.entrySet().stream()
+            .collect(
+                Collectors.groupingBy(
+                    e -> e.getKey().getParent(), Collectors.summingInt(Map.Entry::getValue)));
     assertThat(packages).hasSizeGreaterThan(10);
     assertThat(packages.entrySet()).filteredOn(e -> e.getValue() * 4 > all).isEmpty();
   }
@@ -40,7 +47,12 @@
   @Test
   void everyPackageHasItsOwnerInTheArchitecture() throws IOException {
     String page = Files.readString(Path.of("docs/ARCHITECTURE.md"));
-    List<String> names = files().map(p -> SOURCES.relativize(p.getParent()).toString()).distinct().filter(n -> !n.isEmpty()).toList();
+    List<String> names =
+        files()
+            .map(p -> SOURCES.relativize(p.getParent()).toString())
+            .distinct()
+            .filter(n -> !n.isEmpty())
+            .toList();
     assertThat(names).allSatisfy(name -> assertThat(page).contains("| `" + name + "` |"));
   }
 
--- a/src/test/java/io/embernotch/testkit/AnswerOrder.java
+++ b/src/test/java/io/embernotch/testkit/AnswerOrder.java
@@ -4,10 +4,10 @@
 import java.util.TreeMap;
 
 /**
- * The answers that users got about one job, held against linearizability. What is told of a job only moves on: it is
- * unknown, then accepted, then ended, and the count of its done tasks does not fall. So an answer is wrong only if
- * another one that was <em>received before its question was sent</em> told a later state; answers whose times overlap
- * may come in any order.
+ * The answers that users got about one job, held against linearizability. What is told of a job
+ * only moves on: it is unknown, then accepted, then ended, and the count of its done tasks does not
+ * fall. So an answer is wrong only if another one that was <em>received before its question was
+ * sent</em> told a later state; answers whose times overlap may come in any order.
  */
 final class AnswerOrder {
   /** How far a job has come. */
--- a/src/test/java/io/embernotch/testkit/FakeCloud.java
+++ b/src/test/java/io/embernotch/testkit/FakeCloud.java
@@ -60,8 +60,9 @@
       return error("trouble");
     }
     if (path.equals("/machine_types")) {
-      return json("{\"flavors\":[{\"name\":\"g8\",\"cores\":48,\"cards\":8,\"mem_gb\":288,\"local_gb\":100,"
-          + "\"fetch_gb_per_s\":1.0,\"rate\":12.0,\"market_price\":4.0,\"boot_s\":60,\"rooms\":[\"z1\",\"z2\"]}]}");
+      return json(
+          "{\"flavors\":[{\"name\":\"g8\",\"cores\":48,\"cards\":8,\"mem_gb\":288,\"local_gb\":100,"
+              + "\"fetch_gb_per_s\":1.0,\"rate\":12.0,\"market_price\":4.0,\"boot_s\":60,\"rooms\":[\"z1\",\"z2\"]}]}");
     }
     if (path.equals("/machines") && method.equals("POST")) {
       return rent(Json.parseObject(body));
@@ -84,7 +85,11 @@
       int number = request.get("number").asInt();
       rentals.add(number);
       for (int i = 0; i < number; i++) {
-        names.add(boot(request.get("flavor").asText(), request.get("room").asText(), request.get("loaner").asBoolean()));
+        names.add(
+            boot(
+                request.get("flavor").asText(),
+                request.get("room").asText(),
+                request.get("loaner").asBoolean()));
       }
       bookings.put(booking, names);
     }
@@ -107,8 +112,14 @@
     ArrayNode list = reply.putArray("hearths");
     for (FakeWorker w : workers.values()) {
       if (!unlisted.contains(w.name)) {
-        list.addObject().put("ref", w.name).put("address", w.address).put("flavor", w.type).put("room", w.zone)
-            .put("loaner", w.spot).put("phase", "running").put("age_s", 10);
+        list.addObject()
+            .put("ref", w.name)
+            .put("address", w.address)
+            .put("flavor", w.type)
+            .put("room", w.zone)
+            .put("loaner", w.spot)
+            .put("phase", "running")
+            .put("age_s", 10);
       }
     }
     return new Reply(200, Json.bytes(reply));
@@ -119,13 +130,15 @@
     String name = String.format("n-%06d", nextMachine++);
     String address = "10.1.0." + nextMachine + ":9000";
     if (!noBoot) {
-      time.after(bootS, () -> {
-        if (!deleted.contains(name)) {
-          FakeWorker machine = new FakeWorker(name, type, zone, spot, address, time.now());
-          workers.put(name, machine);
-          booted.accept(machine);
-        }
-      });
+      time.after(
+          bootS,
+          () -> {
+            if (!deleted.contains(name)) {
+              FakeWorker machine = new FakeWorker(name, type, zone, spot, address, time.now());
+              workers.put(name, machine);
+              booted.accept(machine);
+            }
+          });
     }
     return name;
   }
--- a/src/test/java/io/embernotch/testkit/FakeState.java
+++ b/src/test/java/io/embernotch/testkit/FakeState.java
@@ -31,6 +31,7 @@
   }
 
   private final FakeTime time;
+
   /** What it held at some moment. */
   public record Held(TreeMap<String, Object> data, long epoch) {}
 
@@ -40,24 +41,36 @@
   private final List<Watch> watches = new ArrayList<>();
   private long epoch = 10;
   private long nextLease = 1;
+
   /** Every request is refused, and no lease runs out. */
   public boolean outage;
+
   /** Lists are not answered. */
   public boolean slowLists;
+
   public int commits;
-  /** Limits as PROTOCOL has them; a transaction beyond them gets 400, changes beyond the rate 429. */
+
+  /**
+   * Limits as PROTOCOL has them; a transaction beyond them gets 400, changes beyond the rate 429.
+   */
   public int valueBytes = 8 * 1024;
+
   public int txnOps = 12;
   public double changesPerS = 100;
   private double credit;
   private double creditAt;
+
   /** Transactions refused as malformed, and for being too many. */
   public int malformed;
+
   public int throttled;
+
   /** Jobs whose end was ever written as done, whatever became of it since. */
   public final Set<String> everDone = new HashSet<>();
+
   /** Runs whenever somebody has become leader. */
   Runnable onLeader = () -> {};
+
   /** How often each key was written. */
   public final Map<String, Integer> writes = new TreeMap<>();
 
@@ -67,22 +80,27 @@
   }
 
   private void sweep() {
-    time.after(0.05, () -> {
-      if (!outage) {
-        expire();
-      }
-      sweep();
-    });
+    time.after(
+        0.05,
+        () -> {
+          if (!outage) {
+            expire();
+          }
+          sweep();
+        });
   }
 
   private void expire() {
-    leases.entrySet().removeIf(e -> {
-      if (e.getValue().until > time.now()) {
-        return false;
-      }
-      dropAttached(e.getKey());
-      return true;
-    });
+    leases
+        .entrySet()
+        .removeIf(
+            e -> {
+              if (e.getValue().until > time.now()) {
+                return false;
+              }
+              dropAttached(e.getKey());
+              return true;
+            });
   }
 
   private void dropAttached(long permit) {
@@ -115,7 +133,9 @@
     return new Held(new TreeMap<>(data), epoch);
   }
 
-  /** Everything is as it was then, the steward's key and its lease included, if {@code withLeases}. */
+  /**
+   * Everything is as it was then, the steward's key and its lease included, if {@code withLeases}.
+   */
   public void putBack(Held then, boolean withLeases) {
     data.clear();
     then.data.forEach((k, v) -> data.put(k, (Value) v));
@@ -131,7 +151,10 @@
     data.keySet().removeIf(k -> k.startsWith(prefix));
   }
 
-  /** Conditions on keys with this prefix are not looked at, as if nobody had made them; null: all are. */
+  /**
+   * Conditions on keys with this prefix are not looked at, as if nobody had made them; null: all
+   * are.
+   */
   public String blindTo;
 
   /** Lowers the limits, without notice. */
@@ -172,10 +195,15 @@
       return get(path.substring(7));
     }
     if (path.startsWith("/store?")) {
-      return slowLists ? Promise.<Reply>promise().future() : list(query(path, "starts"), query(path, "after"));
+      return slowLists
+          ? Promise.<Reply>promise().future()
+          : list(query(path, "starts"), query(path, "after"));
     }
     if (path.startsWith("/changes")) {
-      return watch(query(path, "starts"), Long.parseLong(query(path, "after")), Double.parseDouble(query(path, "hold_ms")) / 1000);
+      return watch(
+          query(path, "starts"),
+          Long.parseLong(query(path, "after")),
+          Double.parseDouble(query(path, "hold_ms")) / 1000);
     }
     if (path.equals("/commit")) {
       return commit(Json.parseObject(body));
@@ -214,19 +242,22 @@
   private Future<Reply> list(String prefix, String after) {
     ObjectNode o = Json.object().put("epoch", epoch).put("truncated", false);
     ArrayNode pairs = o.putArray("pairs");
-    data.tailMap(prefix).forEach((k, v) -> {
-      if (k.startsWith(prefix) && (after == null || k.compareTo(after) > 0)) {
-        ObjectNode p = pairs.addObject().put("key", k).put("stamp", v.stamp);
-        p.set("v", v.v);
-      }
-    });
+    data.tailMap(prefix)
+        .forEach(
+            (k, v) -> {
+              if (k.startsWith(prefix) && (after == null || k.compareTo(after) > 0)) {
+                ObjectNode p = pairs.addObject().put("key", k).put("stamp", v.stamp);
+                p.set("v", v.v);
+              }
+            });
     return reply(200, o);
   }
 
   private Future<Reply> commit(ObjectNode o) {
     int size = o.path("apply").size();
     commits += size > 0 ? 1 : 0;
-    boolean large = size > txnOps || o.get("when").size() > 4 * txnOps || Json.bytes(o).length > 64 * 1024;
+    boolean large =
+        size > txnOps || o.get("when").size() > 4 * txnOps || Json.bytes(o).length > 64 * 1024;
     for (JsonNode a : o.path("apply")) {
       large |= a.has("write") && Json.bytes(a.get("v")).length > valueBytes;
     }
@@ -301,10 +332,12 @@
     } else {
       Watch w = new Watch(prefix, after, promise);
       watches.add(w);
-      time.after(holdS, () -> {
-        watches.remove(w);
-        promise.tryComplete(events(prefix, after));
-      });
+      time.after(
+          holdS,
+          () -> {
+            watches.remove(w);
+            promise.tryComplete(events(prefix, after));
+          });
     }
     return promise.future();
   }
@@ -314,7 +347,8 @@
     ArrayNode list = o.putArray("events");
     for (Change c : changes) {
       if (c.stamp > after && c.key.startsWith(prefix)) {
-        ObjectNode e = list.addObject().put(c.v == null ? "drop" : "write", c.key).put("stamp", c.stamp);
+        ObjectNode e =
+            list.addObject().put(c.v == null ? "drop" : "write", c.key).put("stamp", c.stamp);
         if (c.v != null) {
           e.set("v", c.v);
         }
--- a/src/test/java/io/embernotch/testkit/FakeTime.java
+++ b/src/test/java/io/embernotch/testkit/FakeTime.java
@@ -33,11 +33,14 @@
   public Runnable after(double seconds, Runnable task) {
     boolean[] cancelled = new boolean[1];
     queue.add(
-        new Due(now + seconds, order++, () -> {
-          if (!cancelled[0]) {
-            task.run();
-          }
-        }));
+        new Due(
+            now + seconds,
+            order++,
+            () -> {
+              if (!cancelled[0]) {
+                task.run();
+              }
+            }));
     return () -> cancelled[0] = true;
   }
 
--- a/src/test/java/io/embernotch/testkit/FakeWorker.java
+++ b/src/test/java/io/embernotch/testkit/FakeWorker.java
@@ -13,7 +13,9 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
-/** A worker of PROTOCOL: keeps the highest token, obeys orders, and kills all when its lease ends. */
+/**
+ * A worker of PROTOCOL: keeps the highest token, obeys orders, and kills all when its lease ends.
+ */
 public final class FakeWorker {
   private static final class Task {
     long attempt;
@@ -32,39 +34,58 @@
   public final boolean spot;
   public final String address;
   private final Map<String, Task> tasks = new LinkedHashMap<>();
+
   /** Every start that was carried out, as JOB/TASK#TRY. */
   public final List<String> started = new ArrayList<>();
+
   public final List<String> reaped = new ArrayList<>();
   public long session = 1;
   public long seq;
   public long token;
   public Double recallS;
+
   /** Neither reports leave nor commands arrive. */
   public boolean cut;
+
   /** It takes connections, and neither answers nor reports. */
   public boolean hung;
-  /** Its reports arrive; answers and commands do not reach it, so it goes on to the next controller. */
+
+  /**
+   * Its reports arrive; answers and commands do not reach it, so it goes on to the next controller.
+   */
   public boolean deaf;
+
   /** It reaches no controller; direct commands reach it. */
   public boolean mute;
+
   /** Commands that reached it while it hung; it carries them out once it goes on. */
   private final List<byte[]> queued = new ArrayList<>();
+
   /** Are told of each start that is carried out, and of each end with its cause. */
   Consumer<String> onStart = t -> {};
+
   BiConsumer<String, String> onExit = (t, cause) -> {};
+
   /** Is told of each task that is no longer on the machine, however it ended. */
   Consumer<String> onLeave = t -> {};
+
   double reportsAgainAt;
+
   /** Starts that were sent to it while it was deaf. */
   public int startsLost;
+
   /** Every task that starts fails at once. */
   public boolean sick;
+
   double lastRenewed;
+
   /** The controller that it reports to, and how often it went to another. */
   public int node;
+
   public int moves;
 
-  public FakeWorker(String name, String type, String zone, boolean spot, String address, double now) {
+  public FakeWorker(
+      String name, String type, String zone, boolean spot, String address, double now) {
     this.name = name;
     this.type = type;
     this.zone = zone;
@@ -76,11 +97,12 @@
   /** Task names that are on the machine and have not exited. */
   public TreeSet<String> alive() {
     TreeSet<String> out = new TreeSet<>();
-    tasks.forEach((k, t) -> {
-      if (!t.phase.equals("exited")) {
-        out.add(k);
-      }
-    });
+    tasks.forEach(
+        (k, t) -> {
+          if (!t.phase.equals("exited")) {
+            out.add(k);
+          }
+        });
     return out;
   }
 
@@ -139,18 +161,24 @@
   public byte[] report() {
     seq++;
     ObjectNode o = Json.object();
-    o.put("hearth", name).put("address", address).put("flavor", type).put("room", zone).put("loaner", spot);
+    o.put("hearth", name)
+        .put("address", address)
+        .put("flavor", type)
+        .put("room", zone)
+        .put("loaner", spot);
     o.put("tenure", session).put("tick", seq).put("baton", token);
     if (recallS != null) {
       o.put("recall_s", recallS);
     }
     ArrayNode list = o.putArray("shards");
-    tasks.forEach((k, t) -> {
-      ObjectNode n = list.addObject().put("shard", k).put("try", t.attempt).put("phase", t.phase);
-      if (t.cause != null) {
-        n.put("cause", t.cause);
-      }
-    });
+    tasks.forEach(
+        (k, t) -> {
+          ObjectNode n =
+              list.addObject().put("shard", k).put("try", t.attempt).put("phase", t.phase);
+          if (t.cause != null) {
+            n.put("cause", t.cause);
+          }
+        });
     return Json.bytes(o);
   }
 
--- a/src/test/java/io/embernotch/testkit/Rules.java
+++ b/src/test/java/io/embernotch/testkit/Rules.java
@@ -19,11 +19,15 @@
 import java.util.TreeSet;
 
 /**
- * The rules of PROTOCOL and what the operators' pages add, held against what users, workers and the store saw. It knows
- * nothing of what controllers mean: only submissions, questions and their answers, starts, ends, and what is on machines.
+ * The rules of PROTOCOL and what the operators' pages add, held against what users, workers and the
+ * store saw. It knows nothing of what controllers mean: only submissions, questions and their
+ * answers, starts, ends, and what is on machines.
  */
 public final class Rules {
-  /** How long a job may wait once troubles are over, while a machine that fits has room and its team is under its limit. */
+  /**
+   * How long a job may wait once troubles are over, while a machine that fits has room and its team
+   * is under its limit.
+   */
   private static final double IDLE_S = 90;
 
   private final Settings settings;
@@ -32,12 +36,19 @@
   private final Set<String> accepted = new TreeSet<>();
   private final Set<String> created = new TreeSet<>();
   private final Map<String, AnswerOrder> orders = new HashMap<>();
+
   /** How many tasks of each job are on machines. */
   private final Map<String, Integer> onMachines = new HashMap<>();
+
   /** When a task of each job was last started. */
   private final Map<String, Double> startedAt = new HashMap<>();
-  /** When a user was first told that a job runs, counted anew whenever a task of it leaves a machine. */
+
+  /**
+   * When a user was first told that a job runs, counted anew whenever a task of it leaves a
+   * machine.
+   */
   private final Map<String, Double> runningToldAt = new HashMap<>();
+
   private final Map<String, String> ends = new TreeMap<>();
   private final Map<String, Double> cancelAskedAt = new TreeMap<>();
   private final Map<String, Double> cancelledAt = new TreeMap<>();
@@ -45,10 +56,16 @@
   private final Map<String, Double> idleSince = new HashMap<>();
   private final Set<String> reported = new TreeSet<>();
   private final List<String> broken = new ArrayList<>();
-  /** Starts after a cancellation was confirmed; within {@code cancel_s} they break no rule, and there should be none. */
+
+  /**
+   * Starts after a cancellation was confirmed; within {@code cancel_s} they break no rule, and
+   * there should be none.
+   */
   public final List<String> startsAfterCancel = new ArrayList<>();
+
   /** From the first time that a user asked for a cancellation to its confirmation, in seconds. */
   public final List<Double> cancelWaits = new ArrayList<>();
+
   /** Troubles are over: no job may be left waiting beside room for it. */
   public boolean quiet;
 
@@ -109,7 +126,10 @@
     cancelAskedAt.putIfAbsent(ref, now);
   }
 
-  /** An answer to what was asked at {@code askedAt}: older than what was told after that it may be, unless both are ends. */
+  /**
+   * An answer to what was asked at {@code askedAt}: older than what was told after that it may be,
+   * unless both are ends.
+   */
   public void heard(String ref, Answer a, double askedAt, double now) {
     if (a.status() != 200 && a.status() != 201) {
       return;
@@ -122,14 +142,23 @@
       breaks(ref + " was " + end + " and is " + phase);
     }
     int counted = body.path("done").asInt(Integer.MAX_VALUE);
-    ordered(ref, isEnd ? new AnswerOrder.State(AnswerOrder.Stage.ENDED, 0) : new AnswerOrder.State(AnswerOrder.Stage.ACCEPTED, counted), askedAt, now);
+    ordered(
+        ref,
+        isEnd
+            ? new AnswerOrder.State(AnswerOrder.Stage.ENDED, 0)
+            : new AnswerOrder.State(AnswerOrder.Stage.ACCEPTED, counted),
+        askedAt,
+        now);
     presence(ref, phase, askedAt, now);
     JobSpec spec = specs.get(ref);
     if (phase.equals("done") && spec != null && !allDone(ref, spec)) {
       breaks(ref + " is called done before all of its tasks are");
     }
     if (phase.equals("cancelled")) {
-      boolean byItself = !cancelAskedAt.containsKey(ref) && sent.contains(ref) && (spec == null || spec.awaits().isEmpty());
+      boolean byItself =
+          !cancelAskedAt.containsKey(ref)
+              && sent.contains(ref)
+              && (spec == null || spec.awaits().isEmpty());
       if (byItself) {
         breaks(ref + " is called cancelled, and nobody asked for it");
       }
@@ -152,17 +181,20 @@
   }
 
   /**
-   * A job that was told to run, and of which no task has left its machine since, is not told to be queued. A leader that
-   * has sent a start learns from the answer that it was carried out, so those just started do not count yet.
+   * A job that was told to run, and of which no task has left its machine since, is not told to be
+   * queued. A leader that has sent a start learns from the answer that it was carried out, so those
+   * just started do not count yet.
    */
   private void presence(String ref, String phase, double askedAt, double now) {
     double knownS = settings.workers().reportS() / 6;
-    if (onMachines.getOrDefault(ref, 0) == 0 || askedAt - startedAt.getOrDefault(ref, 0.0) < knownS) {
+    if (onMachines.getOrDefault(ref, 0) == 0
+        || askedAt - startedAt.getOrDefault(ref, 0.0) < knownS) {
       return;
     }
     if (phase.equals("running")) {
       runningToldAt.putIfAbsent(ref, now);
-    } else if (phase.equals("queued") && askedAt > runningToldAt.getOrDefault(ref, Double.MAX_VALUE)) {
+    } else if (phase.equals("queued")
+        && askedAt > runningToldAt.getOrDefault(ref, Double.MAX_VALUE)) {
       breaks(ref + " was told to run, runs on, and is told to be queued");
     }
   }
@@ -194,8 +226,11 @@
     }
   }
 
-  /** A task has started on a machine; {@code job} is its description as the store has it, or null. */
-  public void started(FakeWorker on, String task, JsonNode job, Iterable<FakeWorker> workers, double now) {
+  /**
+   * A task has started on a machine; {@code job} is its description as the store has it, or null.
+   */
+  public void started(
+      FakeWorker on, String task, JsonNode job, Iterable<FakeWorker> workers, double now) {
     String ref = refOf(task);
     onMachines.merge(ref, 1, Integer::sum);
     startedAt.put(ref, now);
@@ -205,7 +240,13 @@
     JobSpec spec = specs.get(ref);
     Double told = cancelledAt.get(ref);
     if (told != null) {
-      startsAfterCancel.add(task + " on " + on.name + " " + Math.round(now - told) + " s after its cancellation was told");
+      startsAfterCancel.add(
+          task
+              + " on "
+              + on.name
+              + " "
+              + Math.round(now - told)
+              + " s after its cancellation was told");
       if (now - told > settings.workers().cancelS()) {
         breaks(task + " starts later than cancel_s after its cancellation was told");
       }
@@ -232,11 +273,15 @@
       }
     }
     Settings.Team team = settings.teams().get(spec.team());
-    if (team != null && ((team.gpusMax() > 0 && gpus > team.gpusMax() + 1e-6) || (team.cpusMax() > 0 && cpus > team.cpusMax() + 1e-6))) {
+    if (team != null
+        && ((team.gpusMax() > 0 && gpus > team.gpusMax() + 1e-6)
+            || (team.cpusMax() > 0 && cpus > team.cpusMax() + 1e-6))) {
       breaks("team " + spec.team() + " is over its limit with " + task + " on " + on.name);
     }
-    boolean place = spec.allows(on.type, on.zone, on.spot) && (!spec.oneZone() || perZone.size() < 2)
-        && perZone.getOrDefault(on.zone, 0) <= spec.zoneCap();
+    boolean place =
+        spec.allows(on.type, on.zone, on.spot)
+            && (!spec.oneZone() || perZone.size() < 2)
+            && perZone.getOrDefault(on.zone, 0) <= spec.zoneCap();
     if (!place) {
       breaks(task + " starts at a wrong place, " + on.name + " in " + on.zone);
     }
@@ -280,13 +325,22 @@
     }
     for (String ref : accepted) {
       JobSpec s = specs.get(ref);
-      int left = s.tasks() - on.getOrDefault(ref, 0) - (s.shape() == Shape.ARRAY ? done.getOrDefault(ref, new BitSet()).cardinality() : 0);
+      int left =
+          s.tasks()
+              - on.getOrDefault(ref, 0)
+              - (s.shape() == Shape.ARRAY ? done.getOrDefault(ref, new BitSet()).cardinality() : 0);
       boolean gang = s.shape() == Shape.GANG;
-      boolean waits = !ends.containsKey(ref) && !cancelAskedAt.containsKey(ref) && s.awaits().isEmpty()
-          && (gang ? on.getOrDefault(ref, 0) == 0 && !allDone(ref, s) : left > 0);
+      boolean waits =
+          !ends.containsKey(ref)
+              && !cancelAskedAt.containsKey(ref)
+              && s.awaits().isEmpty()
+              && (gang ? on.getOrDefault(ref, 0) == 0 && !allDone(ref, s) : left > 0);
       double max = settings.teams().get(s.team()).gpusMax();
       int need = gang ? s.tasks() : 1;
-      boolean room = waits && (max <= 0 || used.getOrDefault(s.team(), 0.0) + need * s.gpus() <= max + 1e-6) && fits(s, need, up);
+      boolean room =
+          waits
+              && (max <= 0 || used.getOrDefault(s.team(), 0.0) + need * s.gpus() <= max + 1e-6)
+              && fits(s, need, up);
       if (!room) {
         idleSince.remove(ref);
       } else if (now - idleSince.computeIfAbsent(ref, r -> now) > IDLE_S) {
@@ -295,7 +349,9 @@
     }
   }
 
-  /** Room for so many tasks at once; all of them in one zone, or spread, where the job wants that. */
+  /**
+   * Room for so many tasks at once; all of them in one zone, or spread, where the job wants that.
+   */
   private boolean fits(JobSpec s, int need, List<FakeWorker> up) {
     Map<String, Integer> perZone = new HashMap<>();
     for (FakeWorker w : up) {
@@ -307,7 +363,13 @@
           gpus -= o == null ? FakeWorker.GPUS : o.gpus();
           cpus -= o == null ? FakeWorker.CPUS : o.cpus();
         }
-        int n = (int) Math.floor(Math.min(s.gpus() > 0 ? gpus / s.gpus() : 1e6, s.cpus() > 0 ? cpus / s.cpus() : 1e6) + 1e-6);
+        int n =
+            (int)
+                Math.floor(
+                    Math.min(
+                            s.gpus() > 0 ? gpus / s.gpus() : 1e6,
+                            s.cpus() > 0 ? cpus / s.cpus() : 1e6)
+                        + 1e-6);
         perZone.merge(w.zone, Math.max(0, n), Integer::sum);
       }
     }
--- a/src/test/java/io/embernotch/testkit/TestSettings.java
+++ b/src/test/java/io/embernotch/testkit/TestSettings.java
@@ -17,17 +17,34 @@
    */
   static String toml(int index, int scale, String next) {
     StringBuilder s = new StringBuilder();
-    s.append("node='c").append(index).append("'\nlocation='").append(zone(index)).append("'\nclient_listen='10.0.0.").append(index + 1)
-        .append(":8080'\nback='10.0.0.").append(index + 1).append(":8081'\n");
+    s.append("node='c")
+        .append(index)
+        .append("'\nlocation='")
+        .append(zone(index))
+        .append("'\nclient_listen='10.0.0.")
+        .append(index + 1)
+        .append(":8080'\nback='10.0.0.")
+        .append(index + 1)
+        .append(":8081'\n");
     for (int i = 0; i < 3; i++) {
       if (i != index) {
-        s.append("[[members]]\nnode='c").append(i).append("'\nlocation='").append(zone(i)).append("'\naddress='10.0.0.").append(i + 1).append(":8081'\n");
+        s.append("[[members]]\nnode='c")
+            .append(i)
+            .append("'\nlocation='")
+            .append(zone(i))
+            .append("'\naddress='10.0.0.")
+            .append(i + 1)
+            .append(":8081'\n");
       }
     }
-    return s.append(CLUSTER).toString().replace("# next\n", next).replace("gpus_max = 24.0", "gpus_max = " + 24.0 * scale);
+    return s.append(CLUSTER)
+        .toString()
+        .replace("# next\n", next)
+        .replace("gpus_max = 24.0", "gpus_max = " + 24.0 * scale);
   }
 
-  private static final String CLUSTER = """
+  private static final String CLUSTER =
+      """
       [external]
       cloud = '10.2.0.2:8443'
       state = '10.2.0.1:2379'
--- a/src/test/java/io/embernotch/testkit/Told.java
+++ b/src/test/java/io/embernotch/testkit/Told.java
@@ -23,7 +23,8 @@
   }
 
   public void submit(int node, String ref, String shape, int tasks) {
-    if (!world.nodes.get(node).down && world.submit(node, job(ref, shape, tasks)).status() / 100 == 2) {
+    if (!world.nodes.get(node).down
+        && world.submit(node, job(ref, shape, tasks)).status() / 100 == 2) {
       accepted.add(ref);
     }
   }
@@ -35,7 +36,10 @@
   }
 
   private void hear(String ref, Answer a) {
-    String phase = a.status() == 200 ? Json.parseObject(a.body()).get("phase").asText() : "status " + a.status();
+    String phase =
+        a.status() == 200
+            ? Json.parseObject(a.body()).get("phase").asText()
+            : "status " + a.status();
     String end = ends.get(ref);
     if (phase.equals("status 404")) {
       wrong.add(ref + " is forgotten");
@@ -56,18 +60,20 @@
   }
 
   /**
-   * The addition to the rules: once all troubles are over, each job that was accepted is answered for within 75 s of
-   * polls, five seconds apart, at any controller; what has not ended runs or has its place in the queue.
+   * The addition to the rules: once all troubles are over, each job that was accepted is answered
+   * for within 75 s of polls, five seconds apart, at any controller; what has not ended runs or has
+   * its place in the queue.
    */
   public void answered() {
     Set<String> left = new TreeSet<>(accepted);
     for (int s = 0; s < 75 && !left.isEmpty(); s += 5) {
       int round = s / 5;
-      left.removeIf(ref -> {
-        Answer a = world.poll((round + ref.hashCode() % 3 + 3) % 3, ref);
-        hear(ref, a);
-        return a.status() == 200;
-      });
+      left.removeIf(
+          ref -> {
+            Answer a = world.poll((round + ref.hashCode() % 3 + 3) % 3, ref);
+            hear(ref, a);
+            return a.status() == 200;
+          });
       world.pass(left.isEmpty() ? 0 : 5);
     }
     left.forEach(ref -> wrong.add(ref + " has no answer for 75 s"));
@@ -75,14 +81,18 @@
 
   /** Tasks of jobs that were told to have ended are on no machine. */
   private void nothingRunsAfterItsEnd() {
-    ends.forEach((ref, end) -> {
-      if (!world.running(ref).isEmpty()) {
-        wrong.add(ref + " is " + end + " and on a machine");
-      }
-    });
+    ends.forEach(
+        (ref, end) -> {
+          if (!world.running(ref).isEmpty()) {
+            wrong.add(ref + " is " + end + " and on a machine");
+          }
+        });
   }
 
-  /** Once all has settled: repeats are known, what ended is gone, somebody leads, and no rule was broken. */
+  /**
+   * Once all has settled: repeats are known, what ended is gone, somebody leads, and no rule was
+   * broken.
+   */
   public void atTheEnd() {
     answered();
     for (int i = 0; i < accepted.size(); i++) {
--- a/src/test/java/io/embernotch/testkit/World.java
+++ b/src/test/java/io/embernotch/testkit/World.java
@@ -33,7 +33,9 @@
 import java.util.function.Function;
 import java.util.function.IntFunction;
 
-/** Controllers, state service, cloud and workers on one fake clock, each to be disturbed at will. */
+/**
+ * Controllers, state service, cloud and workers on one fake clock, each to be disturbed at will.
+ */
 public final class World {
   /** What a message on its way to a worker meets. */
   public enum Fate {
@@ -57,43 +59,78 @@
   public final FakeCloud cloud = new FakeCloud(time, workers, this::booted);
   public final List<Node> nodes = new ArrayList<>();
   private final List<Runnable> held = new ArrayList<>();
+
   /** What users, workers and the store saw, held against the rules. */
   public final Rules rules;
+
   /** Copies of commands and reports that were carried out. */
   private final List<Runnable> copies = new ArrayList<>();
+
   /** Frames arrive with {@link #releaseHeld()}, at whoever has the receiver's name then. */
   public boolean holdFrames;
+
   private final Map<String, List<byte[]>> reports = new HashMap<>();
-  /** The least that was left of a lease, as a share of it, when a worker that had gone on was answered again. */
+
+  /**
+   * The least that was left of a lease, as a share of it, when a worker that had gone on was
+   * answered again.
+   */
   public double leastLeft = 1;
+
   public Fate directFate = Fate.ARRIVES;
   public Fate commitFate = Fate.ARRIVES;
+
   /** Only transactions with this in them meet {@link #commitFate}. */
   public String commitsWith = "run/";
+
   /** Draws what the two shares below hit; a seed makes a run repeat. */
   public SplittableRandom random = new SplittableRandom(1);
-  /** This share of transactions gets no answer and is carried out {@link #LATE_LEAST_S} to {@link #LATE_MOST_S} later. */
+
+  /**
+   * This share of transactions gets no answer and is carried out {@link #LATE_LEAST_S} to {@link
+   * #LATE_MOST_S} later.
+   */
   public double lateWrites;
+
   private static final double LATE_LEAST_S = 2;
   private static final double LATE_MOST_S = 12;
-  /** Of this share of the reports a copy arrives again, up to two leases later, at any controller. */
+
+  /**
+   * Of this share of the reports a copy arrives again, up to two leases later, at any controller.
+   */
   public double lateReports;
+
   /** This share of transactions is carried out at once, and gets no answer. */
   public double lostAnswers;
+
   /** This share of reads of the state service gets no answer. */
   public double lostReads;
-  /** This share of direct commands gets no answer and is carried out once, {@link #LATE_LEAST_S} to {@link #LATE_COMMAND_S} later. */
+
+  /**
+   * This share of direct commands gets no answer and is carried out once, {@link #LATE_LEAST_S} to
+   * {@link #LATE_COMMAND_S} later.
+   */
   public double lateCommands;
+
   private static final double LATE_COMMAND_S = 16;
-  /** Of this share of the reports a copy is kept, and arrives at every controller as the next leader begins. */
+
+  /**
+   * Of this share of the reports a copy is kept, and arrives at every controller as the next leader
+   * begins.
+   */
   public double reportsForNext;
+
   private final List<byte[]> keptForNext = new ArrayList<>();
+
   /** Questions of users and answers to them take up to this long on their way, each by itself. */
   public double userDelayS;
+
   /** Every answer of the state service takes so much longer. */
   public double stateSlowS;
+
   /** A zone that is cut off from everything, or null. */
   public String cutZone;
+
   private int names;
   private OperatorSettings operator;
 
@@ -104,8 +141,10 @@
     public Controller controller;
     public boolean down;
     public boolean noState;
+
     /** The state service does not answer it at all, rather than refuse it. */
     public boolean silentState;
+
     public boolean noPeers;
     public boolean noWorkers;
     private int life;
@@ -120,10 +159,16 @@
       int mine = ++life;
       down = false;
       FakeTimeOf clock = new FakeTimeOf(this, mine);
-      Caller caller = (method, to, path, body, timeout) -> call(this, mine, method, to, path, body, timeout);
+      Caller caller =
+          (method, to, path, body, timeout) -> call(this, mine, method, to, path, body, timeout);
       Env env =
           new Env(
-              settings, operator, time, clock, clock, Work.NONE,
+              settings,
+              operator,
+              time,
+              clock,
+              clock,
+              Work.NONE,
               new StoreClient(caller, time, clock, settings),
               new CloudClient(caller, time, clock, settings),
               caller,
@@ -131,8 +176,15 @@
               Runnable::run);
       LeaseKeeper keeper =
           new LeaseKeeper(
-              caller, settings.state(), time, clock, clock, clock, settings.stewardLeaseS(OperatorSettings.DEFAULTS),
-              Settings.DRIFT, settings.contactS());
+              caller,
+              settings.state(),
+              time,
+              clock,
+              clock,
+              clock,
+              settings.stewardLeaseS(OperatorSettings.DEFAULTS),
+              Settings.DRIFT,
+              settings.contactS());
       controller = new Controller(env, new Link(this), keeper);
       controller.start();
     }
@@ -145,7 +197,8 @@
   }
 
   /** The timers of one life of a node: they stop with it. */
-  private final class FakeTimeOf implements io.embernotch.actor.Timers, java.util.concurrent.Executor {
+  private final class FakeTimeOf
+      implements io.embernotch.actor.Timers, java.util.concurrent.Executor {
     private final Node node;
     private final int life;
 
@@ -156,11 +209,13 @@
 
     @Override
     public Runnable after(double seconds, Runnable task) {
-      return time.after(seconds, () -> {
-        if (node.life == life) {
-          task.run();
-        }
-      });
+      return time.after(
+          seconds,
+          () -> {
+            if (node.life == life) {
+              task.run();
+            }
+          });
     }
 
     @Override
@@ -202,12 +257,14 @@
       held.add(() -> to.frames.accept(frame, reply -> deliver(to, from, reply)));
       return;
     }
-    time.after(HOP_S, () -> {
-      boolean cut = apart(from.settings.location(), to.settings.location());
-      if (!from.down && !to.down && !from.noPeers && !to.noPeers && !cut) {
-        to.frames.accept(frame, reply -> deliver(to, from, reply));
-      }
-    });
+    time.after(
+        HOP_S,
+        () -> {
+          boolean cut = apart(from.settings.location(), to.settings.location());
+          if (!from.down && !to.down && !from.noPeers && !to.noPeers && !cut) {
+            to.frames.accept(frame, reply -> deliver(to, from, reply));
+          }
+        });
   }
 
   public World(int controllers) {
@@ -250,7 +307,13 @@
 
   /** A world whose state service takes so many requests and changes a second. */
   public static World withStateLimits(double rps, double writeRps) {
-    return new World(3, i -> TestSettings.toml(i, 10, "").replace("\nrps = 250.0", "\nrps = " + rps).replace("write_rps = 100.0", "write_rps = " + writeRps), OperatorSettings.DEFAULTS);
+    return new World(
+        3,
+        i ->
+            TestSettings.toml(i, 10, "")
+                .replace("\nrps = 250.0", "\nrps = " + rps)
+                .replace("write_rps = 100.0", "write_rps = " + writeRps),
+        OperatorSettings.DEFAULTS);
   }
 
   /** The file that processes started from now on are given. */
@@ -270,14 +333,17 @@
     }
   }
 
-  /** Starts, and answers to users, that come too early or too late for a job that awaits another. */
+  /**
+   * Starts, and answers to users, that come too early or too late for a job that awaits another.
+   */
   private void checkChains() {
     for (FakeWorker w : workers.values()) {
       for (String t : w.alive()) {
         String ref = t.substring(0, t.indexOf('/'));
         ObjectNode job = state.value("job/" + ref);
         for (JsonNode before : job == null ? Json.object() : job.path("job").path("awaits")) {
-          if (!state.everDone.contains(before.asText()) && !"done".equals(endInStore(before.asText()))) {
+          if (!state.everDone.contains(before.asText())
+              && !"done".equals(endInStore(before.asText()))) {
             rules.breaks(t + " is on a machine before " + before.asText() + " is done");
           }
         }
@@ -289,10 +355,16 @@
   public String endInStore(String ref) {
     String end = null;
     for (String key : state.keys("run/" + ref)) {
-      end = key.equals("run/" + ref) && state.value(key).has("end") ? state.value(key).get("end").asText() : end;
+      end =
+          key.equals("run/" + ref) && state.value(key).has("end")
+              ? state.value(key).get("end").asText()
+              : end;
     }
     for (String key : state.keys("part/" + ref + "/")) {
-      end = key.endsWith("/0") && state.value(key).has("end") ? state.value(key).get("end").asText() : end;
+      end =
+          key.endsWith("/0") && state.value(key).has("end")
+              ? state.value(key).get("end").asText()
+              : end;
     }
     return end;
   }
@@ -349,56 +421,87 @@
   private static final double POLL_PATIENCE_S = 2;
   private static final double SUBMIT_PATIENCE_S = 5;
 
-  /** Asks for a job's state and goes on; the answer is held against the rules when it comes, if the user still waits. */
+  /**
+   * Asks for a job's state and goes on; the answer is held against the rules when it comes, if the
+   * user still waits.
+   */
   public void askPoll(int node, String ref) {
-    askLater(node, POLL_PATIENCE_S, n -> n.controller.poll(ref),
-        (askedAt, a) -> rules.polled(ref, a, askedAt, time.now(), state.value("job/" + ref) != null));
+    askLater(
+        node,
+        POLL_PATIENCE_S,
+        n -> n.controller.poll(ref),
+        (askedAt, a) ->
+            rules.polled(ref, a, askedAt, time.now(), state.value("job/" + ref) != null));
   }
 
   /** Submits a job and goes on, like {@link #askPoll}. */
   public void askSubmit(int node, String json) {
     byte[] body = json.getBytes(StandardCharsets.UTF_8);
-    askLater(node, SUBMIT_PATIENCE_S, n -> n.controller.submit(body), (askedAt, a) -> rules.submitted(body, a, askedAt, time.now()));
+    askLater(
+        node,
+        SUBMIT_PATIENCE_S,
+        n -> n.controller.submit(body),
+        (askedAt, a) -> rules.submitted(body, a, askedAt, time.now()));
   }
 
   private double userDelay() {
     return userDelayS > 0 ? random.nextDouble(userDelayS) : 0;
   }
 
-  private void askLater(int node, double patienceS, Function<Node, Future<Answer>> question, BiConsumer<Double, Answer> heard) {
+  private void askLater(
+      int node,
+      double patienceS,
+      Function<Node, Future<Answer>> question,
+      BiConsumer<Double, Answer> heard) {
     Node n = nodes.get(node);
     double askedAt = time.now();
-    time.after(userDelay(), () -> {
-      if (n.down) {
-        return;
-      }
-      int life = n.life;
-      question.apply(n).onSuccess(a -> time.after(userDelay(), () -> {
-        if (n.life == life && time.now() - askedAt < patienceS) {
-          heard.accept(askedAt, a);
-        }
-      }));
-    });
+    time.after(
+        userDelay(),
+        () -> {
+          if (n.down) {
+            return;
+          }
+          int life = n.life;
+          question
+              .apply(n)
+              .onSuccess(
+                  a ->
+                      time.after(
+                          userDelay(),
+                          () -> {
+                            if (n.life == life && time.now() - askedAt < patienceS) {
+                              heard.accept(askedAt, a);
+                            }
+                          }));
+        });
   }
 
-  /** Asks for a cancellation and goes on; whoever answers is heard when the answer comes, as a user would be. */
+  /**
+   * Asks for a cancellation and goes on; whoever answers is heard when the answer comes, as a user
+   * would be.
+   */
   public void askCancel(int node, String ref) {
     Node n = nodes.get(node);
     if (!n.down) {
       int life = n.life;
       double askedAt = time.now();
       rules.cancelAsked(ref, askedAt);
-      n.controller.abort(ref).onSuccess(a -> {
-        if (n.life == life) {
-          rules.heard(ref, a, askedAt, time.now());
-        }
-      });
+      n.controller
+          .abort(ref)
+          .onSuccess(
+              a -> {
+                if (n.life == life) {
+                  rules.heard(ref, a, askedAt, time.now());
+                }
+              });
     }
   }
 
   public String phase(int node, String ref) {
     Answer a = poll(node, ref);
-    return a.status() == 200 ? Json.parseObject(a.body()).get("phase").asText() : "status " + a.status();
+    return a.status() == 200
+        ? Json.parseObject(a.body()).get("phase").asText()
+        : "status " + a.status();
   }
 
   public <T> T await(Future<T> f) {
@@ -438,37 +541,51 @@
 
   // ---- the network
 
-  private Future<Reply> call(Node from, int life, String method, HostPort to, String path, byte[] body, double timeout) {
+  private Future<Reply> call(
+      Node from, int life, String method, HostPort to, String path, byte[] body, double timeout) {
     Promise<Reply> promise = Promise.promise();
     // A probe of what is cut off does not even get a connection.
     FakeWorker w = at(to);
-    boolean reached = w == null || !(w.cut || w.deaf || from.noWorkers || apart(from.settings.location(), w.zone));
+    boolean reached =
+        w == null
+            || !(w.cut || w.deaf || from.noWorkers || apart(from.settings.location(), w.zone));
     boolean connects = reached || !path.equals("/status");
-    time.after(timeout, () -> {
-      if (from.life == life) {
-        promise.tryFail(new CallFailed(connects, "no answer in time"));
-      }
-    });
-    time.after(HOP_S, () -> {
-      Future<Reply> reply = arrive(from, method, to, path, body);
-      if (reply != null) {
-        reply.onSuccess(r -> time.after(HOP_S, () -> {
+    time.after(
+        timeout,
+        () -> {
           if (from.life == life) {
-            promise.tryComplete(r);
+            promise.tryFail(new CallFailed(connects, "no answer in time"));
           }
-        }));
-      }
-    });
+        });
+    time.after(
+        HOP_S,
+        () -> {
+          Future<Reply> reply = arrive(from, method, to, path, body);
+          if (reply != null) {
+            reply.onSuccess(
+                r ->
+                    time.after(
+                        HOP_S,
+                        () -> {
+                          if (from.life == life) {
+                            promise.tryComplete(r);
+                          }
+                        }));
+          }
+        });
     return promise.future();
   }
 
   private Future<Reply> arrive(Node from, String method, HostPort to, String path, byte[] body) {
-    if (from.settings.location().equals(cutZone) && (to.equals(from.settings.state()) || to.equals(from.settings.cloud()))) {
+    if (from.settings.location().equals(cutZone)
+        && (to.equals(from.settings.state()) || to.equals(from.settings.cloud()))) {
       return null;
     }
     if (to.equals(from.settings.state())) {
       if (from.noState) {
-        return from.silentState ? null : Future.succeededFuture(new Reply(503, "{}".getBytes(StandardCharsets.UTF_8)));
+        return from.silentState
+            ? null
+            : Future.succeededFuture(new Reply(503, "{}".getBytes(StandardCharsets.UTF_8)));
       }
       if (lostReads > 0 && path.startsWith("/store") && random.nextDouble() < lostReads) {
         return null;
@@ -478,7 +595,9 @@
         return null;
       }
       if (path.equals("/commit") && random.nextDouble() < lateWrites) {
-        time.after(LATE_LEAST_S + random.nextDouble(LATE_MOST_S - LATE_LEAST_S), () -> state.handle(method, path, body));
+        time.after(
+            LATE_LEAST_S + random.nextDouble(LATE_MOST_S - LATE_LEAST_S),
+            () -> state.handle(method, path, body));
         return null;
       }
       if (stateSlowS > 0 && !path.startsWith("/changes")) {
@@ -486,7 +605,9 @@
         time.after(stateSlowS, () -> state.handle(method, path, body).onSuccess(slow::complete));
         return slow.future();
       }
-      if (path.equals("/commit") && commitFate != Fate.ARRIVES && new String(body).contains(commitsWith)) {
+      if (path.equals("/commit")
+          && commitFate != Fate.ARRIVES
+          && new String(body).contains(commitsWith)) {
         if (commitFate == Fate.HELD) {
           held.add(() -> state.handle(method, path, body));
         }
@@ -505,16 +626,28 @@
       w.startsLost += path.equals("/do") ? starts(body) : 0;
       return null;
     }
-    if (w != null && w.hung && !w.cut && path.equals("/do") && directFate == Fate.ARRIVES && !from.noWorkers) {
+    if (w != null
+        && w.hung
+        && !w.cut
+        && path.equals("/do")
+        && directFate == Fate.ARRIVES
+        && !from.noWorkers) {
       w.queue(body);
       return null;
     }
-    if (w == null || w.cut || w.hung || from.noWorkers || apart(from.settings.location(), w.zone) || directFate == Fate.LOST) {
+    if (w == null
+        || w.cut
+        || w.hung
+        || from.noWorkers
+        || apart(from.settings.location(), w.zone)
+        || directFate == Fate.LOST) {
       return null;
     }
     directs += path.equals("/do") ? 1 : 0;
     if (lateCommands > 0 && path.equals("/do") && random.nextDouble() < lateCommands) {
-      time.after(LATE_LEAST_S + random.nextDouble(LATE_COMMAND_S - LATE_LEAST_S), () -> arriveLate(w, body));
+      time.after(
+          LATE_LEAST_S + random.nextDouble(LATE_COMMAND_S - LATE_LEAST_S),
+          () -> arriveLate(w, body));
       return null;
     }
     if (directFate == Fate.ANSWER_LOST && path.equals("/do")) {
@@ -531,7 +664,10 @@
     return Future.succeededFuture(path.equals("/do") ? w.direct(body) : new Reply(200, w.report()));
   }
 
-  /** A command that was held up on its way; a machine that hangs by then carries it out once it goes on. */
+  /**
+   * A command that was held up on its way; a machine that hangs by then carries it out once it goes
+   * on.
+   */
   private void arriveLate(FakeWorker w, byte[] body) {
     if (w.hung) {
       w.queue(body);
@@ -557,7 +693,10 @@
   }
 
   private FakeWorker at(HostPort address) {
-    return workers.values().stream().filter(x -> x.address.equals(address.toString())).findFirst().orElse(null);
+    return workers.values().stream()
+        .filter(x -> x.address.equals(address.toString()))
+        .findFirst()
+        .orElse(null);
   }
 
   /** Delivers what was held back, minutes late perhaps. */
@@ -569,6 +708,7 @@
 
   /** Commands sent straight to workers, and frames between controllers, so far. */
   public int directs;
+
   public int frames;
 
   /** All that a machine has reported so far, the oldest first. */
@@ -644,17 +784,20 @@
     long session = w.session;
     byte[] said = w.report();
     reports.computeIfAbsent(w.name, k -> new ArrayList<>()).add(said);
-    copies.add(() -> {
-      if (!n.down) {
-        n.controller.report(WorkerCodec.read(said));
-      }
-    });
+    copies.add(
+        () -> {
+          if (!n.down) {
+            n.controller.report(WorkerCodec.read(said));
+          }
+        });
     if (reportsForNext > 0 && random.nextDouble() < reportsForNext) {
       keptForNext.add(said);
     }
     if (random.nextDouble() < lateReports) {
       int to = random.nextInt(nodes.size());
-      time.after(LATE_LEAST_S + random.nextDouble(2 * n.settings.workers().leaseS()), () -> late(nodes.get(to), said));
+      time.after(
+          LATE_LEAST_S + random.nextDouble(2 * n.settings.workers().leaseS()),
+          () -> late(nodes.get(to), said));
     }
     if (w.deaf) {
       // It waits four seconds for the answer, and a second more.
@@ -663,29 +806,42 @@
     }
     n.controller
         .report(WorkerCodec.read(said))
-        .onSuccess(a -> {
-          boolean late = time.now() - sentAt > ANSWER_S;
-          if (n.life != life || late || w.cut || w.hung || w.session != session || apart(n.settings.location(), w.zone)) {
-            return;
-          }
-          if (w.deaf) {
-            w.startsLost += a.status() == 200 ? starts(a.body()) : 0;
-            return;
-          }
-          if (a.status() == 200) {
-            if (w.answer(a.body())) {
-              leastLeft = Math.min(leastLeft, 1 - (time.now() - w.lastRenewed) / nodes.get(0).settings.workers().leaseS());
-              w.lastRenewed = sentAt;
-            }
-          } else {
-            String to = a.status() == 421 ? Json.parseObject(a.body()).path("steward").asText("") : "";
-            w.moves++;
-            w.node = to.isEmpty() ? (w.node + 1) % nodes.size() : Integer.parseInt(to.substring(1));
-            if (!to.isEmpty() && hops < 2) {
-              report(w, hops + 1);
-            }
-          }
-        });
+        .onSuccess(
+            a -> {
+              boolean late = time.now() - sentAt > ANSWER_S;
+              if (n.life != life
+                  || late
+                  || w.cut
+                  || w.hung
+                  || w.session != session
+                  || apart(n.settings.location(), w.zone)) {
+                return;
+              }
+              if (w.deaf) {
+                w.startsLost += a.status() == 200 ? starts(a.body()) : 0;
+                return;
+              }
+              if (a.status() == 200) {
+                if (w.answer(a.body())) {
+                  leastLeft =
+                      Math.min(
+                          leastLeft,
+                          1
+                              - (time.now() - w.lastRenewed)
+                                  / nodes.get(0).settings.workers().leaseS());
+                  w.lastRenewed = sentAt;
+                }
+              } else {
+                String to =
+                    a.status() == 421 ? Json.parseObject(a.body()).path("steward").asText("") : "";
+                w.moves++;
+                w.node =
+                    to.isEmpty() ? (w.node + 1) % nodes.size() : Integer.parseInt(to.substring(1));
+                if (!to.isEmpty() && hops < 2) {
+                  report(w, hops + 1);
+                }
+              }
+            });
   }
 
   /** Ends the run of every task of a job that is on a machine. */
@@ -714,12 +870,18 @@
 
   /** An array that awaits others. */
   public static String after(String ref, int tasks, String... others) {
-    return job(ref, "array", tasks).replace("}", ",\"awaits\":[\"" + String.join("\",\"", others) + "\"]}");
+    return job(ref, "array", tasks)
+        .replace("}", ",\"awaits\":[\"" + String.join("\",\"", others) + "\"]}");
   }
 
   public static String job(String ref, String shape, int tasks) {
-    return "{\"ref\":\"" + ref + "\",\"jobclass\":\"c\",\"owner\":\"red\",\"shape\":\"" + shape
-        + "\",\"rank\":\"standard\",\"shards\":" + tasks + ",\"cores\":4.0,\"cards\":1.0,\"mem_gb\":20.0,"
+    return "{\"ref\":\""
+        + ref
+        + "\",\"jobclass\":\"c\",\"owner\":\"red\",\"shape\":\""
+        + shape
+        + "\",\"rank\":\"standard\",\"shards\":"
+        + tasks
+        + ",\"cores\":4.0,\"cards\":1.0,\"mem_gb\":20.0,"
         + "\"bundle\":\"img\",\"size_gb\":1.0,\"flavors\":null,\"room\":null,\"one_zone\":false,\"scatter\":false,"
         + "\"loaner\":true,\"expect_s\":30.0,\"snapshot_s\":10.0,\"flush_s\":2.0,\"due_s\":null}";
   }
--- a/src/test/java/io/embernotch/users/PollTurnsTest.java
+++ b/src/test/java/io/embernotch/users/PollTurnsTest.java
@@ -16,9 +16,14 @@
 class PollTurnsTest {
   private record Poll(double at, int job) {}
 
-  /** The longest that any job went without an answer after the first 75 s, on so many nodes, polled at their usual pace. */
+  /**
+   * The longest that any job went without an answer after the first 75 s, on so many nodes, polled
+   * at their usual pace.
+   */
   private static double longest(int jobs, int nodes, int times) {
-    Settings settings = SettingsReader.parse(World.toml(0).replace("max_connections = 1000", "max_connections = 938"));
+    Settings settings =
+        SettingsReader.parse(
+            World.toml(0).replace("max_connections = 1000", "max_connections = 938"));
     FakeTime time = new FakeTime();
     SplittableRandom random = new SplittableRandom(3);
     List<PollTurns> at = new ArrayList<>();
--- a/src/test/java/io/embernotch/users/SubmissionsTest.java
+++ b/src/test/java/io/embernotch/users/SubmissionsTest.java
@@ -52,10 +52,12 @@
     for (int i = 0; i < 1000; i++) {
       answers.add(submitSoon(n, "j-" + i));
     }
-    long refused = answers.stream().filter(f -> f.isComplete() && f.result().status() == 503).count();
+    long refused =
+        answers.stream().filter(f -> f.isComplete() && f.result().status() == 503).count();
     // Half of the patience at 85% of 100 changes a second, and the burst: the rest knows at once.
     assertThat(refused).isGreaterThan(800);
-    assertThat(answers.stream().filter(Future::isComplete)).allMatch(f -> f.result().retryAfterS() >= 1);
+    assertThat(answers.stream().filter(Future::isComplete))
+        .allMatch(f -> f.result().retryAfterS() >= 1);
     world.pass(3);
     assertThat(answers).allMatch(Future::isComplete);
     world.pass(20);
@@ -74,9 +76,12 @@
     for (int i = 0; i < 10_000; i++) {
       answers.add(follower.controller.poll("j-7"));
     }
-    // As many as its connections could ask in a report period are passed on, the rest knows at once.
-    double most = follower.settings.quota().maxConnections() / follower.settings.workers().reportS();
-    long refused = answers.stream().filter(f -> f.isComplete() && f.result().status() == 503).count();
+    // As many as its connections could ask in a report period are passed on, the rest knows at
+    // once.
+    double most =
+        follower.settings.quota().maxConnections() / follower.settings.workers().reportS();
+    long refused =
+        answers.stream().filter(f -> f.isComplete() && f.result().status() == 503).count();
     assertThat(refused).isGreaterThanOrEqualTo(10_000 - (long) most - 1);
     world.pass(0.2);
     assertThat(world.frames - frames).isLessThanOrEqualTo(2 * (int) most + 20);
--- a/src/test/java/io/embernotch/weights/WeightsTest.java
+++ b/src/test/java/io/embernotch/weights/WeightsTest.java
@@ -14,8 +14,11 @@
   private final World world = new World(3, 100);
 
   private static String model(String ref, int replicas) {
-    return job(ref, "standing", replicas).replace("standard", "production").replace("\"loaner\":true", "\"loaner\":false")
-        .replace("\"bundle\":\"img\"", "\"bundle\":\"weights\"").replace("\"size_gb\":1.0", "\"size_gb\":40.0");
+    return job(ref, "standing", replicas)
+        .replace("standard", "production")
+        .replace("\"loaner\":true", "\"loaner\":false")
+        .replace("\"bundle\":\"img\"", "\"bundle\":\"weights\"")
+        .replace("\"size_gb\":1.0", "\"size_gb\":40.0");
   }
 
   private FakeWorker holder() {
@@ -37,7 +40,10 @@
   @Test
   void replicasComeBackWhereTheirWeightsLieThoughNoControllerIsLeftThatKnew() {
     FakeWorker holder = holder();
-    assertThat(world.state.keys("shared/weights/").stream().anyMatch(k -> world.state.value(k).path("on").has(holder.name))).isTrue();
+    assertThat(
+            world.state.keys("shared/weights/").stream()
+                .anyMatch(k -> world.state.value(k).path("on").has(holder.name)))
+        .isTrue();
     world.nodes.forEach(Node::kill);
     world.pass(1);
     for (int task = 0; task < 2; task++) {
@@ -52,13 +58,24 @@
     assertThat(world.broken()).isEmpty();
   }
 
-  /** What is stale costs a fetch, and never a rule; and it is no more than a few changes in a report period. */
+  /**
+   * What is stale costs a fetch, and never a rule; and it is no more than a few changes in a report
+   * period.
+   */
   @Test
   void whatIsStaleIsForgottenAndChangesAreFew() {
     FakeWorker holder = holder();
-    int before = world.state.writes.entrySet().stream().filter(e -> e.getKey().startsWith("shared/weights")).mapToInt(Map.Entry::getValue).sum();
+    int before =
+        world.state.writes.entrySet().stream()
+            .filter(e -> e.getKey().startsWith("shared/weights"))
+            .mapToInt(Map.Entry::getValue)
+            .sum();
     world.pass(60);
-    int after = world.state.writes.entrySet().stream().filter(e -> e.getKey().startsWith("shared/weights")).mapToInt(Map.Entry::getValue).sum();
+    int after =
+        world.state.writes.entrySet().stream()
+            .filter(e -> e.getKey().startsWith("shared/weights"))
+            .mapToInt(Map.Entry::getValue)
+            .sum();
     assertThat(after - before).isLessThanOrEqualTo(2);
     world.workers.remove(holder.name);
     world.cloud.deleted.add(holder.name);
@@ -68,6 +85,9 @@
     world.settle(10);
     world.pass(60);
     assertThat(world.running("j-1")).hasSize(2);
-    assertThat(world.state.keys("shared/weights/").stream().noneMatch(k -> world.state.value(k).path("on").has(holder.name))).isTrue();
+    assertThat(
+            world.state.keys("shared/weights/").stream()
+                .noneMatch(k -> world.state.value(k).path("on").has(holder.name)))
+        .isTrue();
   }
 }
