--- a/src/main/java/io/embernotch/http/HttpApiServer.java
+++ b/src/main/java/io/embernotch/http/HttpApiServer.java
@@ -87,11 +87,28 @@
 
   private void opened(HttpConnection connection) {
     if (stale()) {
+      logConnection("closed as it opened", connection);
       connection.close();
       return;
     }
+    logConnection("opened", connection);
     connections.add(connection);
-    connection.closeHandler(v -> connections.remove(connection));
+    connection.closeHandler(
+        v -> {
+          logConnection("gone", connection);
+          connections.remove(connection);
+        });
+  }
+
+  private void logConnection(String event, HttpConnection connection) {
+    if (LOG.isDebugEnabled()) {
+      LOG.debug(
+          "connection from {} {} at {}, requests are stale until {}",
+          connection.remoteAddress(),
+          event,
+          clock.now(),
+          staleUntil);
+    }
   }
 
   private void tick() {
@@ -130,6 +147,7 @@
 
   private void handle(HttpServerRequest request) {
     if (stale()) {
+      logConnection("closed with its request", request.connection());
       request.connection().close();
       return;
     }
