--- a/src/main/java/io/embernotch/app/Main.java
+++ b/src/main/java/io/embernotch/app/Main.java
@@ -37,6 +37,10 @@
 
   /** Runs a command line and returns its exit code. */
   public static int run(String... args) {
+    return commandLine().execute(args);
+  }
+
+  static CommandLine commandLine() {
     CommandLine line = new CommandLine(new Main());
     line.setExecutionExceptionHandler(
         (failure, command, parsed) -> {
@@ -46,7 +50,7 @@
           }
           throw failure;
         });
-    return line.execute(args);
+    return line;
   }
 
   @Override
--- a/src/test/java/io/embernotch/testkit/FakeTime.java
+++ b/src/test/java/io/embernotch/testkit/FakeTime.java
@@ -3,6 +3,7 @@
 import io.embernotch.actor.Clock;
 import io.embernotch.actor.Timers;
 import io.vertx.core.Future;
+import java.time.Instant;
 import java.util.PriorityQueue;
 import java.util.concurrent.Executor;
 
@@ -22,6 +23,10 @@
 
   private final PriorityQueue<ScheduledTask> queue = new PriorityQueue<>();
   private double now = 1000;
+
+  /** What the time of day is ahead of {@link #now}. */
+  private long wallOffsetMs;
+
   private long nextOrder;
 
   @Override
@@ -31,7 +36,12 @@
 
   @Override
   public long wallMs() {
-    return (long) (now * 1000);
+    return (long) (now * 1000) + wallOffsetMs;
+  }
+
+  /** Sets the time of day; the steady clock goes on as it is. */
+  public void setWallClock(Instant instant) {
+    wallOffsetMs = instant.toEpochMilli() - (long) (now * 1000);
   }
 
   @Override
