A date that the time zone left out has no occurrence

Symptom: a daily release in Pacific/Apia was due twice at 2011-12-30T17:30:00Z, as that of the 30th, which never was there, and of the 31st; OccurrencesTest failed where its draw met it.

Cause: a skipped time of day is taken as much later as the clocks skip; for a whole date that is the next date's instant.

Mend: such a date has no occurrence; also and moved on it are refused with their place, the calendar command names it; stored ones of former versions serve the jobs they have and no others. Results of releases are written in a defined order.

--- a/src/main/java/io/embernotch/app/CalendarCommand.java
+++ b/src/main/java/io/embernotch/app/CalendarCommand.java
@@ -56,6 +56,9 @@
     List<Release> releases = OperatorSettings.read(operator).calendar().releases();
     printOccurrences(releases, out);
     for (Release release : releases) {
+      Occurrences.skippedDates(release, from, from.plusDays(Math.max(0, days)))
+          .forEach(
+              date -> out.printf("%s: %s is left out by %s%n", release.id(), date, release.zone()));
       release.also().keySet().stream()
           .filter(date -> date.isBefore(from))
           .forEach(date -> out.printf("%s: %s is past%n", release.id(), date));
--- a/src/main/java/io/embernotch/calendar/Occurrences.java
+++ b/src/main/java/io/embernotch/calendar/Occurrences.java
@@ -5,6 +5,7 @@
 import java.time.LocalDate;
 import java.time.LocalTime;
 import java.time.ZonedDateTime;
+import java.time.format.DateTimeParseException;
 import java.time.zone.ZoneOffsetTransition;
 import java.util.ArrayList;
 import java.util.List;
@@ -13,7 +14,7 @@
 /**
  * Computes when releases come out; pure. A time that a change of the clocks skips is taken as much
  * later as they skip, and of a time that they repeat the first counts, as {@link ZonedDateTime} has
- * it.
+ * it. A date that the zone left out has no occurrence.
  */
 public final class Occurrences {
   /**
@@ -39,6 +40,19 @@
     static boolean isOf(String name, Release release) {
       return name.startsWith(release.id() + SEPARATOR);
     }
+
+    /**
+     * Whether a name is that of an occurrence on a date that the release's zone left out. Former
+     * versions stored such occurrences.
+     */
+    static boolean isOnSkippedDate(String name, Release release) {
+      try {
+        return isOf(name, release)
+            && !release.zoneHas(LocalDate.parse(name.substring(name.indexOf(SEPARATOR) + 1)));
+      } catch (DateTimeParseException e) {
+        return false;
+      }
+    }
   }
 
   private Occurrences() {}
@@ -58,12 +72,21 @@
     return occurrences;
   }
 
+  /** Dates from {@code from} and before {@code to} that are a release's but for its zone. */
+  public static List<LocalDate> skippedDates(Release release, LocalDate from, LocalDate to) {
+    return from.datesUntil(to)
+        .filter(date -> isNamed(release, date) && !release.zoneHas(date))
+        .toList();
+  }
+
+  private static boolean isNamed(Release release, LocalDate date) {
+    return release.also().containsKey(date)
+        || (release.days().contains(date.getDayOfWeek()) && !release.except().contains(date));
+  }
+
   /** The occurrence on a date; empty if the release does not come out on it. */
   public static Optional<Occurrence> on(Release release, LocalDate date) {
-    boolean comesOut =
-        release.also().containsKey(date)
-            || (release.days().contains(date.getDayOfWeek()) && !release.except().contains(date));
-    if (!comesOut) {
+    if (!isNamed(release, date) || !release.zoneHas(date)) {
       return Optional.empty();
     }
     boolean moved = release.moved().containsKey(date);
--- a/src/main/java/io/embernotch/calendar/ReleaseCalendar.java
+++ b/src/main/java/io/embernotch/calendar/ReleaseCalendar.java
@@ -21,6 +21,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -119,7 +120,8 @@
         Occurrences.on(release, date).ifPresent(this::write);
       }
     }
-    for (Map.Entry<String, StoredOccurrence> entry : Map.copyOf(occurrences.all()).entrySet()) {
+    // A copy, since a result is written at once, in an order that does not vary from run to run.
+    for (Map.Entry<String, StoredOccurrence> entry : new TreeMap<>(occurrences.all()).entrySet()) {
       if (!entry.getValue().over() && wallMs > entry.getValue().deadlineMs()) {
         writeResult(entry.getKey(), entry.getValue());
       }
@@ -251,7 +253,8 @@
       if (Occurrence.isOf(entry.getKey(), release)
           && occurrence.firstDeadlineMs() > afterMs
           && occurrence.firstDeadlineMs() < firstMs
-          && !occurrence.lifted()) {
+          && !occurrence.lifted()
+          && !Occurrence.isOnSkippedDate(entry.getKey(), release)) {
         first = entry.getKey();
         firstMs = occurrence.firstDeadlineMs();
       }
--- a/src/main/java/io/embernotch/settings/CalendarReader.java
+++ b/src/main/java/io/embernotch/settings/CalendarReader.java
@@ -59,16 +59,30 @@
     release
         .getExceptList()
         .forEach(date -> except.add(parse(place + ".except", date, LocalDate::parse)));
-    return new Release(
-        release.getId(),
-        zone,
-        time,
-        days,
-        except,
-        times(place + ".also", release.getAlsoList(), time, false),
-        times(place + ".moved", release.getMovedList(), null, true),
-        List.copyOf(orders),
-        Checks.within(place + ".lead_s", release.getLeadS(), 0, MAX_LEAD_S));
+    Release read =
+        new Release(
+            release.getId(),
+            zone,
+            time,
+            days,
+            except,
+            times(place + ".also", release.getAlsoList(), time, false),
+            times(place + ".moved", release.getMovedList(), null, true),
+            List.copyOf(orders),
+            Checks.within(place + ".lead_s", release.getLeadS(), 0, MAX_LEAD_S));
+    requireDatesOfTheZone(read, place + ".also", release.getAlsoList());
+    requireDatesOfTheZone(read, place + ".moved", release.getMovedList());
+    return read;
+  }
+
+  private static void requireDatesOfTheZone(
+      Release release, String place, List<OperatorFile.Dated> dated) {
+    for (int i = 0; i < dated.size(); i++) {
+      String date = dated.get(i).getDate();
+      require(
+          release.zoneHas(LocalDate.parse(date)),
+          place + "[" + i + "].date: " + date + " does not exist in " + release.zone());
+    }
   }
 
   /**
--- a/src/main/java/io/embernotch/settings/Release.java
+++ b/src/main/java/io/embernotch/settings/Release.java
@@ -5,6 +5,7 @@
 import java.time.LocalDate;
 import java.time.LocalTime;
 import java.time.ZoneId;
+import java.time.zone.ZoneOffsetTransition;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -33,9 +34,22 @@
     Map<LocalDate, LocalTime> moved,
     List<Selector> orders,
     double leadS) {
+  private static final LocalTime NOON = LocalTime.NOON;
 
   /** Whether a job is part of the work. */
   public boolean orders(JobSpec job) {
     return Selector.anyMatches(orders, job);
   }
+
+  /**
+   * Whether a date exists in the release's zone. A zone that changes sides of the date line may
+   * leave one out; a change of the clocks by less skips a part of a date at most.
+   */
+  public boolean zoneHas(LocalDate date) {
+    ZoneOffsetTransition change = zone.getRules().getTransition(date.atTime(NOON));
+    return change == null
+        || !change.isGap()
+        || change.getDateTimeBefore().isAfter(date.atStartOfDay())
+        || change.getDateTimeAfter().isBefore(date.plusDays(1).atStartOfDay());
+  }
 }
