Drawn tests repeat: fixed seeds in the build, a command that searches, defined orders

Change: OccurrencesTest and DeadlinesTest take jqwik's seed 4711, as SnapshotMergeTest does; that is the only change to them, since a new seed on each run made the verdict differ. jqwik has no setting for it.

--- a/src/main/java/io/embernotch/agents/TaskLauncher.java
+++ b/src/main/java/io/embernotch/agents/TaskLauncher.java
@@ -10,6 +10,7 @@
 import io.embernotch.state.ClusterState;
 import io.embernotch.store.RateLimiter.RequestPriority;
 import java.util.ArrayDeque;
+import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.slf4j.Logger;
@@ -106,7 +107,8 @@
   }
 
   private void sendCollected() {
-    Set<Machine> machines = Set.copyOf(machinesToSend);
+    // In the order of their commits, so that a simulated run repeats by its seed.
+    Set<Machine> machines = new LinkedHashSet<>(machinesToSend);
     machinesToSend.clear();
     if (isLeading.getAsBoolean()) {
       machines.forEach(agents::sendDueCommands);
--- a/src/main/java/io/embernotch/store/IncarnationGuard.java
+++ b/src/main/java/io/embernotch/store/IncarnationGuard.java
@@ -1,7 +1,9 @@
 package io.embernotch.store;
 
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.TreeMap;
 
 /**
  * What tells one incarnation of the store's contents from another.
@@ -87,7 +89,7 @@
 
   /** Keys that were written lately, with lower bounds of their modification revisions. */
   Map<String, Long> written() {
-    return Map.copyOf(written);
+    return Collections.unmodifiableMap(new TreeMap<>(written));
   }
 
   /** The highest revision seen in this incarnation. */
--- a/src/test/java/io/embernotch/app/CalendarCommandTest.java
+++ b/src/test/java/io/embernotch/app/CalendarCommandTest.java
@@ -18,7 +18,7 @@
 class CalendarCommandTest {
   private static final String APIA =
       "generation: 1 calendar { release { id: 'r' zone: 'Pacific/Apia' time: '07:30' day: FRIDAY day: SATURDAY"
-          + " orders { job_class: 'wire' } %s } }";
+          + " orders { job_class: 'wire' } MORE } }";
 
   @TempDir Path directory;
 
@@ -27,7 +27,7 @@
 
   private int run(String command, String more, String... arguments) throws IOException {
     Path file = directory.resolve("operator.textproto");
-    Files.writeString(file, String.format(APIA, more));
+    Files.writeString(file, APIA.replace("MORE", more));
     CommandLine line = Main.commandLine().setOut(new PrintWriter(out)).setErr(new PrintWriter(err));
     String[] all = new String[arguments.length + 3];
     all[0] = command;
--- a/src/test/java/io/embernotch/calendar/OccurrencesTest.java
+++ b/src/test/java/io/embernotch/calendar/OccurrencesTest.java
@@ -84,7 +84,7 @@
    * Whatever the day, the zone and the time: one a day, some 23 to 25 hours apart, in order, and
    * none lost where spans meet.
    */
-  @Property(tries = 400)
+  @Property(tries = 400, seed = "4711")
   void oneADayAndNoneLostWhereSpansMeet(
       @ForAll @IntRange(min = 0, max = 20_000) int day,
       @ForAll @IntRange(min = 0, max = 1439) int minute,
--- a/src/test/java/io/embernotch/faultcombinations/FaultCombinationsRandomizedTest.java
+++ b/src/test/java/io/embernotch/faultcombinations/FaultCombinationsRandomizedTest.java
@@ -24,6 +24,7 @@
   private static final SeedRange SEEDS = SeedRange.fromProperties("faultcombinations", 60);
   private static final int STEPS = 100;
   private static final int MAX_FAULTS = 3;
+  private static final int REPEATED_SEEDS = 5;
 
   /** Prints what happens when; for one seed at a time. */
   private static final boolean TRACE = Boolean.getBoolean("faultcombinations.trace");
@@ -140,6 +141,16 @@
       }
     }
 
+    /** What a run did, by counts: those of two runs of one seed are equal. */
+    String counts() {
+      return "frames %d, commands %d, commits %d, writes %s"
+          .formatted(
+              cluster.frameCount(),
+              cluster.commandCount(),
+              cluster.store.commitCount,
+              cluster.store.writeCounts);
+    }
+
     private void trace(String event) {
       if (TRACE) {
         System.out.printf("%.3f %s%n", cluster.time.now(), event);
@@ -147,6 +158,17 @@
     }
   }
 
+  /** No fault could be traced from its seed otherwise. */
+  @Test
+  void runRepeatsByItsSeed() {
+    for (long seed = 1; seed <= REPEATED_SEEDS; seed++) {
+      Run first = new Run(seed);
+      Run second = new Run(seed);
+      assertThat(first.violations()).isEqualTo(second.violations());
+      assertThat(first.counts()).isEqualTo(second.counts());
+    }
+  }
+
   @Test
   void combinedFaultsViolateNoInvariant() {
     assertThat(SEEDS.violations(seed -> new Run(seed).violations())).isEmpty();
--- /dev/null
+++ b/src/test/java/io/embernotch/scheduling/DeadlinesSearch.java
@@ -0,0 +1,20 @@
+package io.embernotch.scheduling;
+
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+
+/**
+ * The property of {@link DeadlinesTest} with new seeds on every run. Not part of the build, whose
+ * verdict has to be the same every time; CONTRIBUTING.md names the command.
+ */
+class DeadlinesSearch extends DeadlinesTest {
+  @Override
+  @Property(tries = 20_000)
+  void noOtherChoiceServesMore(
+      @ForAll @Size(max = 9) List<@IntRange(min = 1, max = 400) Integer> numbers) {
+    super.noOtherChoiceServesMore(numbers);
+  }
+}
--- a/src/test/java/io/embernotch/scheduling/DeadlinesTest.java
+++ b/src/test/java/io/embernotch/scheduling/DeadlinesTest.java
@@ -19,7 +19,7 @@
   private static final int SEEDS = 3;
 
   /** No other choice has more of them meet their deadlines: all subsets are tried. */
-  @Property(tries = 300)
+  @Property(tries = 300, seed = "4711")
   void noOtherChoiceServesMore(
       @ForAll @Size(max = 9) List<@IntRange(min = 1, max = 400) Integer> numbers) {
     List<Entry> entries = new ArrayList<>();
--- a/src/test/java/io/embernotch/structure/StructureTest.java
+++ b/src/test/java/io/embernotch/structure/StructureTest.java
@@ -1,5 +1,6 @@
 package io.embernotch.structure;
 
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
 import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -11,8 +12,10 @@
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -27,6 +30,15 @@
   static final ArchRule PACKAGES_ARE_ACYCLIC =
       slices().matching("io.embernotch.(*)..").should().beFreeOfCycles();
 
+  /** Their order differs from one process to the next, so no run would repeat by its seed. */
+  @ArchTest
+  static final ArchRule COPIES_KEEP_THEIR_ORDER =
+      noClasses()
+          .should()
+          .callMethod(Set.class, "copyOf", Collection.class)
+          .orShould()
+          .callMethod(Map.class, "copyOf", Map.class);
+
   @Test
   void noFileAndNoPackageIsTooLarge() {
     Map<Path, Integer> lines = files().collect(Collectors.toMap(p -> p, StructureTest::lines));
