An entry that can't be read fails nothing but itself, and is unknown, not absent

Symptom: with one malformed key or value of a refined shard in the store, no leader ever finished loading, and nothing was served.

Cause: these were read outside of what passes over single values; what could not be read was taken for absent elsewhere, so that an ended job was told to be queued, or ran again, and tasks that may run counted for no limit.

An unknown end is answered 503 and left alone, other unknown progress is held back and counted for its team's limit until the longest lease is over. Values that are no objects fail no listing.

--- a/src/main/java/io/embernotch/codec/JobProgressCodec.java
+++ b/src/main/java/io/embernotch/codec/JobProgressCodec.java
@@ -233,6 +233,18 @@
     };
   }
 
+  /**
+   * Whether the value of a first shard tells if and how its job has ended, whatever else of it is
+   * malformed.
+   */
+  public static boolean tellsEnd(JsonNode json) {
+    try {
+      return readEnd(json) != null || json.has(NEXT_ATTEMPT) || json.has(OPEN) || json.has(DONE);
+    } catch (MalformedInputException e) {
+      return false;
+    }
+  }
+
   /**
    * Replaces what larger shards stated about the tasks of a refined shard by what that one states.
    *
@@ -258,25 +270,33 @@
    */
   public static void readShard(JsonNode json, Job job, int shardSize, int shard) {
     if (shard == 0) {
-      job.nextAttempt = Json.whole(json, NEXT_ATTEMPT);
+      // First: an end counts even if the rest is malformed.
       job.finalPhase = readEnd(json);
       job.endPersisted = job.finalPhase != null;
+      if (job.finalPhase == JobPhase.DONE) {
+        job.done.set(0, job.spec.tasks());
+      }
       job.endedMs = Json.opt(json, AT_MS) == null ? job.submittedMs : Json.whole(json, AT_MS);
       job.release = json.path(RELEASE).asText(null);
+      job.nextAttempt = Json.whole(json, NEXT_ATTEMPT);
     }
     JsonNode done = Json.opt(json, DONE);
     if (done != null) {
-      readBits(done).stream().forEach(i -> job.done.set(shard * shardSize + i));
+      readBits(done).stream()
+          .map(task -> Math.multiplyExact(shard, shardSize) + task)
+          .filter(task -> isTaskOf(job, task))
+          .forEach(job.done::set);
     }
     JsonNode open = Json.opt(json, OPEN);
     if (open != null) {
-      open.forEach(entry -> readOpenAttempt(entry, job));
-    }
-    if (job.finalPhase == JobPhase.DONE) {
-      job.done.set(0, job.spec.tasks());
+      readOpenAttempts(open, job);
     }
   }
 
+  private static boolean isTaskOf(Job job, int task) {
+    return task >= 0 && task < job.spec.tasks();
+  }
+
   private static BitSet readBits(JsonNode base64) {
     try {
       return BitSet.valueOf(Base64.getDecoder().decode(base64.asText()));
@@ -285,7 +305,17 @@
     }
   }
 
+  private static void readOpenAttempts(JsonNode open, Job job) {
+    if (!open.isArray()) {
+      throw new MalformedInputException(OPEN + ": must be an array");
+    }
+    open.forEach(entry -> readOpenAttempt(entry, job));
+  }
+
   private static void readOpenAttempt(JsonNode entry, Job job) {
+    if (entry.size() < PREFERRED_MACHINE || !isTaskOf(job, entry.get(TASK).asInt(-1))) {
+      throw new MalformedInputException(OPEN + ": no attempt of a task: " + entry);
+    }
     Attempt attempt =
         new Attempt(
             job,
--- a/src/main/java/io/embernotch/jobs/JobRequestHandler.java
+++ b/src/main/java/io/embernotch/jobs/JobRequestHandler.java
@@ -72,6 +72,8 @@
     Job job = state.jobs.get(ref);
     if (job != null) {
       poll(job, reply);
+    } else if (state.endUnknown.contains(ref)) {
+      reply.complete(unreadable());
     } else if (state.unreadable.contains(ref)) {
       reply.complete(HttpResponse.of(200, JobCodec.status(ref, JobPhase.QUEUED, 0, 0)));
     } else {
@@ -161,7 +163,9 @@
       return;
     }
     Job job = state.jobs.get(ref);
-    if (job == null) {
+    if (state.endUnknown.contains(ref) || state.unreadable.contains(ref)) {
+      reply.complete(unreadable());
+    } else if (job == null) {
       lookUp(ref, reply, () -> abort(ref, reply));
     } else if (job.finalPhase == null) {
       host.cancel(job, reply);
@@ -170,6 +174,10 @@
     }
   }
 
+  private static HttpResponse unreadable() {
+    return HttpResponse.later("what the state service holds of it can't be read");
+  }
+
   private void replyOnceEndPersisted(Job job, Promise<HttpResponse> reply) {
     HttpResponse response = HttpResponse.of(200, JobCodec.brief(job.spec.ref(), job.finalPhase));
     if (job.endPersisted) {
--- a/src/main/java/io/embernotch/leader/JobEventHandler.java
+++ b/src/main/java/io/embernotch/leader/JobEventHandler.java
@@ -69,10 +69,21 @@
 
   @Override
   public void jobFound(VersionedEntry entry) {
-    if (!components.lifecycle.isStopped()) {
-      jobAccepted(
-          JobProgressCodec.readJob(entry.value()), JobProgressCodec.readShardSize(entry.value()));
+    if (components.lifecycle.isStopped()) {
+      return;
+    }
+    Job job;
+    int shardSize;
+    try {
+      job = JobProgressCodec.readJob(entry.value());
+      shardSize = JobProgressCodec.readShardSize(entry.value());
+    } catch (RuntimeException e) {
+      LOG.error("the value of {} can't be read: {}", entry.key(), e.toString());
+      components.state.unreadable.add(entry.key().substring(JobProgressCodec.JOB.length()));
+      components.state.unreadableKeys.add(entry.key());
+      return;
     }
+    jobAccepted(job, shardSize);
   }
 
   @Override
--- a/src/main/java/io/embernotch/leader/SchedulingInputs.java
+++ b/src/main/java/io/embernotch/leader/SchedulingInputs.java
@@ -45,6 +45,7 @@
         now,
         wallMs,
         state.jobs.values(),
+        state.withUnknownEnd,
         state.machines.values(),
         state.types,
         fleetManager::exhausted,
--- a/src/main/java/io/embernotch/persistence/ShardLayout.java
+++ b/src/main/java/io/embernotch/persistence/ShardLayout.java
@@ -61,6 +61,11 @@
     refinedSizes.merge(ref, size, Math::min);
   }
 
+  /** Whether any job has gone over to refined shards. */
+  public boolean refinedAny() {
+    return !refinedSizes.isEmpty();
+  }
+
   /** Number of tasks in a shard of the job, as it is written now. */
   public int shardSize(String ref) {
     Integer refined = refinedSizes.get(ref);
--- a/src/main/java/io/embernotch/persistence/SubmissionWatcher.java
+++ b/src/main/java/io/embernotch/persistence/SubmissionWatcher.java
@@ -89,13 +89,15 @@
       return;
     }
     Job job;
+    int shardSize;
     try {
       job = JobProgressCodec.readJob(entry.value());
+      shardSize = JobProgressCodec.readShardSize(entry.value());
     } catch (RuntimeException e) {
       // Whatever is wrong with one value must not end the watch; the next leader marks the job.
       LOG.error("the value of {} can't be read: {}", entry.key(), e.toString());
       return;
     }
-    sink.jobFound(job, JobProgressCodec.readShardSize(entry.value()));
+    sink.jobFound(job, shardSize);
   }
 }
--- a/src/main/java/io/embernotch/scheduling/QuotaUsage.java
+++ b/src/main/java/io/embernotch/scheduling/QuotaUsage.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /** What the teams use, what they may use, and what they are guaranteed. */
 final class QuotaUsage {
@@ -21,12 +22,24 @@
   private final Map<String, Settings.Team> teams;
   private final Map<String, TeamUsage> usageByTeam = new HashMap<>();
 
-  /** Open attempts count until their end is proven, whatever has become of their job. */
-  QuotaUsage(Map<String, Settings.Team> teams, Collection<Job> jobs) {
+  /**
+   * Open attempts count until their end is proven, whatever has become of their job. While tasks of
+   * a job may run of which nothing is known, all count that it has left.
+   */
+  QuotaUsage(
+      Map<String, Settings.Team> teams,
+      Collection<Job> jobs,
+      Collection<Job> withUnknownEnd,
+      double now) {
     this.teams = teams;
-    for (Job job : jobs) {
-      add(job.spec, job.openAttempts.size());
-    }
+    Stream.concat(jobs.stream(), withUnknownEnd.stream())
+        .forEach(
+            job ->
+                add(
+                    job.spec,
+                    job.notBefore > now && job.finalPhase == null
+                        ? job.remaining()
+                        : job.openAttempts.size()));
   }
 
   /** Counts tasks of a job as running. */
--- a/src/main/java/io/embernotch/scheduling/SchedulingCycle.java
+++ b/src/main/java/io/embernotch/scheduling/SchedulingCycle.java
@@ -31,7 +31,8 @@
   static SchedulingCycle begin(Settings settings, int maxNewMachines, SchedulingInput input) {
     double now = input.now();
     SchedulingPlanBuilder plan = new SchedulingPlanBuilder();
-    QuotaUsage usage = new QuotaUsage(settings.teams(), input.jobs());
+    QuotaUsage usage =
+        new QuotaUsage(settings.teams(), input.jobs(), input.withUnknownEnd(), now);
     usage.markGuaranteed(input.jobs());
     CandidateMachines candidates =
         CandidateMachines.of(
--- a/src/main/java/io/embernotch/scheduling/SchedulingInput.java
+++ b/src/main/java/io/embernotch/scheduling/SchedulingInput.java
@@ -12,7 +12,8 @@
  *
  * @param now seconds of the monotonic clock
  * @param wallMs the time of day in milliseconds
- * @param jobs all jobs of the cluster
+ * @param jobs all jobs of the cluster that may be planned
+ * @param withUnknownEnd jobs that may have ended, so that none of them is planned
  * @param machines all machines of the fleet
  * @param types machine types by name
  * @param pools what the cloud can be expected to have
@@ -25,6 +26,7 @@
     double now,
     long wallMs,
     Collection<Job> jobs,
+    Collection<Job> withUnknownEnd,
     Collection<Machine> machines,
     Map<String, MachineType> types,
     FleetView.Pools pools,
--- a/src/main/java/io/embernotch/snapshot/ProgressShard.java
+++ b/src/main/java/io/embernotch/snapshot/ProgressShard.java
@@ -4,7 +4,6 @@
 import io.embernotch.codec.MalformedInputException;
 import io.embernotch.model.Job;
 import io.embernotch.store.VersionedEntry;
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 
@@ -17,31 +16,55 @@
  * @param entry the key with its value
  */
 public record ProgressShard(String ref, int size, int index, VersionedEntry entry) {
+  /** Parts of a key after its prefix: the job's id, the size and the index. */
+  private static final int KEY_PARTS = 3;
+
   /**
    * The shard that a key holds.
    *
-   * @throws MalformedInputException if its size or index is no number
+   * @throws MalformedInputException if its size or index is no number, or none that a shard has
    */
   public static ProgressShard of(VersionedEntry entry) {
     String[] names = entry.key().substring(JobProgressCodec.REFINED_SHARD.length()).split("/", -1);
+    if (names.length != KEY_PARTS) {
+      throw new MalformedInputException("not JOB/SIZE/INDEX");
+    }
     try {
-      return new ProgressShard(
-          names[0], Integer.parseInt(names[1]), Integer.parseInt(names[2]), entry);
-    } catch (NumberFormatException e) {
+      ProgressShard shard =
+          new ProgressShard(
+              names[0], Integer.parseInt(names[1]), Integer.parseInt(names[2]), entry);
+      if (shard.size < 1 || shard.index < 0) {
+        throw new MalformedInputException("no such shard");
+      }
+      Math.multiplyExact(shard.size, shard.index + 1);
+      return shard;
+    } catch (NumberFormatException | ArithmeticException e) {
       throw new MalformedInputException(e.getMessage());
     }
   }
 
   /**
-   * Applies refined shards to a job that its other shards were applied to. Smaller shards are newer
-   * than larger ones, so these go first.
+   * Applies refined shards to a job that its other shards were applied to.
+   *
+   * @throws MalformedInputException if a value is malformed
    */
   public static void applyAll(Job job, List<ProgressShard> shards) {
-    List<ProgressShard> largestFirst = new ArrayList<>(shards);
-    largestFirst.sort(Comparator.comparingInt((ProgressShard shard) -> -shard.size()));
-    largestFirst.forEach(
-        shard ->
-            JobProgressCodec.readRefinedShard(
-                shard.entry().value(), job, shard.size(), shard.index()));
+    largestFirst(shards).forEach(shard -> shard.applyTo(job));
+  }
+
+  /** In the order to apply them: smaller shards are newer than larger ones. */
+  public static List<ProgressShard> largestFirst(List<ProgressShard> shards) {
+    return shards.stream()
+        .sorted(Comparator.comparingInt((ProgressShard shard) -> -shard.size()))
+        .toList();
+  }
+
+  /**
+   * Replaces what larger shards stated about this one's tasks.
+   *
+   * @throws MalformedInputException if the value is malformed
+   */
+  public void applyTo(Job job) {
+    JobProgressCodec.readRefinedShard(entry.value(), job, size, index);
   }
 }
--- a/src/main/java/io/embernotch/snapshot/StateSnapshot.java
+++ b/src/main/java/io/embernotch/snapshot/StateSnapshot.java
@@ -4,7 +4,6 @@
 import com.google.protobuf.ByteString;
 import io.embernotch.codec.JobProgressCodec;
 import io.embernotch.codec.Json;
-import io.embernotch.codec.MalformedInputException;
 import io.embernotch.model.Job;
 import io.embernotch.snapshot.proto.SnapshotProto.ClusterSnapshot;
 import io.embernotch.snapshot.proto.SnapshotProto.SharedStateEntry;
@@ -84,12 +83,15 @@
   }
 
   private static void read(WatchEvents entries, Consumer<VersionedEntry> reader) {
-    for (VersionedEntry entry : entries.events()) {
-      try {
-        reader.accept(entry);
-      } catch (MalformedInputException | IllegalArgumentException bad) {
-        LOG.warn("what is left of {} can't be read: {}", entry.key(), bad.getMessage());
-      }
+    entries.events().forEach(entry -> read(entry, reader));
+  }
+
+  private static void read(VersionedEntry entry, Consumer<VersionedEntry> reader) {
+    try {
+      reader.accept(entry);
+    } catch (RuntimeException bad) {
+      // Whatever is wrong with one entry must not keep the others from being restored.
+      LOG.warn("what is left of {} can't be read: {}", entry.key(), bad.toString());
     }
   }
 
@@ -129,8 +131,10 @@
     void applyRefinedShards() {
       refinedShards.forEach(
           (ref, shards) -> {
-            ProgressShard.applyAll(jobs.get(ref), shards);
-            shards.forEach(shard -> shardSizes.merge(ref, shard.size(), Math::min));
+            for (ProgressShard shard : ProgressShard.largestFirst(shards)) {
+              read(shard.entry(), entry -> shard.applyTo(jobs.get(ref)));
+              shardSizes.merge(ref, shard.size(), Math::min);
+            }
           });
     }
   }
--- a/src/main/java/io/embernotch/state/ClusterOverview.java
+++ b/src/main/java/io/embernotch/state/ClusterOverview.java
@@ -1,5 +1,6 @@
 package io.embernotch.state;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.embernotch.codec.Json;
 import io.embernotch.model.Job;
@@ -31,6 +32,9 @@
     }
   }
 
+  /** Keys that can't be read are listed up to this number. */
+  private static final int MAX_UNREADABLE_KEYS = 20;
+
   private ClusterOverview() {}
 
   /** The present overview; {@code blockedJobs} is how many jobs wait for their dependencies. */
@@ -40,6 +44,8 @@
     writeMachines(state, overview.putObject("machines"));
     overview.put("waiting_for_others", blockedJobs);
     overview.put("ended", state.endedJobs.size());
+    ArrayNode unreadable = overview.putArray("unreadable");
+    state.unreadableKeys.stream().limit(MAX_UNREADABLE_KEYS).forEach(unreadable::add);
     return overview;
   }
 
--- a/src/main/java/io/embernotch/state/ClusterState.java
+++ b/src/main/java/io/embernotch/state/ClusterState.java
@@ -5,6 +5,7 @@
 import io.embernotch.model.JobPhase;
 import io.embernotch.model.Machine;
 import io.embernotch.model.MachineType;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -12,6 +13,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.Function;
 
 /**
@@ -43,6 +45,18 @@
   /** Ids of accepted jobs whose submission can't be read: they remain queued, and can't run. */
   public final Set<String> unreadable = new HashSet<>();
 
+  /**
+   * Ids of jobs of which it can't be read whether they have ended: nothing of them is started,
+   * written or told.
+   */
+  public final Set<String> endUnknown = new HashSet<>();
+
+  /** Those of {@link #endUnknown} whose submission can be read: tasks of them may still run. */
+  public final List<Job> withUnknownEnd = new ArrayList<>();
+
+  /** Keys of the store whose entries can't be read. */
+  public final Set<String> unreadableKeys = new TreeSet<>();
+
   /** Machines by name. */
   public final Map<String, Machine> machines = new TreeMap<>();
 
--- a/src/main/java/io/embernotch/store/StoreProtocol.java
+++ b/src/main/java/io/embernotch/store/StoreProtocol.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.embernotch.codec.Json;
+import io.embernotch.codec.MalformedInputException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -47,6 +48,9 @@
   /** The keys whose conditions did not hold. */
   private static final String CONFLICTS = "failed";
 
+  /** Field of an object that stands for a value that is none. */
+  private static final String NOT_AN_OBJECT = "not_an_object";
+
   private static final String EVENTS = "events";
   private static final String PAIRS = "pairs";
   private static final String TRUNCATED = "truncated";
@@ -101,17 +105,30 @@
   }
 
   static VersionedEntry readEntry(ObjectNode entry) {
-    JsonNode value = Json.opt(entry, VALUE);
     return new VersionedEntry(
-        Json.text(entry, KEY),
-        value == null ? null : (ObjectNode) value,
-        Json.whole(entry, MOD_REVISION));
+        Json.text(entry, KEY), readValue(entry), Json.whole(entry, MOD_REVISION));
+  }
+
+  /**
+   * The value of a key that is there. All values that this program writes are objects; another one
+   * is given as an object without any field that it knows, which is for its reader to report:
+   * failing here would keep everything else of the same answer from being read.
+   */
+  private static ObjectNode readValue(JsonNode entry) {
+    JsonNode value = entry.get(VALUE);
+    if (value instanceof ObjectNode object) {
+      return object;
+    }
+    return value == null ? null : Json.object().set(NOT_AN_OBJECT, value);
   }
 
   static List<VersionedEntry> readPage(ObjectNode page) {
     List<VersionedEntry> entries = new ArrayList<>();
     for (JsonNode pair : Json.need(page, PAIRS)) {
-      entries.add(readEntry((ObjectNode) pair));
+      if (!(pair instanceof ObjectNode entry)) {
+        throw new MalformedInputException(PAIRS + ": must be objects");
+      }
+      entries.add(readEntry(entry));
     }
     return entries;
   }
@@ -155,10 +172,7 @@
     if (dropped != null) {
       return new VersionedEntry(dropped.asText(), null, Json.whole(event, MOD_REVISION));
     }
-    JsonNode value = Json.opt(event, VALUE);
     return new VersionedEntry(
-        Json.text(event, WRITE),
-        value instanceof ObjectNode object ? object : null,
-        Json.whole(event, MOD_REVISION));
+        Json.text(event, WRITE), readValue(event), Json.whole(event, MOD_REVISION));
   }
 }
--- a/src/test/java/io/embernotch/scheduling/SchedulerFixture.java
+++ b/src/test/java/io/embernotch/scheduling/SchedulerFixture.java
@@ -68,6 +68,7 @@
         now,
         wallMs,
         jobs,
+        List.of(),
         machines,
         Map.of(type.name(), type),
         pools,
