No single job stops the plan for all; what waits is told with its reason

Symptom: with a production gang beyond its team's limit a new leader's plans all fail on a null pointer, and no job of any team is started.

Cause: whether a job has waited long was asked of the accumulation of the plan before, of which a leader's first plan has none.

Mend: SchedulingCycle answers that from the job's age. A job that a step of the plan fails on is left out of that plan, logged once, and counted in overview.

Also, since both pass through the same classes: each plan notes why tasks wait (quota, quota kept for a gang, accumulation, no capacity, capacity coming, delayed). The log has a line in each half worker lease, overview counts by reason.

--- a/src/main/java/io/embernotch/leader/SchedulingLoop.java
+++ b/src/main/java/io/embernotch/leader/SchedulingLoop.java
@@ -9,11 +9,18 @@
 import io.embernotch.scheduling.Scheduler;
 import io.embernotch.scheduling.SchedulingInput;
 import io.embernotch.scheduling.SchedulingPlan;
+import io.embernotch.scheduling.WaitSummary;
 import io.embernotch.state.ClusterState;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Decides when the scheduler runs, and runs it. */
 final class SchedulingLoop {
+  private static final Logger LOG = LoggerFactory.getLogger(SchedulingLoop.class);
+
   /** Runs in a heartbeat interval, at most and, while nothing is known to change, at least. */
   private static final int MAX_RUNS_PER_HEARTBEAT_INTERVAL = 60;
 
@@ -52,6 +59,11 @@
   private double lastRunAt = Clock.NEVER;
   private double lastRunTookS;
   private long runCount;
+  private long failureCount;
+  private WaitSummary waits = new WaitSummary();
+
+  /** Ids of the jobs whose failure has been logged. */
+  private final Set<String> failedJobs = new HashSet<>();
 
   /**
    * @param acquiredAt when the term began, by the steady clock
@@ -98,6 +110,16 @@
     closed = true;
   }
 
+  /** How often a job was left out of a plan, since planning it failed. */
+  long failureCount() {
+    return failureCount;
+  }
+
+  /** What the last whole plan left waiting, and why. */
+  WaitSummary waits() {
+    return waits;
+  }
+
   /** How often the scheduler ran. */
   long runCount() {
     return runCount;
@@ -159,12 +181,24 @@
     boolean liveServicesOnly = liveServicesWait(now);
     SchedulingInput input = inputs.gather(now);
     SchedulingPlan plan = liveServicesOnly ? scheduler.liveOnly(input) : scheduler.plan(input);
+    plan.failures().forEach(this::reportFailure);
+    if (!liveServicesOnly) {
+      waits = plan.waits();
+    }
     sharedState.reservations().planned(plan.reserved());
     lastRunTookS = context.clock().now() - now;
     latencies.record(liveServicesOnly ? "live plan" : "plan", lastRunTookS);
     executor.execute(plan, now);
   }
 
+  private void reportFailure(SchedulingPlan.Failure failure) {
+    failureCount++;
+    if (failedJobs.add(failure.job().spec.ref())) {
+      LOG.error(
+          "job {} can't be planned, the others are", failure.job().spec.ref(), failure.cause());
+    }
+  }
+
   /** True for a new leader that knows no machine yet and has no list from the cloud. */
   private boolean fleetUnknown(double now) {
     return !fleetManager.listedOnce()
--- a/src/main/java/io/embernotch/leader/StatusLogger.java
+++ b/src/main/java/io/embernotch/leader/StatusLogger.java
@@ -38,6 +38,7 @@
     loggedAt = now;
     LOG.info("{}", ClusterSummary.of(state));
     logUnlessNull("planned", schedulingLoop.statusLine());
+    logUnlessNull("waiting", schedulingLoop.waits().line());
     context.profile().log();
     logUnlessNull("written", stateWriter.statusLine());
     logUnlessNull(
--- a/src/main/java/io/embernotch/leader/UserRequestHandler.java
+++ b/src/main/java/io/embernotch/leader/UserRequestHandler.java
@@ -27,7 +27,24 @@
     components.sharedState.overview(overview);
     overview.put("epoch", components.term.epoch());
     overview.put("plans", components.schedulingLoop.runCount());
+    overview.put("plan_failures", components.schedulingLoop.failureCount());
+    writeWaits(overview.putObject("waiting"));
     overview.put("views", components.machineViewPublisher.sentCount());
     return overview;
   }
+
+  private void writeWaits(ObjectNode waiting) {
+    components
+        .schedulingLoop
+        .waits()
+        .byReason()
+        .forEach(
+            (reason, waits) ->
+                waiting
+                    .putObject(reason.text())
+                    .put("jobs", waits.jobs())
+                    .put("tasks", waits.tasks())
+                    .put("first", waits.firstJob())
+                    .put("gang", waits.gang()));
+  }
 }
--- a/src/main/java/io/embernotch/scheduling/CandidateMachines.java
+++ b/src/main/java/io/embernotch/scheduling/CandidateMachines.java
@@ -131,6 +131,11 @@
     return all;
   }
 
+  /** Whether any machine accumulates capacity for a gang. */
+  boolean anyAccumulating() {
+    return all.stream().anyMatch(CandidateMachine::isAccumulating);
+  }
+
   /** What all machines have together, in use or not. */
   Resources totalCapacity() {
     Resources total = Resources.ZERO;
--- a/src/main/java/io/embernotch/scheduling/GangAccumulation.java
+++ b/src/main/java/io/embernotch/scheduling/GangAccumulation.java
@@ -21,53 +21,33 @@
  * not emptied for them.
  */
 final class GangAccumulation {
-  /** Worker leases that a gang waits before capacity is accumulated for it. */
-  private static final double MIN_WAIT_LEASES = 1;
-
   /** Worker leases after which capacity is accumulated for all of its tasks. */
   private static final double FULL_WAIT_LEASES = 2;
 
   /** Largest share of the machines that are up that accumulate capacity. */
   private static final double MAX_MACHINE_SHARE = 0.25;
 
-  private static final double MS_PER_S = 1000.0;
-
   /** What a task takes; hosts are searched for once for each size. */
   private record TaskSize(double cpus, double gpus, double memGb) {}
 
   /** A machine, and in how many seconds it has capacity for a task. */
   private record Host(CandidateMachine candidate, double availableInS) {}
 
+  private final SchedulingCycle cycle;
   private final CandidateMachines candidates;
   private final Settings settings;
-  private final ScaleOutPlanner scaleOutPlanner;
-  private final double now;
-  private final long wallMs;
   private final Map<TaskSize, List<Host>> hostsBySize = new HashMap<>();
 
   /** How many more machines may accumulate capacity. */
   private int machineBudget;
 
-  GangAccumulation(
-      CandidateMachines candidates,
-      Settings settings,
-      ScaleOutPlanner scaleOutPlanner,
-      double now,
-      long wallMs) {
-    this.candidates = candidates;
-    this.settings = settings;
-    this.scaleOutPlanner = scaleOutPlanner;
-    this.now = now;
-    this.wallMs = wallMs;
-  }
-
-  /** Whether a job has waited so long that capacity, and its team's quota, are kept for it. */
-  boolean aged(Job job) {
-    return waitedLeases(job) > MIN_WAIT_LEASES;
-  }
+  /** Whether no gang has had machines accumulate capacity yet. */
+  private boolean firstGang;
 
-  private double waitedLeases(Job job) {
-    return (wallMs - job.eligibleSinceMs) / MS_PER_S / settings.workers().leaseS();
+  GangAccumulation(SchedulingCycle cycle) {
+    this.cycle = cycle;
+    this.candidates = cycle.candidates();
+    this.settings = cycle.settings();
   }
 
   /** Has machines accumulate capacity for the gangs among these jobs that need it, in order. */
@@ -78,13 +58,15 @@
                 * candidates.all().stream()
                     .filter(candidate -> candidate.state == CandidateMachine.State.UP)
                     .count());
-    boolean first = true;
-    for (Job job : order) {
-      if (isWaitingGang(job) && (machineBudget > 0 || first) && !mayScaleOutFor(job)) {
-        machineBudget = first ? Math.max(machineBudget, job.spec.tasks()) : machineBudget;
-        first = false;
-        accumulate(job);
-      }
+    firstGang = true;
+    order.forEach(job -> cycle.plan().attempt(job, () -> reserveMachines(job)));
+  }
+
+  private void reserveMachines(Job job) {
+    if (isWaitingGang(job) && (machineBudget > 0 || firstGang) && !mayScaleOutFor(job)) {
+      machineBudget = firstGang ? Math.max(machineBudget, job.spec.tasks()) : machineBudget;
+      firstGang = false;
+      accumulate(job);
     }
   }
 
@@ -92,17 +74,21 @@
     return job.spec.shape() == JobShape.GANG
         && job.openAttempts.isEmpty()
         && !job.failsEverywhere()
-        && aged(job);
+        && cycle.aged(job);
   }
 
   private boolean mayScaleOutFor(Job job) {
-    return settings.zones().stream().anyMatch(zone -> scaleOutPlanner.available(job.spec, zone));
+    return settings.zones().stream()
+        .anyMatch(zone -> cycle.scaleOutPlanner().available(job.spec, zone));
   }
 
   private void accumulate(Job job) {
     JobSpec spec = job.spec;
     double share =
-        Math.min(1, (waitedLeases(job) - MIN_WAIT_LEASES) / (FULL_WAIT_LEASES - MIN_WAIT_LEASES));
+        Math.min(
+            1,
+            (cycle.waitedLeases(job) - SchedulingCycle.AGED_LEASES)
+                / (FULL_WAIT_LEASES - SchedulingCycle.AGED_LEASES));
     int wanted = Math.min(machineBudget, (int) Math.ceil(share * spec.tasks()));
     List<Host> hosts =
         spec.oneZone()
@@ -189,6 +175,6 @@
     double expectedS =
         CandidateMachine.ESTIMATE_MARGIN
             * Math.max(attempt.job.spec.expectS(), attempt.job.meanS());
-    return Math.max(1, expectedS - (now - attempt.createdAt));
+    return Math.max(1, expectedS - (cycle.now() - attempt.createdAt));
   }
 }
--- a/src/main/java/io/embernotch/scheduling/GangPlacement.java
+++ b/src/main/java/io/embernotch/scheduling/GangPlacement.java
@@ -22,24 +22,27 @@
    * Starts a gang if all of its tasks find free capacity; otherwise claims capacity for them, which
    * later jobs do not get.
    */
-  void place(Job job, GangAccumulation gangAccumulation) {
+  void place(Job job) {
     JobSpec spec = job.spec;
     if (!job.openAttempts.isEmpty()) {
       return;
     }
     if (cycle.usage().remainingTasks(spec) < spec.tasks()) {
-      if (gangAccumulation.aged(job)) {
+      cycle.waitsForQuota(job, spec.tasks());
+      if (cycle.aged(job)) {
         // Otherwise smaller jobs of its team would use up the quota for as long as they come.
-        cycle.usage().add(spec, spec.tasks());
+        cycle.usage().keepFor(spec);
       }
       return;
     }
-    cycle.usage().add(spec, spec.tasks());
     String bestZone = spec.oneZone() ? zoneSelector.bestZone(spec, spec.tasks()) : null;
-    if (start(job, bestZone)) {
+    if (start(job, bestZone) || (spec.oneZone() && startInOtherZone(job, bestZone))) {
+      cycle.usage().add(spec, spec.tasks());
       return;
     }
-    if (spec.oneZone() && (startInOtherZone(job, bestZone) || bestZone == null)) {
+    cycle.usage().keepFor(spec);
+    if (spec.oneZone() && bestZone == null) {
+      cycle.waitsForCapacity(job, spec.tasks(), 0);
       return;
     }
     ZoneConstraints zones = new ZoneConstraints(spec, bestZone);
@@ -48,7 +51,8 @@
             Capacity.FREE,
             AllocationRequest.of(spec, spec.tasks(), zones),
             AllocationListener.CLAIM_ONLY);
-    allocator.claimLater(job, spec.tasks() - claimed, zones);
+    claimed += allocator.claimLater(job, spec.tasks() - claimed, zones);
+    cycle.waitsForCapacity(job, spec.tasks(), claimed);
   }
 
   private boolean startInOtherZone(Job job, String triedZone) {
--- a/src/main/java/io/embernotch/scheduling/JobPlacement.java
+++ b/src/main/java/io/embernotch/scheduling/JobPlacement.java
@@ -16,13 +16,19 @@
     this.gangs = new GangPlacement(cycle, allocator, zoneSelector);
   }
 
+  /** Places the pending tasks of a job; a job that this fails on is left out of the plan. */
+  void place(Job job) {
+    cycle.plan().attempt(job, () -> placeUnlessDelayed(job));
+  }
+
   /** Places the pending tasks of a job, unless nothing of it may start yet. */
-  void place(Job job, GangAccumulation gangAccumulation) {
+  private void placeUnlessDelayed(Job job) {
     if (Math.max(job.backoffUntil, job.notBefore) > cycle.now()) {
+      cycle.plan().waits(job, job.pendingCount(), WaitReason.DELAYED, null);
       return;
     }
     if (job.spec.shape() == JobShape.GANG) {
-      gangs.place(job, gangAccumulation);
+      gangs.place(job);
     } else {
       tasks.place(job);
     }
--- a/src/main/java/io/embernotch/scheduling/QuotaUsage.java
+++ b/src/main/java/io/embernotch/scheduling/QuotaUsage.java
@@ -17,6 +17,9 @@
   private static final class TeamUsage {
     double cpus;
     double gpus;
+
+    /** Id of the first gang that quota is kept for; null if there is none. */
+    String keptForGang;
   }
 
   private final Map<String, Settings.Team> teams;
@@ -49,6 +52,19 @@
     usage.gpus += spec.gpus() * tasks;
   }
 
+  /** Keeps quota for a gang that waits: it counts as if the gang ran. */
+  void keepFor(JobSpec gang) {
+    add(gang, gang.tasks());
+    TeamUsage usage = usageByTeam.get(gang.team());
+    usage.keptForGang = usage.keptForGang == null ? gang.ref() : usage.keptForGang;
+  }
+
+  /** Id of the first gang that quota of the team is kept for; null if there is none. */
+  String keptForGang(String team) {
+    TeamUsage usage = usageByTeam.get(team);
+    return usage == null ? null : usage.keptForGang;
+  }
+
   /** How many more tasks of this job its team may run. */
   int remainingTasks(JobSpec spec) {
     Settings.Team team = teams.get(spec.team());
--- a/src/main/java/io/embernotch/scheduling/Scheduler.java
+++ b/src/main/java/io/embernotch/scheduling/Scheduler.java
@@ -31,12 +31,6 @@
   /** Most machines that one plan rents: the cloud would not take more requests in a second. */
   private final int maxNewMachines;
 
-  /**
-   * The accumulation of the current plan. While production jobs are placed it is still that of the
-   * plan before, and null in the first plan.
-   */
-  private GangAccumulation gangAccumulation;
-
   /**
    * Creates a scheduler for one leader.
    *
@@ -65,11 +59,8 @@
     new ReservationPlanner(input.reservations(), cycle.candidates(), allocator).reserve();
     HeadroomPlanner headroom = new HeadroomPlanner(allocator, input);
     headroom.keepForProduction();
-    gangAccumulation =
-        new GangAccumulation(
-            cycle.candidates(), settings, cycle.scaleOutPlanner(), cycle.now(), input.wallMs());
-    gangAccumulation.reserveMachines(others);
-    others.forEach(job -> placement.place(job, gangAccumulation));
+    new GangAccumulation(cycle).reserveMachines(others);
+    others.forEach(placement::place);
     headroom.keepForOthers();
     SchedulingPlanBuilder plan = cycle.plan();
     cycle.scaleOutPlanner().addTo(plan);
@@ -98,7 +89,7 @@
     List<Job> order = JobOrdering.of(input.jobs(), settings, cycle.candidates(), input.wallMs());
     int next = 0;
     while (next < order.size() && order.get(next).spec.priority() == Priority.PRODUCTION) {
-      placement.place(order.get(next), gangAccumulation);
+      placement.place(order.get(next));
       next++;
     }
     return order.subList(next, order.size());
--- a/src/main/java/io/embernotch/scheduling/SchedulingCycle.java
+++ b/src/main/java/io/embernotch/scheduling/SchedulingCycle.java
@@ -1,5 +1,6 @@
 package io.embernotch.scheduling;
 
+import io.embernotch.model.Job;
 import io.embernotch.settings.Settings;
 
 /**
@@ -8,6 +9,7 @@
  *
  * @param settings the settings of the cluster
  * @param now seconds of the monotonic clock
+ * @param wallMs the time of day in milliseconds
  * @param plan the plan that is being made
  * @param usage what the teams use, counting what this plan has placed
  * @param candidates the machines, counting what this plan has allocated on them
@@ -19,6 +21,7 @@
 record SchedulingCycle(
     Settings settings,
     double now,
+    long wallMs,
     SchedulingPlanBuilder plan,
     QuotaUsage usage,
     CandidateMachines candidates,
@@ -26,13 +29,16 @@
     Preemption preemption,
     BootQueueing queueing,
     TopologySpread spread) {
+  /** Worker leases after which capacity, and its team's quota, are kept for a gang that waits. */
+  static final double AGED_LEASES = 1;
+
+  private static final double MS_PER_S = 1000.0;
 
   /** Reads the input, and marks the jobs that are within their teams' guarantees. */
   static SchedulingCycle begin(Settings settings, int maxNewMachines, SchedulingInput input) {
     double now = input.now();
     SchedulingPlanBuilder plan = new SchedulingPlanBuilder();
-    QuotaUsage usage =
-        new QuotaUsage(settings.teams(), input.jobs(), input.withUnknownEnd(), now);
+    QuotaUsage usage = new QuotaUsage(settings.teams(), input.jobs(), input.withUnknownEnd(), now);
     usage.markGuaranteed(input.jobs());
     CandidateMachines candidates =
         CandidateMachines.of(
@@ -46,6 +52,7 @@
     return new SchedulingCycle(
         settings,
         now,
+        input.wallMs(),
         plan,
         usage,
         candidates,
@@ -54,4 +61,28 @@
         new BootQueueing(input.jobs(), input.types()),
         new TopologySpread(candidates, input.risk()));
   }
+
+  /** How long a job has waited since it could first start, in worker leases. */
+  double waitedLeases(Job job) {
+    return (wallMs - job.eligibleSinceMs) / MS_PER_S / settings.workers().leaseS();
+  }
+
+  /** Whether a job has waited so long that capacity, and its team's quota, are kept for it. */
+  boolean aged(Job job) {
+    return waitedLeases(job) > AGED_LEASES;
+  }
+
+  /** Notes that tasks of a job wait since the team's quota is used or kept. */
+  void waitsForQuota(Job job, int tasks) {
+    String gang = usage.keptForGang(job.spec.team());
+    WaitReason reason = gang == null ? WaitReason.QUOTA : WaitReason.QUOTA_KEPT_FOR_GANG;
+    plan.waits(job, tasks, reason, gang);
+  }
+
+  /** Notes that tasks of a job wait for capacity, which is claimed for some of them. */
+  void waitsForCapacity(Job job, int tasks, int claimed) {
+    WaitReason none =
+        candidates.anyAccumulating() ? WaitReason.GANG_ACCUMULATION : WaitReason.NO_CAPACITY;
+    plan.waits(job, tasks, claimed >= tasks ? WaitReason.CAPACITY_COMING : none, null);
+  }
 }
--- a/src/main/java/io/embernotch/scheduling/SchedulingPlan.java
+++ b/src/main/java/io/embernotch/scheduling/SchedulingPlan.java
@@ -15,13 +15,17 @@
  * @param scaleIns idle machines to return
  * @param reserved what is to be reserved, by machine name; null: unchanged, the plan was for
  *     production jobs alone
+ * @param failures jobs that were left out, since planning them failed
+ * @param waits what was not started, and why
  */
 public record SchedulingPlan(
     List<Start> starts,
     List<Stop> stops,
     List<ScaleOutRequest> scaleOuts,
     List<Machine> scaleIns,
-    Map<String, ReservationAmounts> reserved) {
+    Map<String, ReservationAmounts> reserved,
+    List<Failure> failures,
+    WaitSummary waits) {
   /**
    * A task and the machine that it is to start on.
    *
@@ -56,4 +60,12 @@
    * @param number how many
    */
   public record ScaleOutRequest(String type, String zone, boolean spot, int number) {}
+
+  /**
+   * A job that could not be planned, by a mistake of the program.
+   *
+   * @param job the job
+   * @param cause what planning it failed with
+   */
+  public record Failure(Job job, RuntimeException cause) {}
 }
--- a/src/main/java/io/embernotch/scheduling/SchedulingPlanBuilder.java
+++ b/src/main/java/io/embernotch/scheduling/SchedulingPlanBuilder.java
@@ -1,8 +1,10 @@
 package io.embernotch.scheduling;
 
+import io.embernotch.model.Job;
 import io.embernotch.model.Machine;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -12,8 +14,32 @@
   private final List<SchedulingPlan.Stop> stops = new ArrayList<>();
   private final List<SchedulingPlan.ScaleOutRequest> scaleOuts = new ArrayList<>();
   private final List<Machine> scaleIns = new ArrayList<>();
+  private final Map<Job, SchedulingPlan.Failure> failures = new LinkedHashMap<>();
+  private final WaitSummary waits = new WaitSummary();
   private Map<String, ReservationAmounts> reserved;
 
+  /**
+   * Runs a step of the plan for one job. A job that a step fails on is left out of the steps that
+   * follow, so that it does not keep the others from being planned.
+   */
+  void attempt(Job job, Runnable step) {
+    if (failures.containsKey(job)) {
+      return;
+    }
+    try {
+      step.run();
+    } catch (RuntimeException cause) {
+      failures.put(job, new SchedulingPlan.Failure(job, cause));
+    }
+  }
+
+  /** Notes that tasks of a job wait; {@code gang}: what it waits behind, or null. */
+  void waits(Job job, int tasks, WaitReason reason, String gang) {
+    if (tasks > 0) {
+      waits.add(job, tasks, reason, gang);
+    }
+  }
+
   void start(SchedulingPlan.Start start) {
     starts.add(start);
   }
@@ -42,6 +68,8 @@
         Collections.unmodifiableList(stops),
         Collections.unmodifiableList(scaleOuts),
         Collections.unmodifiableList(scaleIns),
-        reserved);
+        reserved,
+        List.copyOf(failures.values()),
+        waits);
   }
 }
--- a/src/main/java/io/embernotch/scheduling/TaskPlacement.java
+++ b/src/main/java/io/embernotch/scheduling/TaskPlacement.java
@@ -25,8 +25,9 @@
     JobSpec spec = job.spec;
     // One task is enough to see whether a job that fails everywhere still does.
     int startable = job.failsEverywhere() ? Math.min(1, job.pendingCount()) : job.pendingCount();
-    int wanted = Math.min(startable, cycle.usage().remainingTasks(spec));
-    if (wanted <= 0) {
+    int wanted = Math.max(0, Math.min(startable, cycle.usage().remainingTasks(spec)));
+    cycle.waitsForQuota(job, startable - wanted);
+    if (wanted == 0) {
       return;
     }
     ZoneConstraints zones = ZoneConstraints.of(job);
@@ -46,6 +47,7 @@
         starts);
     claimed += allocator.claimLater(job, wanted - starts.count() - claimed, zones);
     cycle.usage().add(spec, starts.count() - onPreferred + claimed);
+    cycle.waitsForCapacity(job, wanted - starts.count(), claimed);
     if (starts.count() > 0) {
       cycle.plan().start(new SchedulingPlan.Start(job, starts.placements()));
     }
--- a/src/test/java/io/embernotch/controller/GangBeyondQuotaTest.java
+++ b/src/test/java/io/embernotch/controller/GangBeyondQuotaTest.java
@@ -10,8 +10,8 @@
  * A gang of production priority for which its team's limit leaves too little, under a new leader.
  *
  * <p>What happened: found by reading, shown by this test. "Leader failed on RunScheduler:
- * java.lang.NullPointerException: Cannot invoke GangAccumulation.aged(Job) because
- * gangAccumulation is null" with every plan: no job was started any more, of no team.
+ * java.lang.NullPointerException: Cannot invoke GangAccumulation.aged(Job) because gangAccumulation
+ * is null" with every plan: no job was started any more, of no team.
  *
  * <p>Why: whether a gang has waited long enough was asked of an object that a whole plan makes
  * after it has placed production jobs. The first plan of a leader had none there, and as it failed,
