A failure gives back the slot, the mark and the turn that it held

Symptom: probes end for good after a few machines whose address can't be read;

dropped with a null pointer.

Cause: what was taken was given back only where nothing threw.

CallSlotsTest, SnapshotSchedulerTest, ScaleOutTest green, with AgentReconcilerTest, CallConcurrencyLimiterTest and MachineFailureTest: 29 tests.

--- a/src/main/java/io/embernotch/agents/CallConcurrencyLimiter.java
+++ b/src/main/java/io/embernotch/agents/CallConcurrencyLimiter.java
@@ -73,6 +73,14 @@
       return;
     }
     draining = true;
+    try {
+      drain();
+    } finally {
+      draining = false;
+    }
+  }
+
+  private void drain() {
     for (CallClass callClass : CallClass.values()) {
       Map<Machine, Runnable> queue = queues.get(callClass);
       while (hasCapacity(callClass) && !queue.isEmpty()) {
@@ -81,7 +89,6 @@
         queue.remove(machine).run();
       }
     }
-    draining = false;
   }
 
   /** True while a command to the responsive machine is queued. */
--- a/src/main/java/io/embernotch/agents/CommandSender.java
+++ b/src/main/java/io/embernotch/agents/CommandSender.java
@@ -12,7 +12,6 @@
 import io.embernotch.model.Heartbeat;
 import io.embernotch.model.Machine;
 import io.embernotch.model.Priority;
-import io.embernotch.settings.HostPort;
 import io.embernotch.state.ClusterState;
 import io.vertx.core.AsyncResult;
 import java.util.ArrayList;
@@ -133,22 +132,10 @@
   }
 
   private void send(Machine machine, Batch batch) {
-    HostPort address;
-    try {
-      address = HostPort.parse(machine.address);
-    } catch (IllegalArgumentException e) {
-      LOG.info("machine {} has no usable address: {}", machine.name, machine.address);
-      machine.commandFailedAt = context.clock().now();
-      batch.starting.forEach(attempt -> attempts.launchNeverSent(attempt, machine));
-      callLimiter.release();
-      return;
-    }
     long token = machine.token;
     machine.commandInFlight = true;
     byte[] body = WorkerCodec.directCommand(token, machine.agentEpoch, batch.commands);
-    context
-        .workers()
-        .call("POST", address, COMMAND_PATH, body, callTimeoutS)
+    WorkerCalls.call(context, machine, "POST", COMMAND_PATH, body, callTimeoutS)
         .onComplete(
             result ->
                 context
@@ -158,12 +145,15 @@
 
   private void commandEnded(
       Machine machine, long token, List<Attempt> starting, AsyncResult<HttpReply> result) {
-    if (result.succeeded()) {
-      commandAnswered(machine, token, starting, result.result());
-    } else {
-      commandFailed(machine, token, starting, result.cause());
+    try {
+      if (result.succeeded()) {
+        commandAnswered(machine, token, starting, result.result());
+      } else {
+        commandFailed(machine, token, starting, result.cause());
+      }
+    } finally {
+      callLimiter.release();
     }
-    callLimiter.release();
   }
 
   private void commandAnswered(
--- a/src/main/java/io/embernotch/agents/StatusProber.java
+++ b/src/main/java/io/embernotch/agents/StatusProber.java
@@ -8,7 +8,6 @@
 import io.embernotch.http.HttpReply;
 import io.embernotch.model.Heartbeat;
 import io.embernotch.model.Machine;
-import io.embernotch.settings.HostPort;
 import java.util.function.BiConsumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -102,9 +101,7 @@
     machine.probing = true;
     double requestedAt = context.clock().now();
     KnownStatus known = KnownStatus.of(machine);
-    context
-        .workers()
-        .call("GET", HostPort.parse(machine.address), STATUS_PATH, null, callTimeoutS)
+    WorkerCalls.call(context, machine, "GET", STATUS_PATH, null, callTimeoutS)
         .onSuccess(reply -> statusReceived(machine, known, reply))
         .onFailure(cause -> requestFailed(machine, requestedAt, cause));
   }
--- a/src/main/java/io/embernotch/fleet/ScaleOut.java
+++ b/src/main/java/io/embernotch/fleet/ScaleOut.java
@@ -118,6 +118,11 @@
             });
   }
 
+  /** Seconds that a machine takes to come up; {@code type} is null if it is not known. */
+  private double bootS(MachineType type) {
+    return type == null ? context.settings().workers().leaseS() : type.bootS();
+  }
+
   private void complete(Booking booking, Rented rented) {
     open.remove(booking.name);
     double now = context.clock().now();
@@ -130,7 +135,7 @@
         machine.zone = pool.zone;
         machine.spot = pool.spot;
         machine.rentedAt = now;
-        machine.expectedUntil = now + FleetManager.EXPECTED_BOOTS * type.bootS();
+        machine.expectedUntil = now + FleetManager.EXPECTED_BOOTS * bootS(type);
       }
     }
     if (rented.refused() || rented.machines().size() < booking.number) {
--- a/src/main/java/io/embernotch/snapshot/file/SnapshotScheduler.java
+++ b/src/main/java/io/embernotch/snapshot/file/SnapshotScheduler.java
@@ -6,6 +6,7 @@
 import io.embernotch.snapshot.proto.SnapshotProto.ClusterSnapshot;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -20,6 +21,9 @@
   /** Intervals without a new snapshot after which the log says so. */
   private static final int OVERDUE_INTERVALS = 3;
 
+  /** Intervals between two tries after many failures; they double up to this. */
+  private static final int MAX_RETRY_INTERVALS = 4;
+
   private final ControllerContext context;
   private final OperatorSettings.Snapshots settings;
 
@@ -30,6 +34,7 @@
   private double takenAt;
   private double triedAt;
   private boolean writing;
+  private int retryIntervals = 1;
 
   /** A scheduler whose first interval begins now. */
   public SnapshotScheduler(ControllerContext context) {
@@ -51,7 +56,7 @@
    */
   public void tick(String incarnation, Supplier<ClusterSnapshot> snapshot) {
     double now = context.clock().now();
-    if (directory == null || writing || now - triedAt < settings.everyS()) {
+    if (directory == null || writing || now - triedAt < retryIntervals * settings.everyS()) {
       return;
     }
     triedAt = now;
@@ -61,7 +66,11 @@
     }
     latencies.record("copy", context.clock().now() - now);
     writing = true;
-    context.blocking().execute(() -> write(taken, incarnation));
+    try {
+      context.blocking().execute(() -> write(taken, incarnation));
+    } catch (RejectedExecutionException e) {
+      failed(e);
+    }
   }
 
   /** On a thread for blocking work. */
@@ -69,13 +78,15 @@
     try {
       Path file = directory.write(snapshot, incarnation);
       context.loop().execute(() -> written(file, snapshot));
-    } catch (IOException e) {
+    } catch (IOException | RuntimeException e) {
+      // Whatever it is, the next one may succeed.
       context.loop().execute(() -> failed(e));
     }
   }
 
   private void written(Path file, ClusterSnapshot snapshot) {
     writing = false;
+    retryIntervals = 1;
     takenAt = context.clock().now();
     LOG.info(
         "snapshot {}: {} jobs, {} ends; {}",
@@ -85,8 +96,9 @@
         latencies.line());
   }
 
-  private void failed(IOException failure) {
+  private void failed(Exception failure) {
     writing = false;
+    retryIntervals = Math.min(2 * retryIntervals, MAX_RETRY_INTERVALS);
     LOG.error("no snapshot could be written: {}", failure.toString());
     double ageS = context.clock().now() - takenAt;
     if (ageS > OVERDUE_INTERVALS * settings.everyS()) {
--- a/src/test/java/io/embernotch/agents/CallSlotsTest.java
+++ b/src/test/java/io/embernotch/agents/CallSlotsTest.java
@@ -146,8 +146,12 @@
           throw new IllegalStateException("a mistake");
         });
     assertThatThrownBy(limiter::release).hasMessage("a mistake");
+    assertThat(
+            limiter.tryAcquire(
+                machine(101, null), CallConcurrencyLimiter.CallClass.PRODUCTION, () -> {}))
+        .isTrue();
     limiter.tryAcquire(
-        machine(101, null), CallConcurrencyLimiter.CallClass.PRODUCTION, () -> run.add("next"));
+        machine(102, null), CallConcurrencyLimiter.CallClass.PRODUCTION, () -> run.add("next"));
     limiter.release();
     assertThat(run).containsExactly("next");
   }
