--- /dev/null
+++ b/src/test/java/io/embernotch/persistence/BatchBuilderTest.java
@@ -0,0 +1,66 @@
+package io.embernotch.persistence;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.embernotch.codec.JobCodec;
+import io.embernotch.codec.Json;
+import io.embernotch.model.Attempt;
+import io.embernotch.model.Job;
+import io.embernotch.store.RateLimiter.RequestPriority;
+import io.embernotch.testkit.FakeTime;
+import io.embernotch.testkit.TestJobs;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+
+/**
+ * A job of which several shards no longer fit, after the store has lowered its limits.
+ *
+ * <p>What happened: found by reading, shown by this test. A job with two such shards of 40 tasks
+ * went over to shards of 5 where 10 fit, so that all that follows took twice the changes; and its
+ * third shard, which fitted, was written both as it was and split into the smaller ones.
+ *
+ * <p>Why: the job was named once for each shard that did not fit, and went over to smaller shards
+ * each time; a shard that had got into the batch before was split all the same.
+ */
+class BatchBuilderTest {
+  private static final int SAFE_BYTES = 600;
+
+  private final FakeTime time = new FakeTime();
+  private final ShardLayout layout = new ShardLayout(10);
+  private final DirtyShards dirtyShards = new DirtyShards(layout);
+  private final ShardRefiner refiner = new ShardRefiner(layout, dirtyShards, time, SAFE_BYTES, 5);
+
+  private Job job(String ref) {
+    String json = TestJobs.job(ref, "array", 120);
+    layout.recordShardSize(ref, 40);
+    return new Job(JobCodec.read(Json.parseObject(json.getBytes(StandardCharsets.UTF_8))), 0);
+  }
+
+  private Batch build() {
+    return new BatchBuilder(7, new ModRevisions(null, time, 1, () -> false), refiner, 100)
+        .build(dirtyShards.pending(), time.now(), true);
+  }
+
+  @Test
+  void aJobOfSeveralOversizedShardsIsRefinedOnceAndNoneOfItIsWrittenTwice() {
+    refiner.limitsLowered();
+    Job large = job("j-1");
+    for (int task = 40; task < 120; task++) {
+      large.openAttempts.put(task, new Attempt(large, task, 1, "n-000001", "z1", 0));
+    }
+    Job small = job("j-2");
+    for (int task : new int[] {0, 40, 80}) {
+      dirtyShards.mark(large, task, RequestPriority.NORMAL, time.now());
+      dirtyShards.mark(small, task, RequestPriority.NORMAL, time.now());
+    }
+    Batch batch = build();
+    assertThat(batch.oversized()).containsExactly(large);
+    assertThat(batch.shards().keySet()).containsExactly("run/j-2", "run/j-2/1", "run/j-2/2");
+    batch.oversized().forEach(refiner::refine);
+    assertThat(layout.shardSize("j-1")).isEqualTo(10);
+    dirtyShards.sent(batch.shards());
+    dirtyShards.stored();
+    assertThat(build().shards().keySet())
+        .containsExactly("part/j-1/10/0", "part/j-1/10/4", "part/j-1/10/8");
+  }
+}
