A job goes over to smaller shards once, with all of it that is to be written

Symptom: after the store has lowered its limits, a job with several shards that do not fit went over to shards far smaller than needed (5 tasks where 10 fit), and a shard of it was written both as it was and split: more changes than needed, of a store that takes 30 to 40 a second.

Cause: the job was refined once for each such shard of one pass, after the batch was built.

Mend: jobs with a shard that does not fit are found first, each once, and none of their shards is in the batch.

--- a/src/main/java/io/embernotch/persistence/Batch.java
+++ b/src/main/java/io/embernotch/persistence/Batch.java
@@ -9,7 +9,7 @@
  * Shards that are written by one transaction.
  *
  * @param shards those that the transaction writes, by key, in the order they are written
- * @param oversized a job for each shard that was left out since it is too large for the store
+ * @param oversized jobs that were left out since a shard of theirs is too large for the store
  */
 record Batch(Transaction transaction, Map<String, DirtyShard> shards, List<Job> oversized) {
   boolean isEmpty() {
--- a/src/main/java/io/embernotch/persistence/BatchBuilder.java
+++ b/src/main/java/io/embernotch/persistence/BatchBuilder.java
@@ -9,8 +9,10 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Puts dirty shards into one transaction, most urgent first, as many as fit. The transaction
@@ -25,7 +27,12 @@
   private final ShardRefiner refiner;
   private final int maxChanges;
   private final Map<String, DirtyShard> batch = new LinkedHashMap<>();
-  private final List<Job> oversized = new ArrayList<>();
+
+  /**
+   * Jobs with a shard that is too large: none of their shards is written before they are refined.
+   */
+  private final Set<Job> oversized = new LinkedHashSet<>();
+
   private int bytes;
 
   /**
@@ -46,20 +53,18 @@
    * @param withBackground whether shards of background priority may be written
    */
   Batch build(Iterable<DirtyShard> pending, double now, boolean withBackground) {
-    for (DirtyShard dirtyShard : inOrder(pending, now, withBackground)) {
+    List<DirtyShard> order = inOrder(pending, now, withBackground);
+    findOversized(order);
+    for (DirtyShard dirtyShard : order) {
       if (isFull()) {
         break;
       }
-      if (dirtyShard.isSuspect() && !batch.isEmpty()) {
+      ShardLayout.Shard shard = dirtyShard.shard();
+      if (oversized.contains(shard.job()) || (dirtyShard.isSuspect() && !batch.isEmpty())) {
         continue;
       }
-      ShardLayout.Shard shard = dirtyShard.shard();
       ObjectNode value = shard.value();
       int valueBytes = Json.bytes(value).length;
-      if (refiner.isOversized(shard.job(), valueBytes)) {
-        oversized.add(shard.job());
-        continue;
-      }
       String key = shard.key();
       bytes += valueBytes + 2 * key.length() + BYTES_PER_WRITE;
       if (bytes > Transaction.MAX_BYTES && !batch.isEmpty()) {
@@ -71,7 +76,20 @@
         break;
       }
     }
-    return new Batch(transaction, batch, oversized);
+    return new Batch(transaction, batch, List.copyOf(oversized));
+  }
+
+  private void findOversized(List<DirtyShard> order) {
+    if (!refiner.mayRefine()) {
+      return;
+    }
+    for (DirtyShard dirtyShard : order) {
+      ShardLayout.Shard shard = dirtyShard.shard();
+      if (!oversized.contains(shard.job())
+          && refiner.isOversized(shard.job(), Json.bytes(shard.value()).length)) {
+        oversized.add(shard.job());
+      }
+    }
   }
 
   private static List<DirtyShard> inOrder(
--- a/src/main/java/io/embernotch/persistence/ShardRefiner.java
+++ b/src/main/java/io/embernotch/persistence/ShardRefiner.java
@@ -46,6 +46,11 @@
     limitsLowered = true;
   }
 
+  /** Whether values may no longer fit. */
+  boolean mayRefine() {
+    return limitsLowered;
+  }
+
   /** Whether a value of so many bytes no longer fits, and the job has smaller shards. */
   boolean isOversized(Job job, int bytes) {
     return limitsLowered && bytes > safeBytes && layout.shardOf(job, 0).size() > 1;
