--- a/src/main/java/io/embernotch/leader/StatusLogger.java
+++ b/src/main/java/io/embernotch/leader/StatusLogger.java
@@ -39,6 +39,7 @@
     LOG.info("{}", ClusterSummary.of(state));
     logUnlessNull("planned", schedulingLoop.statusLine());
     logUnlessNull("waiting", schedulingLoop.waits().line());
+    LOG.info("GPUs of teams: {}", schedulingLoop.waits().gpusByTeam());
     context.profile().log();
     logUnlessNull("written", stateWriter.statusLine());
     logUnlessNull(
--- a/src/main/java/io/embernotch/leader/UserRequestHandler.java
+++ b/src/main/java/io/embernotch/leader/UserRequestHandler.java
@@ -29,6 +29,7 @@
     overview.put("plans", components.schedulingLoop.runCount());
     overview.put("plan_failures", components.schedulingLoop.failureCount());
     writeWaits(overview.putObject("waiting"));
+    writeTeams(overview.putObject("teams"));
     overview.put("views", components.machineViewPublisher.sentCount());
     return overview;
   }
@@ -47,4 +48,19 @@
                     .put("first", waits.firstJob())
                     .put("gang", waits.gang()));
   }
+
+  private void writeTeams(ObjectNode teams) {
+    components
+        .schedulingLoop
+        .waits()
+        .gpusByTeam()
+        .forEach(
+            (team, gpus) ->
+                teams
+                    .putObject(team)
+                    .put("gpus_open", gpus.open())
+                    .put("gpus_claimed", gpus.claimed())
+                    .put("gpus_kept", gpus.kept())
+                    .put("gpus_limit", gpus.limit()));
+  }
 }
--- a/src/main/java/io/embernotch/scheduling/QuotaUsage.java
+++ b/src/main/java/io/embernotch/scheduling/QuotaUsage.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
@@ -18,6 +19,12 @@
     double cpus;
     double gpus;
 
+    /** GPUs that open attempts took before the plan. */
+    double openGpus;
+
+    /** GPUs kept for gangs that wait. */
+    double keptGpus;
+
     /** Id of the first gang that quota is kept for; null if there is none. */
     String keptForGang;
   }
@@ -43,6 +50,7 @@
                     job.notBefore > now && job.finalPhase == null
                         ? job.remaining()
                         : job.openAttempts.size()));
+    usageByTeam.values().forEach(usage -> usage.openGpus = usage.gpus);
   }
 
   /** Counts tasks of a job as running. */
@@ -56,9 +64,27 @@
   void keepFor(JobSpec gang) {
     add(gang, gang.tasks());
     TeamUsage usage = usageByTeam.get(gang.team());
+    usage.keptGpus += gang.gpus() * gang.tasks();
     usage.keptForGang = usage.keptForGang == null ? gang.ref() : usage.keptForGang;
   }
 
+  /** What the teams use of their GPUs, by the name of the team. */
+  Map<String, WaitSummary.TeamGpus> gpusByTeam() {
+    Map<String, WaitSummary.TeamGpus> gpus = new TreeMap<>();
+    usageByTeam.forEach(
+        (name, usage) -> {
+          Settings.Team team = teams.get(name);
+          gpus.put(
+              name,
+              new WaitSummary.TeamGpus(
+                  usage.openGpus,
+                  usage.gpus - usage.openGpus - usage.keptGpus,
+                  usage.keptGpus,
+                  team == null ? 0 : team.gpusMax()));
+        });
+    return gpus;
+  }
+
   /** Id of the first gang that quota of the team is kept for; null if there is none. */
   String keptForGang(String team) {
     TeamUsage usage = usageByTeam.get(team);
--- a/src/main/java/io/embernotch/scheduling/Scheduler.java
+++ b/src/main/java/io/embernotch/scheduling/Scheduler.java
@@ -66,6 +66,7 @@
     cycle.scaleOutPlanner().addTo(plan);
     ScaleInPlanner.addTo(plan, cycle.candidates(), cycle.now(), operator.keepIdleBoots());
     plan.reserve(cycle.candidates().reserved());
+    plan.teamGpus(cycle.usage().gpusByTeam());
     return plan.build();
   }
 
--- a/src/main/java/io/embernotch/scheduling/SchedulingPlanBuilder.java
+++ b/src/main/java/io/embernotch/scheduling/SchedulingPlanBuilder.java
@@ -40,6 +40,10 @@
     }
   }
 
+  void teamGpus(Map<String, WaitSummary.TeamGpus> gpusByTeam) {
+    waits.setGpusByTeam(gpusByTeam);
+  }
+
   void start(SchedulingPlan.Start start) {
     starts.add(start);
   }
--- a/src/main/java/io/embernotch/scheduling/WaitSummary.java
+++ b/src/main/java/io/embernotch/scheduling/WaitSummary.java
@@ -27,7 +27,32 @@
     }
   }
 
+  /**
+   * A team's GPUs as a plan counts them.
+   *
+   * @param open taken by open attempts, whatever has become of their jobs
+   * @param claimed taken by what the plan starts, or claims capacity for
+   * @param kept kept for gangs that wait
+   * @param limit the team's limit; 0 is none
+   */
+  public record TeamGpus(double open, double claimed, double kept, double limit) {
+    @Override
+    public String toString() {
+      return "%.0f open, %.0f claimed, %.0f kept of %.0f".formatted(open, claimed, kept, limit);
+    }
+  }
+
   private final Map<WaitReason, Waits> byReason = new EnumMap<>(WaitReason.class);
+  private Map<String, TeamGpus> gpusByTeam = Map.of();
+
+  void setGpusByTeam(Map<String, TeamGpus> gpus) {
+    gpusByTeam = gpus;
+  }
+
+  /** The GPUs of the teams that use any, in the order of their names. */
+  public Map<String, TeamGpus> gpusByTeam() {
+    return gpusByTeam;
+  }
 
   void add(Job job, int tasks, WaitReason reason, String gang) {
     byReason.merge(
