Nothing of a stream between controllers counts after a malformed frame

Symptom: bytes that arrive after a malformed frame, before the connection is closed, were read from an arbitrary place. Cause: the reader kept no note of it; a handler that threw also left its buffer turned round. Mend: the reader refuses all that follows, and keeps its place when a handler throws. FrameReaderTest, FrameTest, FormerVersionTest green.

--- a/src/main/java/io/embernotch/peer/FrameReader.java
+++ b/src/main/java/io/embernotch/peer/FrameReader.java
@@ -14,6 +14,9 @@
   private final Consumer<Frame> sink;
   private ByteBuffer pending = ByteBuffer.allocate(FIRST_BUFFER_BYTES);
 
+  /** A frame was malformed, so where the next one begins is not known. */
+  private boolean unusable;
+
   /**
    * @param sink receives each frame, in the order of the stream
    */
@@ -24,11 +27,25 @@
   /**
    * Takes more bytes, and delivers the frames that they complete.
    *
-   * @throws MalformedInputException if a frame is malformed; the stream is then unusable
+   * @throws MalformedInputException if a frame is malformed, or one before it was
    */
   public void feed(byte[] bytes) {
+    if (unusable) {
+      throw new MalformedInputException("follows a malformed frame");
+    }
     append(bytes);
     pending.flip();
+    try {
+      deliverFrames();
+    } catch (MalformedInputException e) {
+      unusable = true;
+      throw e;
+    } finally {
+      pending.compact();
+    }
+  }
+
+  private void deliverFrames() {
     while (pending.remaining() >= FrameCodec.LENGTH_BYTES) {
       int length = pending.getInt(pending.position());
       if (length < MIN_FRAME || length > FrameCodec.MAX_FRAME) {
@@ -42,7 +59,6 @@
       pending.position(pending.position() + length);
       sink.accept(FrameCodec.decode(body));
     }
-    pending.compact();
   }
 
   private void append(byte[] bytes) {
