--- a/src/main/java/io/embernotch/controller/Controller.java
+++ b/src/main/java/io/embernotch/controller/Controller.java
@@ -2,7 +2,6 @@
 
 import io.embernotch.api.CompletedJobCache;
 import io.embernotch.api.SubmissionHandler;
-import io.embernotch.codec.JobProgressCodec;
 import io.embernotch.context.ControllerContext;
 import io.embernotch.election.LeaderElection;
 import io.embernotch.election.LeaderObserver;
@@ -16,6 +15,7 @@
 import io.embernotch.model.Heartbeat;
 import io.embernotch.peer.Frame;
 import io.embernotch.peer.PeerLink;
+import io.embernotch.persistence.ShardLayout;
 import io.embernotch.rounds.PartitionViews;
 import io.embernotch.rounds.StragglerRounds;
 import io.embernotch.settings.Settings;
@@ -82,7 +82,7 @@
     localPartition =
         new LocalPartition(context.clock(), MACHINE_VIEW_ROUNDS * context.operator().roundS());
     leaderClient = createLeaderClient();
-    shardSize = JobProgressCodec.shardSize(settings.minStoreLimits().valueKb(), settings.zones());
+    shardSize = ShardLayout.defaultSize(settings);
     jobAnnouncements = createJobAnnouncements();
     submissions = createSubmissionHandler();
     jobQueries =
--- a/src/main/java/io/embernotch/jobs/Cancellations.java
+++ b/src/main/java/io/embernotch/jobs/Cancellations.java
@@ -11,7 +11,6 @@
 import io.embernotch.persistence.StateWriter;
 import io.embernotch.settings.Settings;
 import io.embernotch.state.ClusterState;
-import io.embernotch.store.RateLimiter.RequestPriority;
 import io.vertx.core.Promise;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -101,12 +100,8 @@
 
   private void replyOnceEndPersisted(Job job, List<Promise<HttpResponse>> replies) {
     HttpResponse response = HttpResponse.of(200, JobCodec.brief(job.spec.ref(), job.finalPhase));
-    Runnable completeAll = () -> replies.forEach(reply -> reply.tryComplete(response));
-    if (job.endPersisted) {
-      completeAll.run();
-    } else {
-      stateWriter.writeNow(job, JobCompletions.FIRST_TASK, RequestPriority.HIGH, completeAll);
-    }
+    JobCompletions.onceEndPersisted(
+        stateWriter, job, () -> replies.forEach(reply -> reply.tryComplete(response)));
   }
 
   private boolean allTasksEndInTime(Job job) {
--- a/src/main/java/io/embernotch/jobs/JobCompletions.java
+++ b/src/main/java/io/embernotch/jobs/JobCompletions.java
@@ -101,4 +101,13 @@
       }
     }
   }
+
+  /** Runs {@code action} once the store is known to hold the end of a job that is decided. */
+  static void onceEndPersisted(StateWriter stateWriter, Job job, Runnable action) {
+    if (job.endPersisted) {
+      action.run();
+    } else {
+      stateWriter.writeNow(job, FIRST_TASK, RequestPriority.HIGH, action);
+    }
+  }
 }
--- a/src/main/java/io/embernotch/jobs/JobRequestHandler.java
+++ b/src/main/java/io/embernotch/jobs/JobRequestHandler.java
@@ -9,7 +9,6 @@
 import io.embernotch.model.JobPhase;
 import io.embernotch.persistence.StateWriter;
 import io.embernotch.state.ClusterState;
-import io.embernotch.store.RateLimiter.RequestPriority;
 import io.embernotch.store.VersionedEntry;
 import io.vertx.core.Promise;
 import java.util.function.BooleanSupplier;
@@ -180,12 +179,9 @@
 
   private void replyOnceEndPersisted(Job job, Promise<HttpResponse> reply) {
     HttpResponse response = HttpResponse.of(200, JobCodec.brief(job.spec.ref(), job.finalPhase));
-    if (job.endPersisted) {
-      reply.complete(response);
-      return;
+    JobCompletions.onceEndPersisted(stateWriter, job, () -> reply.tryComplete(response));
+    if (!job.endPersisted) {
+      replyLater(reply, context.settings().workers().heartbeatIntervalS(), "not in the store yet");
     }
-    stateWriter.writeNow(
-        job, JobCompletions.FIRST_TASK, RequestPriority.HIGH, () -> reply.tryComplete(response));
-    replyLater(reply, context.settings().workers().heartbeatIntervalS(), "not in the store yet");
   }
 }
--- a/src/main/java/io/embernotch/leader/LeaderComponents.java
+++ b/src/main/java/io/embernotch/leader/LeaderComponents.java
@@ -4,7 +4,6 @@
 import io.embernotch.agents.RenewalDelegations;
 import io.embernotch.agents.TaskLauncher;
 import io.embernotch.agents.TaskStopper;
-import io.embernotch.codec.JobProgressCodec;
 import io.embernotch.context.ControllerContext;
 import io.embernotch.fleet.FleetManager;
 import io.embernotch.jobs.AttemptOutcomes;
@@ -122,9 +121,7 @@
   }
 
   private ShardLayout createShardLayout() {
-    Settings settings = context.settings();
-    return new ShardLayout(
-        JobProgressCodec.shardSize(settings.minStoreLimits().valueKb(), settings.zones()));
+    return new ShardLayout(ShardLayout.defaultSize(context.settings()));
   }
 
   private StateWriter createStateWriter() {
--- a/src/main/java/io/embernotch/persistence/ShardLayout.java
+++ b/src/main/java/io/embernotch/persistence/ShardLayout.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.embernotch.codec.JobProgressCodec;
 import io.embernotch.model.Job;
+import io.embernotch.settings.Settings;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -51,6 +52,11 @@
     this.defaultSize = defaultSize;
   }
 
+  /** Tasks in a shard that fits the store under the lowest limits that the settings give. */
+  public static int defaultSize(Settings settings) {
+    return JobProgressCodec.shardSize(settings.minStoreLimits().valueKb(), settings.zones());
+  }
+
   /** The size of shards that was fixed when the job was accepted. */
   public void recordShardSize(String ref, int size) {
     sizes.put(ref, size);
--- a/src/main/java/io/embernotch/state/DemandForecast.java
+++ b/src/main/java/io/embernotch/state/DemandForecast.java
@@ -5,6 +5,7 @@
 import io.embernotch.model.JobSpec;
 import io.embernotch.model.MachineType;
 import io.embernotch.scheduling.FleetView.Headroom;
+import io.embernotch.scheduling.MachineTypes;
 import io.embernotch.settings.OperatorSettings;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -87,7 +88,7 @@
     List<Headroom> headroom = new ArrayList<>();
     for (JobClassDemand demand : demandByClass.values()) {
       JobSpec latest = demand.latest;
-      double bootS = bootS(latest, types);
+      double bootS = MachineTypes.shortestBootS(types, latest);
       demand.dropOlderThan(WINDOW_BOOTS * bootS, now);
       if (demand.arrivals.isEmpty() || bootS <= 0 || mayWaitForCapacity.test(latest)) {
         continue;
@@ -112,13 +113,4 @@
       case SERVICE -> operator.serviceSpare();
     };
   }
-
-  /** The shortest boot of a type that fits, in seconds; 0 if none does. */
-  private static double bootS(JobSpec spec, Collection<MachineType> types) {
-    return types.stream()
-        .filter(type -> type.fits(spec))
-        .mapToDouble(MachineType::bootS)
-        .min()
-        .orElse(0);
-  }
 }
