--- a/src/test/java/io/embernotch/agents/CallSlotsTest.java
+++ b/src/test/java/io/embernotch/agents/CallSlotsTest.java
@@ -3,17 +3,15 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import io.embernotch.actor.EventLoopProfile;
 import io.embernotch.context.ControllerContext;
-import io.embernotch.http.HttpCaller;
 import io.embernotch.http.HttpReply;
 import io.embernotch.model.Heartbeat;
 import io.embernotch.model.Machine;
-import io.embernotch.settings.OperatorSettings;
 import io.embernotch.settings.Settings;
 import io.embernotch.settings.SettingsReader;
 import io.embernotch.testkit.FakeTime;
 import io.embernotch.testkit.SimulatedCluster;
+import io.embernotch.testkit.TestContexts;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import java.nio.charset.StandardCharsets;
@@ -60,20 +58,8 @@
   }
 
   private StatusProber prober(BiConsumer<Heartbeat, Machine> reconcile) {
-    HttpCaller caller = (method, to, path, body, timeoutS) -> call();
     ControllerContext context =
-        new ControllerContext(
-            settings,
-            OperatorSettings.DEFAULTS,
-            time,
-            time,
-            time,
-            EventLoopProfile.NONE,
-            null,
-            null,
-            caller,
-            null,
-            null);
+        TestContexts.withWorkers(settings, time, (method, to, path, body, timeoutS) -> call());
     return new StatusProber(context, limiter, new ReachabilityTracker(1, 3), 2, reconcile);
   }
 
--- a/src/test/java/io/embernotch/fleet/ScaleOutTest.java
+++ b/src/test/java/io/embernotch/fleet/ScaleOutTest.java
@@ -2,17 +2,16 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.embernotch.actor.EventLoopProfile;
 import io.embernotch.cloud.CloudClient;
 import io.embernotch.context.ControllerContext;
 import io.embernotch.http.HttpReply;
 import io.embernotch.scheduling.SchedulingPlan;
-import io.embernotch.settings.OperatorSettings;
 import io.embernotch.settings.Settings;
 import io.embernotch.settings.SettingsReader;
 import io.embernotch.state.ClusterState;
 import io.embernotch.testkit.FakeTime;
 import io.embernotch.testkit.SimulatedCluster;
+import io.embernotch.testkit.TestContexts;
 import io.vertx.core.Future;
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Test;
@@ -34,19 +33,7 @@
             time,
             time,
             settings);
-    ControllerContext context =
-        new ControllerContext(
-            settings,
-            OperatorSettings.DEFAULTS,
-            time,
-            time,
-            time,
-            EventLoopProfile.NONE,
-            null,
-            cloud,
-            null,
-            null,
-            null);
+    ControllerContext context = TestContexts.withCloud(settings, time, cloud);
     ClusterState state = new ClusterState();
     int[] changes = {0};
     ScaleOut scaleOut = new ScaleOut(context, state, 7, 1, () -> changes[0]++);
--- a/src/test/java/io/embernotch/snapshot/file/SnapshotSchedulerTest.java
+++ b/src/test/java/io/embernotch/snapshot/file/SnapshotSchedulerTest.java
@@ -2,13 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.embernotch.actor.EventLoopProfile;
-import io.embernotch.context.ControllerContext;
 import io.embernotch.settings.OperatorSettings;
 import io.embernotch.settings.SettingsReader;
 import io.embernotch.snapshot.proto.SnapshotProto.ClusterSnapshot;
 import io.embernotch.testkit.FakeTime;
 import io.embernotch.testkit.SimulatedCluster;
+import io.embernotch.testkit.TestContexts;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.Executor;
@@ -29,18 +28,11 @@
 
   private SnapshotScheduler scheduler(Executor blocking) {
     return new SnapshotScheduler(
-        new ControllerContext(
+        TestContexts.withBlocking(
             SettingsReader.parse(SimulatedCluster.settingsToml(0)),
             OperatorSettings.parse(
                 "snapshots { directory: '" + dir + "' every_s: " + EVERY_S + " }"),
             time,
-            time,
-            time,
-            EventLoopProfile.NONE,
-            null,
-            null,
-            null,
-            null,
             blocking));
   }
 
