--- /dev/null
+++ b/src/test/java/io/embernotch/jobs/UnknownEndTest.java
@@ -0,0 +1,147 @@
+package io.embernotch.jobs;
+
+import static io.embernotch.testkit.TestJobs.dependentJob;
+import static io.embernotch.testkit.TestJobs.job;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.embernotch.testkit.SimulatedCluster;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * A job of which the store holds something that can't be read, and whatever brings its id before
+ * the leader again. It may have ended, and its user may have been told so, so nothing takes it for
+ * a new one; what depends on it waits.
+ */
+class UnknownEndTest {
+  private static final double AFTER_ALL_LEASES_S = 130;
+  private static final String UNREADABLE_END = "{\"next\":3,\"end\":\"parked\"}";
+
+  private final SimulatedCluster cluster = new SimulatedCluster(3);
+
+  /** What brings the id of a job before the leader. */
+  private enum WayIn {
+    DEPENDENCY,
+    REPEATED_SUBMISSION,
+    POLL,
+    ABORT,
+    REWRITTEN_SUBMISSION
+  }
+
+  private void bringUp(WayIn way) {
+    int leader = cluster.leader().index;
+    switch (way) {
+      case DEPENDENCY -> cluster.submit(leader, dependentJob("j-2", 1, "j-1"));
+      case REPEATED_SUBMISSION -> cluster.submit(leader, job("j-1", "array", 3));
+      case POLL -> cluster.poll(leader, "j-1");
+      case ABORT -> cluster.cancel(leader, "j-1");
+      case REWRITTEN_SUBMISSION -> putJob("j-1", job("j-1", "array", 3));
+    }
+    cluster.advance(20);
+  }
+
+  private void putJob(String ref, String submission) {
+    cluster.store.put("job/" + ref, "{\"at\":900000,\"piece\":85,\"job\":" + submission + "}");
+  }
+
+  private void putJobWithUnreadableEnd() {
+    putJob("j-1", job("j-1", "array", 3));
+    cluster.store.put("run/j-1", UNREADABLE_END);
+    cluster.awaitLeader(4);
+  }
+
+  private String phase(String ref) {
+    return cluster.phase(cluster.leader().index, ref);
+  }
+
+  private void changeLeader() {
+    cluster.restartAfter(cluster.leader(), 0.5);
+    cluster.advance(20);
+  }
+
+  /** Guards against taking in as new a job of which only the submission can be read. */
+  @ParameterizedTest
+  @EnumSource(WayIn.class)
+  void nothingStartsAJobWhoseEndCannotBeRead(WayIn way) {
+    putJobWithUnreadableEnd();
+    for (int term = 0; term < 2; term++) {
+      bringUp(way);
+      assertThat(cluster.runningTasks("j-1")).isEmpty();
+      assertThat(phase("j-1")).isEqualTo("status 503");
+      assertThat(cluster.cancel(cluster.leader().index, "j-1").status()).isEqualTo(503);
+      changeLeader();
+    }
+    cluster.advance(AFTER_ALL_LEASES_S);
+    assertThat(cluster.runningTasks("j-1")).isEmpty();
+    assertThat(cluster.store.value("run/j-1").path("end").asText()).isEqualTo("parked");
+  }
+
+  /** Guards against a job that is forgotten, or decided by a guess, with an unreadable one. */
+  @ParameterizedTest
+  @CsvSource({"done,running", "cancelled,cancelled"})
+  void aDependentJobWaitsUntilTheEndCanBeRead(String end, String phaseAfterwards) {
+    putJobWithUnreadableEnd();
+    bringUp(WayIn.DEPENDENCY);
+    assertThat(phase("j-2")).isEqualTo("queued");
+    changeLeader();
+    assertThat(phase("j-2")).isEqualTo("queued");
+    cluster.store.put("run/j-1", "{\"next\":3,\"end\":\"" + end + "\",\"at\":900500}");
+    changeLeader();
+    assertThat(phase("j-1")).isEqualTo(end);
+    assertThat(phase("j-2")).isEqualTo(phaseAfterwards);
+    assertThat(cluster.violations()).isEmpty();
+  }
+
+  /** Guards against running again what is done, once a submission is put right by hand. */
+  @Test
+  void aSubmissionThatIsPutRightIsTakenOverWithItsProgressByTheNextLeader() {
+    putJob("j-1", "{\"ref\":\"x\"}");
+    // Tasks 0 and 1 are done.
+    cluster.store.put("run/j-1", "{\"next\":3,\"done\":\"Aw==\"}");
+    cluster.awaitLeader(4);
+    putJob("j-1", job("j-1", "array", 3));
+    cluster.advance(20);
+    assertThat(cluster.runningTasks("j-1")).isEmpty();
+    assertThat(phase("j-1")).isEqualTo("queued");
+    changeLeader();
+    assertThat(cluster.runningTasks("j-1").keySet()).containsExactly("j-1/2");
+  }
+
+  /** Guards against "queued" of a job that a dependency has cancelled: that may have been told. */
+  @ParameterizedTest
+  @CsvSource(
+      value = {
+        "[\"j-0\"];cancelled;cancelled",
+        "[\"j-0\"];done;queued",
+        "[\"j-0\"];parked;status 503",
+        "[7];cancelled;status 503",
+        "[\"j-8\"];done;status 503"
+      },
+      delimiter = ';')
+  void aJobWhoseSubmissionCannotBeReadIsToldWhatItsDependenciesProve(
+      String dependencies, String end, String expected) {
+    putJob("j-0", job("j-0", "array", 1));
+    cluster.store.put("run/j-0", "{\"next\":3,\"end\":\"" + end + "\",\"at\":900500}");
+    putJob("j-1", "{\"ref\":\"x\",\"awaits\":" + dependencies + "}");
+    cluster.awaitLeader(4);
+    assertThat(phase("j-1")).isEqualTo(expected);
+    changeLeader();
+    assertThat(phase("j-1")).isEqualTo(expected);
+  }
+
+  /** Guards against a state that is told while the store's decisive entry is unreadable or gone. */
+  @ParameterizedTest
+  @ValueSource(strings = {"j-1", "j-2", "j-3"})
+  void aControllerWithoutLeaderTellsNothingThatRestsOnAnUnreadableEntry(String ref) {
+    putJobWithUnreadableEnd();
+    putJob("j-2", dependentJob("j-2", 1, "j-1"));
+    putJob("j-3", dependentJob("j-3", 1, "j-9"));
+    cluster.advance(60);
+    int alone = cluster.otherNode(cluster.leader()).index;
+    cluster.nodes.stream().filter(node -> node.index != alone).forEach(node -> node.kill());
+    assertThat(cluster.phase(alone, ref)).isEqualTo("status 503");
+  }
+}
