A job whose entries can't be read is not taken for a new one

What callers saw: with one damaged value under run/REF and one ordinary submission that awaits REF, REF was started again and told to be queued, though its user may have been told that it was done.

Cause, a check in one path and not in another: JobEventHandler.jobAccepted knew of jobs that live or have ended; one whose end can't be read is neither, and stood in a public set that only polls and cancellations asked. A dependency's look-up and the watch of submissions led there.

Now one place says what a leader knows of a job (ClusterState.knowledgeOf: live, ended, end unreadable, submission unreadable, not seen), and polls, cancellations, dependencies and take-in ask it; only what was not seen is new. What awaits an unreadable job waits, with a line in the log. A job whose submission can't be read is told what its dependencies prove, else 503; a controller without a leader no longer passes over a dependency that the store lacks.

The four public sets of ClusterState are one class.

--- a/src/main/java/io/embernotch/api/PersistedStatus.java
+++ b/src/main/java/io/embernotch/api/PersistedStatus.java
@@ -1,6 +1,7 @@
 package io.embernotch.api;
 
 import io.embernotch.codec.JobCodec;
+import io.embernotch.codec.MalformedInputException;
 import io.embernotch.context.ControllerContext;
 import io.embernotch.http.HttpResponse;
 import io.embernotch.model.Job;
@@ -54,7 +55,15 @@
     }
     return PersistedJob.read(context.store(), baseSnapshot.get(), ref)
         .compose(this::statusOf)
-        .otherwise(e -> HttpResponse.later("the state service does not answer"));
+        .otherwise(PersistedStatus::unknown);
+  }
+
+  /** The response where a read failed, or what it brought can't be read. */
+  private static HttpResponse unknown(Throwable failure) {
+    return HttpResponse.later(
+        failure instanceof MalformedInputException
+            ? "what the state service holds of it can't be read"
+            : "the state service does not answer");
   }
 
   /** {@code job} is null if it was never accepted. */
@@ -111,16 +120,23 @@
           .compose(dependency -> visit(ref, dependency));
     }
 
-    /** {@code dependency} is null if the store does not hold it. */
+    /**
+     * {@code dependency} is null if the store does not hold it: it was accepted before this job, so
+     * it is lost, and may have been cancelled.
+     */
     private Future<HttpResponse> visit(String ref, Job dependency) {
       reads++;
-      if (dependency != null && dependency.finalPhase == JobPhase.CANCELLED) {
+      if (dependency == null) {
+        return Future.succeededFuture(
+            HttpResponse.later("what the state service holds is not known yet"));
+      }
+      if (dependency.finalPhase == JobPhase.CANCELLED) {
         return status(job, JobPhase.CANCELLED);
       }
-      if (dependency != null && dependency.finalPhase == JobPhase.DONE) {
+      if (dependency.finalPhase == JobPhase.DONE) {
         // All dependencies of a job that is done are done too, so they need not be read.
         completedJobs.put(ref, JobPhase.DONE, dependency.done.cardinality());
-      } else if (dependency != null) {
+      } else {
         dependency.spec.dependencies().stream().filter(seen::add).forEach(queue::add);
       }
       return run();
--- a/src/main/java/io/embernotch/codec/JobCodec.java
+++ b/src/main/java/io/embernotch/codec/JobCodec.java
@@ -125,7 +125,7 @@
         Json.amount(json, CHECKPOINT_S),
         Json.amount(json, SAVE_S),
         Json.opt(json, DUE_S) == null ? null : Json.amount(json, DUE_S),
-        dependencies(Json.opt(json, DEPENDENCIES)));
+        readDependencies(json));
   }
 
   /** A submission as {@link #read} reads it; absent fields are left out. */
@@ -303,8 +303,14 @@
     return new MalformedInputException(WireFields.TYPES + ": must be null or an array of names");
   }
 
-  /** Ids of other jobs, each once; absent, null and empty mean none. */
-  private static List<String> dependencies(JsonNode dependencies) {
+  /**
+   * Reads the ids of the jobs that a submission depends on, each once; absent, null and empty mean
+   * none.
+   *
+   * @throws MalformedInputException if the field is of another type
+   */
+  static List<String> readDependencies(JsonNode json) {
+    JsonNode dependencies = Json.opt(json, DEPENDENCIES);
     if (dependencies == null) {
       return List.of();
     }
--- a/src/main/java/io/embernotch/codec/JobProgressCodec.java
+++ b/src/main/java/io/embernotch/codec/JobProgressCodec.java
@@ -122,6 +122,20 @@
     return job;
   }
 
+  /**
+   * Reads the ids of the jobs that a job depends on from the value of a submission key, of which
+   * all else may be malformed.
+   *
+   * @throws MalformedInputException if there is no submission, or they are malformed
+   */
+  public static List<String> readDependencies(JsonNode json) {
+    JsonNode spec = Json.need(json, SPEC);
+    if (!spec.isObject()) {
+      throw new MalformedInputException(SPEC + ": must be an object");
+    }
+    return JobCodec.readDependencies(spec);
+  }
+
   /**
    * Reads the number of tasks in a shard from the value of a submission key.
    *
--- a/src/main/java/io/embernotch/jobs/DependencyGraph.java
+++ b/src/main/java/io/embernotch/jobs/DependencyGraph.java
@@ -6,6 +6,7 @@
 import io.embernotch.state.ClusterState;
 import io.embernotch.store.VersionedEntry;
 import java.util.ArrayDeque;
+import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -75,13 +76,13 @@
     lookup.remove(job.spec.ref());
     boolean dependencyCancelled = false;
     for (String ref : job.finalPhase == null ? job.spec.dependencies() : List.<String>of()) {
-      ClusterState.EndedJob ended = persistedEnd(ref);
-      if (ended == null) {
+      Optional<ClusterState.EndedJob> ended = state.persistedEnd(ref);
+      if (ended.isEmpty()) {
         addUnmet(job, ref);
-      } else if (ended.phase() == JobPhase.CANCELLED) {
+      } else if (ended.get().phase() == JobPhase.CANCELLED) {
         dependencyCancelled = true;
       } else {
-        job.eligibleSinceMs = Math.max(job.eligibleSinceMs, ended.atMs());
+        job.eligibleSinceMs = Math.max(job.eligibleSinceMs, ended.get().atMs());
       }
     }
     if (dependencyCancelled) {
@@ -93,21 +94,14 @@
   private void addUnmet(Job job, String dependency) {
     job.unmetDependencies.add(dependency);
     dependents.computeIfAbsent(dependency, ref -> new LinkedHashSet<>()).add(job);
-    if (!state.jobs.containsKey(dependency)) {
-      lookup.add(dependency);
+    switch (state.knowledgeOf(dependency)) {
+      case NOT_SEEN -> lookup.add(dependency);
+      case END_UNREADABLE, SUBMISSION_UNREADABLE ->
+          LOG.warn("job {} waits for {}, whose entries can't be read", job.spec.ref(), dependency);
+      case LIVE, ENDED -> {}
     }
   }
 
-  /** The end of a job as the store holds it; null while it has none there. */
-  private ClusterState.EndedJob persistedEnd(String ref) {
-    ClusterState.EndedJob ended = state.endedJobs.get(ref);
-    if (ended != null) {
-      return ended;
-    }
-    Job job = state.jobs.get(ref);
-    return job != null && job.endPersisted ? ClusterState.EndedJob.of(job) : null;
-  }
-
   /** The store holds the end of the job: its dependents are released or cancelled. */
   public void ended(Job job) {
     boolean cancelled = job.finalPhase == JobPhase.CANCELLED;
@@ -167,7 +161,12 @@
    * decided and not known to be in the store; empty if there is none.
    */
   public Optional<Job> cancellationBeingWritten(Job job) {
-    Deque<String> queue = new ArrayDeque<>(job.unmetDependencies);
+    return cancellationBeingWritten(job.unmetDependencies);
+  }
+
+  /** The same of a job, of which only the jobs that it depends on are known. */
+  Optional<Job> cancellationBeingWritten(Collection<String> dependencies) {
+    Deque<String> queue = new ArrayDeque<>(dependencies);
     Set<String> seen = new HashSet<>(queue);
     while (!queue.isEmpty()) {
       Job dependency = state.jobs.get(queue.poll());
--- a/src/main/java/io/embernotch/jobs/FailoverRecovery.java
+++ b/src/main/java/io/embernotch/jobs/FailoverRecovery.java
@@ -90,9 +90,6 @@
     state.machines.clear();
     state.endedJobs.putAll(baseSnapshot.allEnded());
     state.unreadable.clear();
-    state.endUnknown.clear();
-    state.withUnknownEnd.clear();
-    state.unreadableKeys.clear();
   }
 
   private void recordModRevisions(
--- a/src/main/java/io/embernotch/jobs/JobRequestHandler.java
+++ b/src/main/java/io/embernotch/jobs/JobRequestHandler.java
@@ -9,8 +9,11 @@
 import io.embernotch.model.JobPhase;
 import io.embernotch.persistence.StateWriter;
 import io.embernotch.state.ClusterState;
+import io.embernotch.state.JobKnowledge;
+import io.embernotch.state.UnreadableEntries.UnreadableSubmission;
 import io.embernotch.store.VersionedEntry;
 import io.vertx.core.Promise;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 
@@ -63,25 +66,56 @@
 
   /** Completes {@code reply} with the state of a job: 200, 404 if never accepted, or 503. */
   public void poll(String ref, Promise<HttpResponse> reply) {
-    ClusterState.EndedJob ended = state.endedJobs.get(ref);
-    if (ended != null) {
-      reply.complete(HttpResponse.of(200, JobCodec.status(ref, ended.phase(), ended.done(), 0)));
-      return;
-    }
-    if (!leaseValid.getAsBoolean()) {
+    JobKnowledge known = state.knowledgeOf(ref);
+    if (known != JobKnowledge.ENDED && !leaseValid.getAsBoolean()) {
       reply.complete(HttpResponse.later("leadership is not proven"));
       return;
     }
-    Job job = state.jobs.get(ref);
-    if (job != null) {
-      poll(job, reply);
-    } else if (state.endUnknown.contains(ref)) {
-      reply.complete(unreadable());
-    } else if (state.unreadable.contains(ref)) {
-      reply.complete(HttpResponse.of(200, JobCodec.status(ref, JobPhase.QUEUED, 0, 0)));
-    } else {
-      lookUp(ref, reply, () -> poll(ref, reply));
+    switch (known) {
+      case ENDED -> reply.complete(endedStatus(ref));
+      case LIVE -> poll(state.jobs.get(ref), reply);
+      case END_UNREADABLE -> reply.complete(unreadable());
+      case SUBMISSION_UNREADABLE -> reply.complete(statusByDependencies(ref));
+      case NOT_SEEN -> lookUp(ref, reply, () -> poll(ref, reply));
+    }
+  }
+
+  private HttpResponse endedStatus(String ref) {
+    ClusterState.EndedJob ended = state.endedJobs.get(ref);
+    return HttpResponse.of(200, JobCodec.status(ref, ended.phase(), ended.done(), 0));
+  }
+
+  /**
+   * The status of a job whose submission can't be read, as far as its dependencies prove it: if one
+   * of them is cancelled, so is this job, and its user may have been told so.
+   */
+  private HttpResponse statusByDependencies(String ref) {
+    Optional<List<String>> dependencies =
+        state.unreadable.submission(ref).flatMap(UnreadableSubmission::dependencies);
+    if (dependencies.isEmpty() || state.unreadable.isStarted(ref)) {
+      return unreadable();
+    }
+    return phaseByDependencies(dependencies.get())
+        .map(phase -> HttpResponse.of(200, JobCodec.status(ref, phase, 0, 0)))
+        .orElseGet(JobRequestHandler::unreadable);
+  }
+
+  /** The phase of a job that has not started; empty if its dependencies don't prove it. */
+  private Optional<JobPhase> phaseByDependencies(List<String> dependencies) {
+    boolean cancelled =
+        dependencies.stream()
+            .flatMap(ref -> state.persistedEnd(ref).stream())
+            .anyMatch(end -> end.phase() == JobPhase.CANCELLED);
+    if (cancelled) {
+      return Optional.of(JobPhase.CANCELLED);
     }
+    boolean allKnown =
+        dependencies.stream()
+            .map(state::knowledgeOf)
+            .allMatch(known -> known == JobKnowledge.LIVE || known == JobKnowledge.ENDED);
+    return allKnown && dependencyGraph.cancellationBeingWritten(dependencies).isEmpty()
+        ? Optional.of(JobPhase.QUEUED)
+        : Optional.empty();
   }
 
   private void poll(Job job, Promise<HttpResponse> reply) {
@@ -174,17 +208,19 @@
 
   /** Cancels a job; completes {@code reply} with its final phase, 404 or 503. */
   public void abort(String ref, Promise<HttpResponse> reply) {
-    ClusterState.EndedJob ended = state.endedJobs.get(ref);
-    if (ended != null) {
-      reply.complete(HttpResponse.of(200, JobCodec.brief(ref, ended.phase())));
-      return;
+    switch (state.knowledgeOf(ref)) {
+      case ENDED -> {
+        JobPhase end = state.endedJobs.get(ref).phase();
+        reply.complete(HttpResponse.of(200, JobCodec.brief(ref, end)));
+      }
+      case LIVE -> abort(state.jobs.get(ref), reply);
+      case END_UNREADABLE, SUBMISSION_UNREADABLE -> reply.complete(unreadable());
+      case NOT_SEEN -> lookUp(ref, reply, () -> abort(ref, reply));
     }
-    Job job = state.jobs.get(ref);
-    if (state.endUnknown.contains(ref) || state.unreadable.contains(ref)) {
-      reply.complete(unreadable());
-    } else if (job == null) {
-      lookUp(ref, reply, () -> abort(ref, reply));
-    } else if (job.finalPhase == null) {
+  }
+
+  private void abort(Job job, Promise<HttpResponse> reply) {
+    if (job.finalPhase == null) {
       host.cancel(job, reply);
     } else {
       replyOnceEndPersisted(job, reply);
--- a/src/main/java/io/embernotch/jobs/StoredJobReader.java
+++ b/src/main/java/io/embernotch/jobs/StoredJobReader.java
@@ -7,6 +7,7 @@
 import io.embernotch.persistence.StoredSubmission;
 import io.embernotch.snapshot.ProgressShard;
 import io.embernotch.state.ClusterState;
+import io.embernotch.state.UnreadableEntries.UnreadableSubmission;
 import io.embernotch.store.VersionedEntry;
 import io.embernotch.store.WatchEvents;
 import java.nio.charset.StandardCharsets;
@@ -15,6 +16,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -63,6 +65,10 @@
   Map<String, StoredSubmission> read(
       WatchEvents submissions, WatchEvents shards, WatchEvents refinedShards) {
     submissions.events().forEach(this::readSubmission);
+    Stream.concat(shards.events().stream(), refinedShards.events().stream())
+        .map(StoredJobReader::refOf)
+        .filter(ref -> state.unreadable.submission(ref).isPresent())
+        .forEach(state.unreadable::addStarted);
     shards.events().forEach(this::readShard);
     readRefinedShards(refinedShards);
     return recovered;
@@ -84,7 +90,8 @@
               recovered.put(ref, found);
             });
     if (!readable) {
-      state.unreadable.add(ref);
+      state.unreadable.addSubmission(
+          ref, new UnreadableSubmission(StoredSubmission.readDependencies(entry.value()), true));
     }
   }
 
@@ -97,11 +104,10 @@
         holdBack(owner);
         if (first && !JobProgressCodec.tellsEnd(entry.value())) {
           recovered.remove(ref);
-          state.withUnknownEnd.add(owner.job());
-          state.endUnknown.add(ref);
+          state.unreadable.addUnknownEnd(owner.job());
         }
       }
-    } else if (first && state.unreadable.contains(ref)) {
+    } else if (first) {
       readEndAlone(entry, ref);
     }
   }
@@ -113,8 +119,11 @@
 
   /** Of a job whose submission can't be read, its end is told all the same. */
   private void readEndAlone(VersionedEntry entry, String ref) {
+    if (!state.unreadable.isStarted(ref)) {
+      return;
+    }
     if (!JobProgressCodec.tellsEnd(entry.value())) {
-      state.endUnknown.add(ref);
+      state.unreadable.addUnknownEnd(ref);
       return;
     }
     JobPhase end = JobProgressCodec.readEnd(entry.value());
@@ -163,7 +172,7 @@
       read.run();
       return true;
     } catch (RuntimeException e) {
-      state.unreadableKeys.add(entry.key());
+      state.unreadable.addKey(entry.key());
       String value = new String(Json.bytes(entry.value()), StandardCharsets.UTF_8);
       LOG.error(
           "the value of {} can't be read: {}: {}",
--- a/src/main/java/io/embernotch/leader/JobEventHandler.java
+++ b/src/main/java/io/embernotch/leader/JobEventHandler.java
@@ -8,6 +8,8 @@
 import io.embernotch.model.Job;
 import io.embernotch.persistence.StoredSubmission;
 import io.embernotch.state.ClusterState;
+import io.embernotch.state.UnreadableEntries;
+import io.embernotch.state.UnreadableEntries.UnreadableSubmission;
 import io.embernotch.store.VersionedEntry;
 import io.vertx.core.Promise;
 import java.util.List;
@@ -26,14 +28,14 @@
   }
 
   /**
-   * A job was accepted; nothing happens if it is known.
+   * A job was accepted, or its submission was found; nothing happens unless it is new.
    *
    * @param shardSize number of its tasks kept in one shard
    */
   void jobAccepted(Job job, int shardSize) {
     ClusterState state = components.state;
     String ref = job.spec.ref();
-    if (state.jobs.containsKey(ref) || state.endedJobs.containsKey(ref)) {
+    if (!state.isNew(ref)) {
       return;
     }
     state.jobs.put(ref, job);
@@ -78,13 +80,20 @@
       found = StoredSubmission.read(entry.value());
     } catch (RuntimeException e) {
       LOG.error("the value of {} can't be read: {}", entry.key(), e.toString());
-      components.state.unreadable.add(entry.key().substring(JobProgressCodec.JOB.length()));
-      components.state.unreadableKeys.add(entry.key());
+      submissionUnreadable(entry);
       return;
     }
     jobAccepted(found.job(), found.shardSize());
   }
 
+  private void submissionUnreadable(VersionedEntry entry) {
+    UnreadableEntries unreadable = components.state.unreadable;
+    unreadable.addKey(entry.key());
+    unreadable.addSubmission(
+        entry.key().substring(JobProgressCodec.JOB.length()),
+        new UnreadableSubmission(StoredSubmission.readDependencies(entry.value()), false));
+  }
+
   @Override
   public void cancel(Job job, Promise<HttpResponse> reply) {
     LOG.debug("job {}: cancellation requested", job.spec.ref());
--- a/src/main/java/io/embernotch/leader/SchedulingInputs.java
+++ b/src/main/java/io/embernotch/leader/SchedulingInputs.java
@@ -45,7 +45,7 @@
         now,
         wallMs,
         state.jobs.values(),
-        state.withUnknownEnd,
+        state.unreadable.jobsWithUnknownEnd(),
         state.machines.values(),
         state.types,
         fleetManager::exhausted,
--- a/src/main/java/io/embernotch/state/ClusterOverview.java
+++ b/src/main/java/io/embernotch/state/ClusterOverview.java
@@ -45,7 +45,7 @@
     overview.put("waiting_for_others", blockedJobs);
     overview.put("ended", state.endedJobs.size());
     ArrayNode unreadable = overview.putArray("unreadable");
-    state.unreadableKeys.stream().limit(MAX_UNREADABLE_KEYS).forEach(unreadable::add);
+    state.unreadable.keys().stream().limit(MAX_UNREADABLE_KEYS).forEach(unreadable::add);
     return overview;
   }
 
--- a/src/main/java/io/embernotch/state/ClusterState.java
+++ b/src/main/java/io/embernotch/state/ClusterState.java
@@ -5,15 +5,12 @@
 import io.embernotch.model.JobPhase;
 import io.embernotch.model.Machine;
 import io.embernotch.model.MachineType;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import java.util.Optional;
 import java.util.TreeMap;
-import java.util.TreeSet;
 import java.util.function.Function;
 
 /**
@@ -42,20 +39,8 @@
   /** By id: jobs that have ended and left {@link #jobs}. */
   public final Map<String, EndedJob> endedJobs = new HashMap<>();
 
-  /** Ids of accepted jobs whose submission can't be read: they remain queued, and can't run. */
-  public final Set<String> unreadable = new HashSet<>();
-
-  /**
-   * Ids of jobs of which it can't be read whether they have ended: nothing of them is started,
-   * written or told.
-   */
-  public final Set<String> endUnknown = new HashSet<>();
-
-  /** Those of {@link #endUnknown} whose submission can be read: tasks of them may still run. */
-  public final List<Job> withUnknownEnd = new ArrayList<>();
-
-  /** Keys of the store whose entries can't be read. */
-  public final Set<String> unreadableKeys = new TreeSet<>();
+  /** Entries of the store that can't be read: nothing of the jobs behind them is started. */
+  public final UnreadableEntries unreadable = new UnreadableEntries();
 
   /** Machines by name. */
   public final Map<String, Machine> machines = new TreeMap<>();
@@ -76,6 +61,44 @@
     this.imageLookup = imageLookup;
   }
 
+  /** What is known of a job. */
+  public JobKnowledge knowledgeOf(String ref) {
+    if (endedJobs.containsKey(ref)) {
+      return JobKnowledge.ENDED;
+    }
+    if (jobs.containsKey(ref)) {
+      return JobKnowledge.LIVE;
+    }
+    if (unreadable.isEndUnknown(ref)) {
+      return JobKnowledge.END_UNREADABLE;
+    }
+    return unreadable.submission(ref).isPresent()
+        ? JobKnowledge.SUBMISSION_UNREADABLE
+        : JobKnowledge.NOT_SEEN;
+  }
+
+  /**
+   * Whether a job whose submission was just found may be taken for one without progress: an earlier
+   * leader has written none, and this leader has not taken it in.
+   */
+  public boolean isNew(String ref) {
+    return switch (knowledgeOf(ref)) {
+      case NOT_SEEN -> true;
+      case SUBMISSION_UNREADABLE ->
+          unreadable.submission(ref).filter(found -> !found.mayHaveProgress()).isPresent();
+      case LIVE, ENDED, END_UNREADABLE -> false;
+    };
+  }
+
+  /** The end of a job as the store holds it; empty while it has none there. */
+  public Optional<EndedJob> persistedEnd(String ref) {
+    EndedJob ended = endedJobs.get(ref);
+    if (ended != null) {
+      return Optional.of(ended);
+    }
+    return Optional.ofNullable(jobs.get(ref)).filter(job -> job.endPersisted).map(EndedJob::of);
+  }
+
   /** The machine of this name; one not known yet is added with the given fencing token. */
   public Machine machine(String name, long token) {
     return machines.computeIfAbsent(
