--- a/src/test/java/io/embernotch/incarnation/DataLossRandomizedTest.java
+++ b/src/test/java/io/embernotch/incarnation/DataLossRandomizedTest.java
@@ -34,16 +34,21 @@
     /** Moments that the store may be restored to. */
     private final List<Snapshot> moments = new ArrayList<>();
 
+    /** Draws who is cut off from the other controllers; null: nobody is. */
+    private final SplittableRandom isolation;
+
     private int nextJob = 1;
 
-    RandomRun(long seed) {
+    RandomRun(long seed, boolean isolates) {
       random = new SplittableRandom(seed);
+      isolation = isolates ? new SplittableRandom(~seed) : null;
     }
 
     /** Returns what went wrong. */
     List<String> run() {
       cluster.awaitLeader(3);
       for (int step = 0; step < STEPS; step++) {
+        isolateOrReconnect();
         randomAction();
         if (random.nextInt(4) == 0) {
           moments.add(cluster.store.snapshot());
@@ -53,6 +58,7 @@
           answers.poll(random.nextInt(CONTROLLERS), ref);
         }
       }
+      cluster.nodes.forEach(node -> node.peersUnreachable = false);
       cluster.faults.commitDelivery = Delivery.DELIVERED;
       cluster.deliverDelayed();
       cluster.advance(80);
@@ -60,6 +66,17 @@
       return answers.violations;
     }
 
+    /** One controller at most reaches the store and workers alone, for a step or a few. */
+    private void isolateOrReconnect() {
+      if (isolation == null || isolation.nextInt(3) > 0) {
+        return;
+      }
+      int isolated = isolation.nextInt(2 * CONTROLLERS);
+      for (ControllerNode node : cluster.nodes) {
+        node.peersUnreachable = node.index == isolated;
+      }
+    }
+
     private void randomAction() {
       int node = random.nextInt(CONTROLLERS);
       switch (random.nextInt(10)) {
@@ -137,21 +154,28 @@
 
   @Test
   void noAnswerIsRevokedAndNothingRunsTwice() {
-    assertThat(violationsBySeed(FROM, SEEDS)).isEmpty();
+    assertThat(violationsBySeed(FROM, SEEDS, false)).isEmpty();
+  }
+
+  /** Guards against answers of a controller that does not hear of a loss. */
+  @Test
+  void noAnswerIsRevokedWhileAControllerIsCutOffFromTheOthers() {
+    assertThat(violationsBySeed(FROM, SEEDS, true)).isEmpty();
   }
 
-  /** More seeds than a build has time for: FROM and how many. */
+  /** More seeds than a build has time for: FROM, how many, and whether controllers are cut off. */
   public static void main(String[] args) {
     Map<Long, List<String>> violations =
-        violationsBySeed(Integer.parseInt(args[0]), Integer.parseInt(args[1]));
+        violationsBySeed(
+            Integer.parseInt(args[0]), Integer.parseInt(args[1]), Boolean.parseBoolean(args[2]));
     System.err.println(args[1] + " seeds from " + args[0] + ": " + violations);
     System.exit(violations.isEmpty() ? 0 : 1);
   }
 
-  private static Map<Long, List<String>> violationsBySeed(int from, int seeds) {
+  private static Map<Long, List<String>> violationsBySeed(int from, int seeds, boolean isolates) {
     Map<Long, List<String>> violations = new TreeMap<>();
     for (long seed = from; seed < from + seeds; seed++) {
-      List<String> found = new RandomRun(seed).run();
+      List<String> found = new RandomRun(seed, isolates).run();
       if (!found.isEmpty()) {
         violations.put(seed, found);
       }
--- /dev/null
+++ b/src/test/java/io/embernotch/incarnation/UnheardLossTest.java
@@ -0,0 +1,119 @@
+package io.embernotch.incarnation;
+
+import static io.embernotch.testkit.TestJobs.dependentJob;
+import static io.embernotch.testkit.TestJobs.job;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.embernotch.testkit.ControllerNode;
+import io.embernotch.testkit.FakeStore;
+import io.embernotch.testkit.SimulatedCluster;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * A controller that reaches the store and does not hear the leader would not hear of a loss of data
+ * either. It tells ends, which no loss makes untrue, and anything else once the leader's next
+ * heartbeat in the store has shown that nothing was lost.
+ */
+class UnheardLossTest {
+  private static final double HEARD_AGAIN_WITHIN_S = 10;
+
+  private final SimulatedCluster cluster = new SimulatedCluster(3);
+  private ControllerNode leader;
+  private ControllerNode alone;
+
+  @BeforeEach
+  void aJobRuns() {
+    leader = cluster.awaitLeader(4);
+    alone = cluster.otherNode(leader);
+    cluster.submit(leader.index, job("j-1", "array", 1));
+    cluster.advance(40);
+  }
+
+  private void isolate(ControllerNode node) {
+    node.peersUnreachable = true;
+    cluster.advance(12);
+  }
+
+  /** Guards against "never accepted" of a job whose user was told 201 by another controller. */
+  @Test
+  void aJobThatAStorePutBackLacksIsNotDenied() {
+    isolate(alone);
+    FakeStore.Snapshot before = cluster.store.snapshot();
+    assertThat(cluster.submit(leader.index, job("j-2", "array", 1)).status()).isEqualTo(201);
+    cluster.store.restore(before, true);
+    assertThat(cluster.phase(alone.index, "j-2")).isEqualTo("status 503");
+    assertThat(cluster.submit(alone.index, dependentJob("j-3", 1, "j-2")).status()).isEqualTo(503);
+  }
+
+  /** Guards against two that hear each other, and not the leader that has told the end. */
+  @Test
+  void twoWithoutTheLeaderTellNoMoreThanOne() {
+    leader.peersUnreachable = true;
+    cluster.advance(12);
+    FakeStore.Snapshot before = cluster.store.snapshot();
+    cluster.completeTasks("j-1");
+    cluster.advance(2);
+    assertThat(cluster.phase(leader.index, "j-1")).isEqualTo("done");
+    cluster.store.restore(before, true);
+    for (ControllerNode node : cluster.nodes) {
+      assertThat(cluster.phase(node.index, "j-1")).isIn("done", "status 503");
+    }
+  }
+
+  /** Guards against ends that are withheld for no reason. */
+  @Test
+  void anEndIsToldByAControllerAlone() {
+    isolate(alone);
+    cluster.completeTasks("j-1");
+    cluster.advance(2);
+    assertThat(cluster.phase(alone.index, "j-1")).isEqualTo("done");
+  }
+
+  /** Guards against a controller that stays silent for as long as it hears nobody. */
+  @Test
+  void allIsToldThroughAPartitionAndAfterIt() {
+    cluster.nodes.forEach(node -> node.peersUnreachable = true);
+    for (int second = 0; second < 60; second++) {
+      cluster.advance(1);
+      for (ControllerNode node : cluster.nodes) {
+        assertThat(cluster.phase(node.index, "j-1")).isEqualTo("running");
+      }
+    }
+    cluster.nodes.forEach(node -> node.peersUnreachable = false);
+    cluster.advance(HEARD_AGAIN_WITHIN_S);
+    for (ControllerNode node : cluster.nodes) {
+      assertThat(cluster.phase(node.index, "j-1")).isEqualTo("running");
+    }
+  }
+
+  /**
+   * Guards against a store that is written to once more, by its leader too, after it was put back.
+   */
+  @Test
+  void whatIsWrittenAfterwardsDoesNotHideALoss() {
+    isolate(alone);
+    FakeStore.Snapshot before = cluster.store.snapshot();
+    cluster.completeTasks("j-1");
+    cluster.advance(2);
+    assertThat(cluster.phase(leader.index, "j-1")).isEqualTo("done");
+    cluster.store.restore(before, true);
+    for (int i = 0; i < 20; i++) {
+      assertThat(cluster.phase(alone.index, "j-1")).isIn("done", "status 503");
+      cluster.submit(alone.index, job("j-" + (20 + i), "array", 1));
+      cluster.advance(0.1);
+    }
+  }
+
+  /** Guards against silence while there is no leader, and those that are left hear each other. */
+  @Test
+  void withoutALeaderThoseThatHearEachOtherAnswer() {
+    leader.kill();
+    int answered = 0;
+    for (int second = 0; second < 30; second++) {
+      cluster.advance(1);
+      answered += cluster.phase(alone.index, "j-1").equals("running") ? 1 : 0;
+    }
+    assertThat(answered).isGreaterThan(20);
+  }
+}
