What is not an end is told from the store only with a sign that nothing was lost

What callers saw: told "done" by one controller, a user was told "running" by another one that did not hear the others, once the store had been put back to an earlier moment; a job accepted after that moment was denied (404, and 422 to jobs that await it).

Cause, action on stale knowledge: contents that were put back are of the same incarnation, and only a revision that falls, or another controller, shows the loss. Such a controller has seen no later revision and hears nobody; it did not ask whether it does.

Now anything but an end needs the leader to be heard or, while none is known, another controller; else the leader's next heartbeat in the store, which it writes six times in a heartbeat interval while it does not hear some controller, with the highest revision it has seen and its incarnation. Contents from before that revision can't match it, and it is looked for after the job was read.

A first try that answered 503 instead left ReadConsistencyTest red, and jobs unanswered through every partition.

--- a/src/main/java/io/embernotch/codec/IncarnationCodec.java
+++ b/src/main/java/io/embernotch/codec/IncarnationCodec.java
@@ -17,6 +17,12 @@
   /** The key that holds the present incarnation. */
   public static final String POINTER = "era";
 
+  /** The key that the leader writes while it does not hear every other controller. */
+  public static final String HEARTBEAT = "heartbeat";
+
+  /** Highest revision that the writer of a heartbeat had seen. */
+  private static final String SEEN = "seen";
+
   /** Prefix of the keys that exist as long as an incarnation lasts. */
   private static final String FENCE = "era/";
 
@@ -55,6 +61,34 @@
 
   private IncarnationCodec() {}
 
+  /**
+   * The value of a leader's heartbeat.
+   *
+   * @param incarnation name of the incarnation that it knows
+   * @param seen the highest revision that it has seen
+   */
+  public static ObjectNode writeHeartbeat(String incarnation, long seen) {
+    return Json.object().put(NAME, incarnation).put(SEEN, seen);
+  }
+
+  /**
+   * Reads the name of the incarnation that the writer of a heartbeat knew.
+   *
+   * @throws MalformedInputException if the value is none of a heartbeat
+   */
+  public static String readHeartbeatIncarnation(JsonNode json) {
+    return Json.text(json, NAME);
+  }
+
+  /**
+   * Reads the highest revision that the writer of a heartbeat had seen.
+   *
+   * @throws MalformedInputException if the value is none of a heartbeat
+   */
+  public static long readHeartbeatSeen(JsonNode json) {
+    return Json.whole(json, SEEN);
+  }
+
   /** The key that every transaction of an incarnation conditions on. */
   public static String fence(StoreIncarnation incarnation) {
     return FENCE + incarnation.name();
--- a/src/main/java/io/embernotch/controller/Controller.java
+++ b/src/main/java/io/embernotch/controller/Controller.java
@@ -11,6 +11,7 @@
 import io.embernotch.forwarding.PendingRequests;
 import io.embernotch.http.HttpResponse;
 import io.embernotch.http.RequestHandler;
+import io.embernotch.incarnation.StoreHeartbeatWriter;
 import io.embernotch.incarnation.StoreIncarnationTracker;
 import io.embernotch.leader.ImageInventory;
 import io.embernotch.model.Heartbeat;
@@ -61,6 +62,7 @@
   private final JobQueries jobQueries;
   private final HeartbeatForwarder heartbeatForwarder;
   private final PeerHeartbeats peerHeartbeats;
+  private final StoreHeartbeatWriter storeHeartbeats;
   private final NodeStatus nodeStatus;
 
   /**
@@ -100,6 +102,7 @@
         new HeartbeatForwarder(
             context, new ForwardingContext(context.store(), peers, pendingRequests, peerLiveness));
     peerHeartbeats = createPeerHeartbeats();
+    storeHeartbeats = createStoreHeartbeats();
     nodeStatus = createNodeStatus();
   }
 
@@ -155,6 +158,14 @@
         localLeader);
   }
 
+  private StoreHeartbeatWriter createStoreHeartbeats() {
+    return new StoreHeartbeatWriter(
+        context,
+        () -> localLeader.current().map(leader -> leader.modRevision()),
+        incarnations::name,
+        () -> !peerLiveness.hearsAll());
+  }
+
   private NodeStatus createNodeStatus() {
     return new NodeStatus(
         context,
@@ -212,6 +223,7 @@
     incarnations.start();
     machineTypes.load();
     election.start(createRoleTransitions());
+    storeHeartbeats.start();
     tick();
     new StragglerRounds(
             context,
@@ -304,6 +316,13 @@
       return peerLiveness.hasHeardFromAll();
     }
 
+    @Override
+    public boolean wouldHearOfLoss() {
+      String leader = leaderObserver.node();
+      boolean leaderIsElsewhere = leader != null && !leader.equals(context.settings().node());
+      return leaderIsElsewhere ? peerLiveness.isLive(leader) : peerLiveness.hearsAny();
+    }
+
     @Override
     public void dataLost(String why) {
       election.stepDown("the store has lost data");
--- a/src/main/java/io/embernotch/controller/JobQueries.java
+++ b/src/main/java/io/embernotch/controller/JobQueries.java
@@ -116,13 +116,24 @@
       return answer(HttpResponse.later("more is asked than the state service takes"));
     }
     boolean acceptedBefore = acceptedHere.test(ref);
-    return persistedStatus
-        .of(ref)
-        .map(
-            response ->
-                response.status() == NOT_FOUND
-                    ? verifyAbsence(ref, response, acceptedBefore)
-                    : response);
+    return persistedStatus.of(ref).compose(response -> verify(ref, response, acceptedBefore));
+  }
+
+  /**
+   * An end that the store holds is told as it is. Anything else may have been overtaken by what a
+   * store that was put back has lost.
+   */
+  private Future<HttpResponse> verify(String ref, HttpResponse response, boolean acceptedBefore) {
+    if (completedJobs.status(ref) != null) {
+      return answer(response);
+    }
+    HttpResponse verified =
+        response.status() == NOT_FOUND ? verifyAbsence(ref, response, acceptedBefore) : response;
+    return verified.status() == UNAVAILABLE
+        ? answer(verified)
+        : incarnations
+            .mayTellUnendedFromStore()
+            .map(proven -> proven ? verified : contentsUnknown());
   }
 
   /** Cancels a job: the leader's answer, or 503. */
--- a/src/main/java/io/embernotch/election/PeerLiveness.java
+++ b/src/main/java/io/embernotch/election/PeerLiveness.java
@@ -59,6 +59,16 @@
     return last != null && clock.now() - last.at < liveS;
   }
 
+  /** True if some other controller is live, or if there is no other. */
+  public boolean hearsAny() {
+    return renewedAt.isEmpty() || !live().isEmpty();
+  }
+
+  /** True if every other controller is live. */
+  public boolean hearsAll() {
+    return renewedAt.keySet().stream().allMatch(this::isLive);
+  }
+
   /** The controllers that are live, by name; a copy. */
   public Set<String> live() {
     Set<String> live = new TreeSet<>();
--- a/src/main/java/io/embernotch/incarnation/StoreIncarnationTracker.java
+++ b/src/main/java/io/embernotch/incarnation/StoreIncarnationTracker.java
@@ -8,6 +8,7 @@
 import io.embernotch.snapshot.proto.SnapshotProto.ClusterSnapshot;
 import io.embernotch.store.StoreClient;
 import io.embernotch.store.Transaction;
+import io.vertx.core.Future;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -38,6 +39,12 @@
     /** Whether every other controller has been heard from since this process started. */
     boolean allPeersHeard();
 
+    /**
+     * Whether this controller would have heard of a loss that others have noticed: it hears the
+     * leader or, while none is known, any other controller.
+     */
+    boolean wouldHearOfLoss();
+
     /** Data is lost: whoever is leader here stops. */
     void dataLost(String why);
   }
@@ -52,6 +59,7 @@
   private final PointerReader pointer;
   private final IncarnationAdopter adopter;
   private final IncarnationClaimer claimer;
+  private final StoreHeartbeatReader leaderHeartbeats;
 
   /**
    * The snapshot that the present incarnation was begun with, if this node's next term is its first
@@ -82,6 +90,7 @@
             context.store(), context.timers(), retryS, knowledge::isLost, this::pointerRead);
     this.adopter = new IncarnationAdopter(context.store(), host, knowledge, pointer, restorer);
     this.claimer = new IncarnationClaimer(knowledge, pointer, restorer, context.names());
+    this.leaderHeartbeats = new StoreHeartbeatReader(context);
     context.store().setLossListener(this);
   }
 
@@ -101,14 +110,27 @@
   }
 
   /**
-   * Whether what the store alone says of a job may be told. A process that was just started can't
-   * tell contents that were restored from an earlier moment from present ones; after two leases
-   * whoever was up before has found that out.
+   * Whether an end that the store holds may be told: ends are final, so also one in contents that
+   * were put back is true. A process that was just started can't tell contents that were restored
+   * from an earlier moment from present ones; after two leases whoever was up before has found that
+   * out.
    */
   public boolean mayAnswerFromStore() {
     return isIntact() && !knowledge.isBehind() && upS() > 2 * leaseTtlS;
   }
 
+  /**
+   * Whether it may be told that a job has not ended, or was never accepted, as the store alone said
+   * it before this call. Contents that were put back are of the same incarnation, and this
+   * controller may have seen no later revision; but the leader has. It tells of a loss if it is
+   * heard, else its next heartbeat in the store shows that there was none.
+   */
+  public Future<Boolean> mayTellUnendedFromStore() {
+    Future<Boolean> proven =
+        host.wouldHearOfLoss() ? Future.succeededFuture(true) : leaderHeartbeats.next(name());
+    return proven.map(isProven -> isProven && mayAnswerFromStore());
+  }
+
   /**
    * The epoch by which heartbeats tell other controllers of a loss: no contents from before the
    * next incarnation can ever reach it, whatever is still written to them, and the next incarnation
