--- a/src/main/java/io/embernotch/incarnation/StoreIncarnationTracker.java
+++ b/src/main/java/io/embernotch/incarnation/StoreIncarnationTracker.java
@@ -121,9 +121,8 @@
 
   /**
    * Whether it may be told that a job has not ended, or was never accepted, as the store alone said
-   * it before this call. Contents that were put back are of the same incarnation, and this
-   * controller may have seen no later revision; but the leader has. It tells of a loss if it is
-   * heard, else its next heartbeat in the store shows that there was none.
+   * it before this call. This controller may have seen no later revision than contents that were
+   * put back show; the leader has, and is heard, or shows by its next heartbeat in the store.
    */
   public Future<Boolean> mayTellUnendedFromStore() {
     Future<Boolean> proven =
