--- a/src/main/java/io/embernotch/state/JobKnowledge.java
+++ b/src/main/java/io/embernotch/state/JobKnowledge.java
@@ -1,8 +1,6 @@
 package io.embernotch.state;
 
-/**
- * What a leader knows of a job, given its id; no state but {@link #NOT_SEEN} may be taken for new.
- */
+/** What a leader knows of a job, given its id; {@link ClusterState#isNew} says what is new. */
 public enum JobKnowledge {
   /** The job has something open or unwritten, or has not ended. */
   LIVE,
