Failing tests: news of a loss that is over cause another restore

Controllers that hear of a loss tell of it by an epoch that is raised over the one they heard (IncarnationKnowledge.recordLoss after observeEpoch).

--- /dev/null
+++ b/src/test/java/io/embernotch/incarnation/LossNewsTest.java
@@ -0,0 +1,156 @@
+package io.embernotch.incarnation;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.embernotch.codec.Json;
+import io.embernotch.testkit.ControllerNode;
+import io.embernotch.testkit.SimulatedCluster;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * A loss is over once an incarnation has begun: controllers that still tell of it, since the store
+ * does not answer them, cause no other one.
+ */
+class LossNewsTest {
+  private final LossScenario scenario = new LossScenario();
+  private final SimulatedCluster cluster = scenario.cluster;
+  private final ControllerNode leader = scenario.leader;
+  private final ControllerNode first = cluster.otherNode(leader);
+  private final ControllerNode second = scenario.third(leader, first);
+
+  @BeforeEach
+  void jobsRun() {
+    scenario.accept(first, "j-1", "array", 2);
+    scenario.accept(leader, "j-2", "standing", 2);
+    scenario.letTasksStart();
+  }
+
+  private JsonNode overview(ControllerNode node) {
+    return Json.parseObject(cluster.await(node.controller.overview()).body());
+  }
+
+  private String incarnationOf(ControllerNode node) {
+    return overview(node).get("era").asText();
+  }
+
+  private void othersHaveNoStore(boolean unavailable) {
+    first.storeUnavailable = unavailable;
+    second.storeUnavailable = unavailable;
+  }
+
+  /** The leader has begun an incarnation, and the others have not seen it. */
+  private String verifyOnlyTheLeaderHasBegunOne(String before) {
+    String begun = incarnationOf(leader);
+    assertThat(begun).isNotEqualTo(before);
+    assertThat(incarnationOf(first)).isEqualTo(before);
+    assertThat(overview(first).get("losses").asInt()).isEqualTo(1);
+    assertThat(overview(second).get("losses").asInt()).isEqualTo(1);
+    return begun;
+  }
+
+  private void verifyAllAreIn(String incarnation) {
+    for (ControllerNode node : cluster.nodes) {
+      JsonNode overview = overview(node);
+      assertThat(overview.get("era").asText()).as("era of %s", node.index).isEqualTo(incarnation);
+      assertThat(overview.get("sound").asBoolean()).as("sound at %s", node.index).isTrue();
+      assertThat(overview.get("losses").asInt()).as("losses at %s", node.index).isEqualTo(1);
+    }
+    assertThat(cluster.leader()).isSameAs(leader);
+    scenario.verifyAllToldHolds();
+  }
+
+  /** Guards against a loss that two controllers go on telling each other after it is over. */
+  @Test
+  void controllersThatTheStoreAnswersLateTakeTheNewIncarnationOver() {
+    String before = incarnationOf(leader);
+    cluster.store.wipe();
+    othersHaveNoStore(true);
+    cluster.advance(8);
+    String begun = verifyOnlyTheLeaderHasBegunOne(before);
+    cluster.advance(12);
+    othersHaveNoStore(false);
+    cluster.advance(20);
+    verifyAllAreIn(begun);
+  }
+
+  /** Guards against the one that is told of the loss anew by the one that is still cut off. */
+  @Test
+  void controllersThatTheStoreAnswersOneAfterTheOtherTakeTheNewIncarnationOver() {
+    String before = incarnationOf(leader);
+    cluster.store.wipe();
+    othersHaveNoStore(true);
+    cluster.advance(8);
+    String begun = verifyOnlyTheLeaderHasBegunOne(before);
+    first.storeUnavailable = false;
+    cluster.advance(15);
+    second.storeUnavailable = false;
+    cluster.advance(15);
+    verifyAllAreIn(begun);
+  }
+
+  /**
+   * Guards against a leader that hears of the loss from two that have told each other of it, after
+   * it began the incarnation without hearing either.
+   */
+  @Test
+  void aLeaderThatHearsOfTheLossAfterItsRestoreRestoresNothing() {
+    String before = incarnationOf(leader);
+    leader.peersUnreachable = true;
+    cluster.store.wipe();
+    scenario.expectPhase(first, "j-1", "status 503");
+    othersHaveNoStore(true);
+    cluster.advance(8);
+    String begun = verifyOnlyTheLeaderHasBegunOne(before);
+    leader.peersUnreachable = false;
+    cluster.advance(10);
+    assertThat(incarnationOf(leader)).isEqualTo(begun);
+    othersHaveNoStore(false);
+    cluster.advance(20);
+    verifyAllAreIn(begun);
+  }
+
+  /**
+   * Guards against the same where the store answers the others again before they hear the leader.
+   */
+  @Test
+  void whoeverHasTakenTheNewIncarnationOverIsNotToldOfTheLossAgain() {
+    String before = incarnationOf(leader);
+    leader.peersUnreachable = true;
+    cluster.store.wipe();
+    scenario.expectPhase(first, "j-1", "status 503");
+    othersHaveNoStore(true);
+    cluster.advance(8);
+    String begun = verifyOnlyTheLeaderHasBegunOne(before);
+    first.storeUnavailable = false;
+    cluster.advance(10);
+    second.storeUnavailable = false;
+    cluster.advance(10);
+    leader.peersUnreachable = false;
+    cluster.advance(20);
+    verifyAllAreIn(begun);
+  }
+
+  /** Guards against news of the loss that arrive after it is over, whoever sent them. */
+  @Test
+  void newsThatArriveLateCauseNoRestore() {
+    String before = incarnationOf(leader);
+    cluster.faults.delayFrames = true;
+    cluster.store.wipe();
+    scenario.expectPhase(second, "j-1", "status 503");
+    othersHaveNoStore(true);
+    cluster.advance(8);
+    String begun = incarnationOf(leader);
+    assertThat(begun).isNotEqualTo(before);
+    cluster.deliverDelayed();
+    cluster.faults.delayFrames = false;
+    cluster.advance(10);
+    assertThat(incarnationOf(leader)).isEqualTo(begun);
+    othersHaveNoStore(false);
+    cluster.advance(20);
+    assertThat(incarnationOf(leader)).isEqualTo(begun);
+    assertThat(overview(leader).get("losses").asInt()).isEqualTo(1);
+    scenario.verifyAllToldHolds();
+  }
+}
