Failing tests: a process started into contents that were put back makes them the present ones

Nothing in those contents names a leader, so the process claims within a second and leads; it hears of the loss only then. Seen: "the state that this node had as leader of epoch 18 is restored", with complete true, though its term began in contents that were put back (the real leader's epoch was 18 as well). The survivors take it over, since it was made from the incarnation that they knew.

Red are all cases but one; green, and a guard, is the one in which the leader itself is up.

--- /dev/null
+++ b/src/test/java/io/embernotch/incarnation/RestartIntoLossTest.java
@@ -0,0 +1,123 @@
+package io.embernotch.incarnation;
+
+import io.embernotch.testkit.ControllerNode;
+import io.embernotch.testkit.FakeStore.Snapshot;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * A process that is started into contents that were put back knows nothing. It does not make them
+ * the present ones before those that know better have noticed.
+ */
+class RestartIntoLossTest {
+  private static final String CANCELLED = "j-1";
+  private static final String DONE = "j-2";
+  private static final String ACCEPTED = "j-3";
+
+  /** Seconds in which no user's question has the survivors look into the store. */
+  private static final double UNASKED_S = 6;
+
+  private final LossScenario scenario = new LossScenario();
+  private ControllerNode leader;
+  private ControllerNode first;
+  private ControllerNode second;
+
+  /** Contents in which no leader key stands. */
+  private Snapshot withoutLeader;
+
+  @BeforeEach
+  void factsAreToldAfterAMomentWithoutLeader() {
+    scenario.accept(scenario.leader, CANCELLED, "array", 2);
+    scenario.accept(scenario.leader, DONE, "array", 2);
+    scenario.letTasksStart();
+    scenario.cluster.nodes.forEach(node -> node.storeUnavailable = true);
+    scenario.cluster.advance(5);
+    withoutLeader = scenario.cluster.store.snapshot();
+    scenario.cluster.nodes.forEach(node -> node.storeUnavailable = false);
+    leader = scenario.cluster.awaitLeader(10);
+    first = scenario.cluster.otherNode(leader);
+    second = scenario.third(leader, first);
+    scenario.accept(first, ACCEPTED, "array", 1);
+    scenario.cancel(second, CANCELLED);
+    scenario.complete(first, DONE);
+    scenario.expectPhase(second, DONE, "done");
+    scenario.expectPhase(first, CANCELLED, "cancelled");
+    scenario.cluster.advance(20);
+  }
+
+  /** Guards against a successor incarnation that is begun with contents that were put back. */
+  @ParameterizedTest
+  @ValueSource(doubles = {0.001, 0.1, 0.5, 1, 2.5})
+  void aFormerLeaderThatIsStartedAnewDoesNotReplaceWhatTheOthersKnow(double startedAfterS) {
+    leader.kill();
+    scenario.cluster.store.restore(withoutLeader, false);
+    scenario.cluster.time.advance(startedAfterS);
+    leader.start();
+    scenario.cluster.advance(UNASKED_S);
+    scenario.verifyAllToldHolds();
+  }
+
+  /** Guards against a leader in contents that were put back, which hears of the loss afterwards. */
+  @Test
+  void aProcessThatLeadsBeforeItHearsTheOthersIsNotRestored() {
+    leader.kill();
+    scenario.cluster.store.restore(withoutLeader, false);
+    leader.start();
+    leader.peersUnreachable = true;
+    scenario.cluster.advance(2);
+    leader.peersUnreachable = false;
+    scenario.verifyAllToldHolds();
+  }
+
+  /**
+   * Guards against a process that hears of an epoch which the contents have not reached, and begins
+   * an incarnation above it with these contents.
+   */
+  @Test
+  void aProcessThatHearsOfAHigherEpochDoesNotRaiseTheContentsAboveIt() {
+    leader.kill();
+    scenario.cluster.store.restore(withoutLeader, false);
+    leader.storeUnavailable = true;
+    leader.start();
+    scenario.cluster.advance(1.5);
+    leader.storeUnavailable = false;
+    scenario.cluster.advance(UNASKED_S);
+    scenario.verifyAllToldHolds();
+  }
+
+  /** Guards against the same where one controller alone is left that knows. */
+  @Test
+  void oneSurvivorIsEnough() {
+    second.kill();
+    scenario.cluster.advance(10);
+    leader.kill();
+    scenario.cluster.store.restore(withoutLeader, false);
+    second.start();
+    scenario.cluster.advance(UNASKED_S);
+    scenario.verifyAllToldHolds();
+  }
+
+  /** Guards against a process that claims what a living leader has not noticed to be lost. */
+  @Test
+  void aProcessThatClaimsBeforeTheLeaderNoticesIsNotRestored() {
+    second.kill();
+    scenario.cluster.advance(10);
+    scenario.cluster.store.restore(withoutLeader, false);
+    second.start();
+    scenario.cluster.advance(UNASKED_S);
+    scenario.verifyAllToldHolds();
+  }
+
+  /** Guards against a process that waits, and claims once the survivors restore. */
+  @Test
+  void aProcessThatIsStartedDuringTheRestoreTakesItsIncarnationOver() {
+    leader.kill();
+    scenario.cluster.store.restore(withoutLeader, false);
+    scenario.expectPhase(first, ACCEPTED, "status 503");
+    scenario.cluster.advance(5);
+    leader.start();
+    scenario.verifyAllToldHolds();
+  }
+}
