--- /dev/null
+++ b/src/test/java/io/embernotch/incarnation/SecondLossTest.java
@@ -0,0 +1,85 @@
+package io.embernotch.incarnation;
+
+import io.embernotch.testkit.ControllerNode;
+import io.embernotch.testkit.FakeStore.Snapshot;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * The store is put back, and during the restore or soon after it its contents change once more:
+ * forward again, or back further. What was told before either holds.
+ */
+class SecondLossTest {
+  private static final String CANCELLED = "j-1";
+  private static final String DONE = "j-2";
+  private static final String ACCEPTED = "j-3";
+
+  private final LossScenario scenario = new LossScenario();
+  private final ControllerNode leader = scenario.leader;
+  private final ControllerNode first = scenario.cluster.otherNode(leader);
+  private final ControllerNode second = scenario.third(leader, first);
+  private Snapshot older;
+  private Snapshot newer;
+
+  @BeforeEach
+  void factsAreTold() {
+    scenario.accept(leader, CANCELLED, "array", 2);
+    scenario.accept(first, DONE, "array", 2);
+    scenario.letTasksStart();
+    older = scenario.rememberContents();
+    scenario.cluster.advance(2);
+    scenario.accept(leader, ACCEPTED, "array", 1);
+    scenario.cancel(leader, CANCELLED);
+    scenario.complete(leader, DONE);
+    scenario.cluster.advance(10);
+    newer = scenario.rememberContents();
+  }
+
+  /** Guards against contents that come back and are newer than a restore without a leader. */
+  @ParameterizedTest
+  @ValueSource(doubles = {0.3, 3, 9.9, 10.01, 10.02, 10.05, 10.1, 10.3, 11, 12, 14, 16})
+  void withoutTheLeaderContentsThatComeBackCount(double secondsBetween) {
+    leader.kill();
+    scenario.cluster.store.restore(older, false);
+    scenario.expectPhase(first, "j-9", "status 503");
+    scenario.cluster.advance(secondsBetween);
+    scenario.cluster.store.restore(newer, false);
+    scenario.verifyAllToldHolds();
+  }
+
+  /** Guards against two losses that come upon a leader during its restore. */
+  @ParameterizedTest
+  @ValueSource(doubles = {0.05, 0.1, 0.3, 0.35, 0.4, 0.5, 0.7, 1, 1.05, 1.1, 1.5, 3})
+  void withTheLeaderContentsThatComeBackCount(double secondsBetween) {
+    scenario.cluster.store.restore(older, true);
+    scenario.cluster.time.advance(secondsBetween);
+    scenario.cluster.store.restore(newer, false);
+    scenario.verifyAllToldHolds();
+  }
+
+  /** Guards against a leader that ends after the second of two losses. */
+  @ParameterizedTest
+  @ValueSource(doubles = {0.05, 0.5, 1, 1.5, 3})
+  void withALeaderThatEndsAfterTheSecondLossNothingIsTakenBack(double secondsBetween) {
+    scenario.cluster.store.restore(newer, true);
+    scenario.cluster.time.advance(secondsBetween);
+    scenario.cluster.store.restore(older, false);
+    scenario.cluster.time.advance(0.2);
+    leader.kill();
+    scenario.verifyAllToldHolds();
+  }
+
+  /** Guards against a survivor that restores and ends, at any step. */
+  @ParameterizedTest
+  @ValueSource(doubles = {0.3, 1, 3, 9.9, 10.01, 10.03, 10.1, 10.5, 11, 12, 14})
+  void theOtherSurvivorGoesOnWhereOneEndsDuringTheRestore(double secondsAfter) {
+    leader.kill();
+    scenario.cluster.store.restore(older, false);
+    scenario.expectPhase(second, "j-9", "status 503");
+    scenario.cluster.advance(secondsAfter);
+    ControllerNode restoring = scenario.cluster.leader();
+    (restoring == null ? first : restoring).kill();
+    scenario.verifyAllToldHolds();
+  }
+}
