Failing tests: what a paused controller told is denied after others have restored the store

All 14 cases are red: a leader or a follower that was paused at the loss takes over the incarnation that the others began meanwhile, as it was made from the one it knew, and drops what it knows and they do not. Facts that both others could have known are denied as well, as in LostLeaderTest.

--- /dev/null
+++ b/src/test/java/io/embernotch/incarnation/PausedControllerTest.java
@@ -0,0 +1,131 @@
+package io.embernotch.incarnation;
+
+import io.embernotch.testkit.ControllerNode;
+import io.embernotch.testkit.FakeStore.Snapshot;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * A controller that told users more than anybody else knows is paused as the data is lost, and goes
+ * on after others have begun an incarnation. What it told holds still.
+ */
+class PausedControllerTest {
+  private static final String CANCELLED = "j-1";
+  private static final String DONE = "j-2";
+  private static final String ACCEPTED = "j-3";
+
+  private final LossScenario scenario = new LossScenario();
+  private final ControllerNode leader = scenario.leader;
+  private final ControllerNode first = scenario.cluster.otherNode(leader);
+  private final ControllerNode second = scenario.third(leader, first);
+  private Snapshot before;
+
+  @BeforeEach
+  void jobsRun() {
+    scenario.accept(leader, CANCELLED, "array", 2);
+    scenario.accept(first, DONE, "array", 2);
+    scenario.letTasksStart();
+    before = scenario.rememberContents();
+    scenario.cluster.advance(2);
+  }
+
+  private void pause(ControllerNode node) {
+    scenario.cutOff(node);
+    node.storeUnresponsive = true;
+    node.workersUnreachable = true;
+  }
+
+  private void resume(ControllerNode node) {
+    scenario.reconnect(node);
+    node.storeUnresponsive = false;
+    node.workersUnreachable = false;
+  }
+
+  private void factsAreToldByTheLeader() {
+    scenario.accept(leader, ACCEPTED, "array", 1);
+    scenario.cancel(leader, CANCELLED);
+    scenario.complete(leader, DONE);
+  }
+
+  /** Guards against a leader that told what the others could read from the store only. */
+  @ParameterizedTest
+  @ValueSource(doubles = {0.001, 10})
+  void whatALeaderToldWhileItDidNotHearTheOthersHolds(double toldBeforeS) {
+    leader.peersUnreachable = true;
+    scenario.cluster.advance(5);
+    factsAreToldByTheLeader();
+    scenario.cluster.time.advance(toldBeforeS);
+    pause(leader);
+    scenario.cluster.store.restore(before, false);
+    scenario.advanceWithPolls(30);
+    resume(leader);
+    scenario.verifyAllToldHolds();
+  }
+
+  /** Guards against a leader that adopts an incarnation which lacks what it alone knows. */
+  @Test
+  void whatAPausedLeaderKnowsIsMergedWhereTheOthersWereStartedAfterTheLoss() {
+    factsAreToldByTheLeader();
+    scenario.cluster.advance(10);
+    pause(leader);
+    first.kill();
+    second.kill();
+    scenario.cluster.store.restore(before, false);
+    scenario.cluster.advance(1);
+    first.start();
+    second.start();
+    scenario.cluster.advance(30);
+    resume(leader);
+    scenario.verifyAllToldHolds();
+  }
+
+  /** Guards against a follower that adopts an incarnation which lacks what it alone knows. */
+  @Test
+  void whatAPausedFollowerKnowsIsMergedWhereTheOthersWereStartedAfterTheLoss() {
+    factsAreToldByTheLeader();
+    scenario.expectPhase(first, CANCELLED, "cancelled");
+    scenario.expectPhase(first, DONE, "done");
+    scenario.cluster.advance(10);
+    pause(first);
+    leader.kill();
+    second.kill();
+    scenario.cluster.store.restore(before, false);
+    scenario.cluster.advance(1);
+    leader.start();
+    second.start();
+    scenario.cluster.advance(30);
+    resume(first);
+    scenario.verifyAllToldHolds();
+  }
+
+  /** Guards against a second restore by a leader that wakes up after the others' one. */
+  @Test
+  void aLeaderThatWakesUpTakesTheOthersIncarnationOver() {
+    factsAreToldByTheLeader();
+    scenario.cluster.advance(10);
+    pause(leader);
+    scenario.cluster.advance(0.5);
+    scenario.cluster.store.restore(before, false);
+    scenario.advanceWithPolls(30);
+    scenario.accept(second, "j-4", "array", 1);
+    scenario.cluster.advance(5);
+    resume(leader);
+    scenario.verifyAllToldHolds();
+  }
+
+  /** Guards against two that restore at once, the leader's restore being the slower one. */
+  @ParameterizedTest
+  @ValueSource(doubles = {9.8, 10, 10.02, 10.05, 10.2, 10.6, 11, 12, 13})
+  void aLeaderThatWakesUpDuringTheOthersRestoreTakesNothingBack(double pausedForS) {
+    factsAreToldByTheLeader();
+    scenario.cluster.advance(10);
+    pause(leader);
+    scenario.cluster.store.restore(before, false);
+    scenario.expectPhase(first, "j-9", "status 503");
+    scenario.cluster.advance(pausedForS);
+    resume(leader);
+    scenario.verifyAllToldHolds();
+  }
+}
