Frames between replicas, reading page by page, and a listener of commits

Needed by replicas of the store in each controller: frames for committed changes, their acknowledgement and questions about what is known after a loss; a reader that passes pages on instead of holding all of a prefix; a listener that is told of each applied transaction before its sender is.

The former version drops a connection on a frame that it does not know. So a peer heartbeat tells whether its sender takes them, in the byte that tells whether the store answers it: the former version reads any value but 0 as "it does" (FormerVersionTest, unchanged, pins the bytes). No behaviour changes yet.

--- a/src/main/java/io/embernotch/peer/Frame.java
+++ b/src/main/java/io/embernotch/peer/Frame.java
@@ -15,10 +15,57 @@
    * @param leaderEpoch epoch of that leader; while data is lost, an epoch that the store cannot
    *     reach, which tells the others so
    * @param storeReachable whether the store answers the sender
+   * @param replicates whether the sender takes {@link StateUpdate} and {@link KnowledgeRequest};
+   *     not told while the store does not answer it
    */
-  record PeerHeartbeat(String node, String leader, long leaderEpoch, boolean storeReachable)
+  record PeerHeartbeat(
+      String node, String leader, long leaderEpoch, boolean storeReachable, boolean replicates)
+      implements Frame {
+    /** A heartbeat as the version before replication sends it. */
+    public PeerHeartbeat(String node, String leader, long leaderEpoch, boolean storeReachable) {
+      this(node, leader, leaderEpoch, storeReachable, false);
+    }
+  }
+
+  /**
+   * Changes of the store that the sender has committed, for the receiver's replica. Like {@link
+   * KnowledgeRequest} it may only be sent to a controller whose heartbeat says that it replicates:
+   * the former version drops the connection.
+   *
+   * @param id number of the update, which its {@link StateUpdateAck} repeats
+   * @param incarnation name of the store incarnation that it belongs to
+   * @param revision revision at which all the entries were written
+   * @param entries what was written
+   */
+  record StateUpdate(long id, String incarnation, long revision, List<StateEntry> entries)
       implements Frame {}
 
+  /**
+   * A key of the store and its value.
+   *
+   * @param value JSON of the value
+   */
+  @SuppressWarnings("ArrayRecordComponent") // The bytes are passed on and never compared.
+  record StateEntry(String key, byte[] value) {}
+
+  /**
+   * The receiver of a {@link StateUpdate} holds its entries.
+   *
+   * @param id number of the update
+   */
+  record StateUpdateAck(long id) implements Frame {}
+
+  /**
+   * Asks for a part of what the receiver knows of the contents that the store has lost. Its {@link
+   * Response} holds it, or status 409 if no data is lost as far as the receiver knows.
+   *
+   * @param id number of the request, which its response repeats
+   * @param node name of the sender
+   * @param lossEpoch the epoch by which the sender tells of the loss
+   * @param part number of the part, from 0
+   */
+  record KnowledgeRequest(long id, String node, long lossEpoch, int part) implements Frame {}
+
   /**
    * Announces to the leader that a job was accepted.
    *
--- a/src/main/java/io/embernotch/peer/FrameCodec.java
+++ b/src/main/java/io/embernotch/peer/FrameCodec.java
@@ -23,6 +23,15 @@
   /** Most entries of a list, and the length that stands for a null string. */
   static final int MAX_COUNT = 0xFFFF;
 
+  /** In a peer heartbeat: the store does not answer the sender. */
+  static final byte STORE_UNREACHABLE = 0;
+
+  /** In a peer heartbeat: the store answers the sender. */
+  static final byte STORE_REACHABLE = 1;
+
+  /** In a peer heartbeat: the store answers the sender, which takes the frames of replication. */
+  static final byte STORE_REACHABLE_AND_REPLICATES = 2;
+
   private static final int FIRST_BUFFER_BYTES = 512;
   private static final int BUFFER_GROWTH = 4;
 
--- a/src/main/java/io/embernotch/peer/FrameDecoder.java
+++ b/src/main/java/io/embernotch/peer/FrameDecoder.java
@@ -52,12 +52,37 @@
       case FrameKind.IMAGE_INVENTORY_UPDATE -> imageInventoryUpdate();
       case FrameKind.MACHINE_VIEW_REMOVAL -> machineViewRemoval();
       case FrameKind.RESTART_PROPOSALS -> restartProposals();
+      case FrameKind.STATE_UPDATE -> stateUpdate();
+      case FrameKind.STATE_UPDATE_ACK -> new Frame.StateUpdateAck(buffer.getLong());
+      case FrameKind.KNOWLEDGE_REQUEST -> knowledgeRequest();
       default -> throw new MalformedInputException("frame kind " + kind);
     };
   }
 
   private Frame peerHeartbeat() {
-    return new Frame.PeerHeartbeat(text(), text(), buffer.getLong(), flag());
+    String node = text();
+    String leader = text();
+    long leaderEpoch = buffer.getLong();
+    byte store = buffer.get();
+    return new Frame.PeerHeartbeat(
+        node,
+        leader,
+        leaderEpoch,
+        store != FrameCodec.STORE_UNREACHABLE,
+        store == FrameCodec.STORE_REACHABLE_AND_REPLICATES);
+  }
+
+  private Frame stateUpdate() {
+    return new Frame.StateUpdate(
+        buffer.getLong(), text(), buffer.getLong(), list(this::stateEntry));
+  }
+
+  private Frame.StateEntry stateEntry() {
+    return new Frame.StateEntry(text(), blob());
+  }
+
+  private Frame knowledgeRequest() {
+    return new Frame.KnowledgeRequest(buffer.getLong(), text(), buffer.getLong(), buffer.getInt());
   }
 
   private Frame jobAccepted() {
--- a/src/main/java/io/embernotch/peer/FrameEncoder.java
+++ b/src/main/java/io/embernotch/peer/FrameEncoder.java
@@ -51,6 +51,12 @@
       putMachineViewRemoval(removal);
     } else if (frame instanceof Frame.RestartProposals proposals) {
       putRestartProposals(proposals);
+    } else if (frame instanceof Frame.StateUpdate update) {
+      putStateUpdate(update);
+    } else if (frame instanceof Frame.StateUpdateAck ack) {
+      putStateUpdateAck(ack);
+    } else if (frame instanceof Frame.KnowledgeRequest request) {
+      putKnowledgeRequest(request);
     }
   }
 
@@ -59,7 +65,42 @@
     putText(heartbeat.node());
     putText(heartbeat.leader());
     buffer.putLong(heartbeat.leaderEpoch());
-    putFlag(heartbeat.storeReachable());
+    buffer.put(storeState(heartbeat));
+  }
+
+  /** The former version reads any byte but 0 as "the store answers". */
+  private static byte storeState(Frame.PeerHeartbeat heartbeat) {
+    if (!heartbeat.storeReachable()) {
+      return FrameCodec.STORE_UNREACHABLE;
+    }
+    return heartbeat.replicates()
+        ? FrameCodec.STORE_REACHABLE_AND_REPLICATES
+        : FrameCodec.STORE_REACHABLE;
+  }
+
+  private void putStateUpdate(Frame.StateUpdate update) {
+    buffer.put(FrameKind.STATE_UPDATE);
+    buffer.putLong(update.id());
+    putText(update.incarnation());
+    buffer.putLong(update.revision());
+    putCount(update.entries());
+    for (Frame.StateEntry entry : update.entries()) {
+      putText(entry.key());
+      putBlob(entry.value());
+    }
+  }
+
+  private void putStateUpdateAck(Frame.StateUpdateAck ack) {
+    buffer.put(FrameKind.STATE_UPDATE_ACK);
+    buffer.putLong(ack.id());
+  }
+
+  private void putKnowledgeRequest(Frame.KnowledgeRequest request) {
+    buffer.put(FrameKind.KNOWLEDGE_REQUEST);
+    buffer.putLong(request.id());
+    putText(request.node());
+    buffer.putLong(request.lossEpoch());
+    buffer.putInt(request.part());
   }
 
   private void putJobAccepted(Frame.JobAccepted accepted) {
--- a/src/main/java/io/embernotch/peer/FrameKind.java
+++ b/src/main/java/io/embernotch/peer/FrameKind.java
@@ -38,5 +38,14 @@
   /** {@link Frame.DelegateHeartbeatAck}. */
   static final byte DELEGATE_HEARTBEAT_ACK = 12;
 
+  /** {@link Frame.StateUpdate}. */
+  static final byte STATE_UPDATE = 13;
+
+  /** {@link Frame.StateUpdateAck}. */
+  static final byte STATE_UPDATE_ACK = 14;
+
+  /** {@link Frame.KnowledgeRequest}. */
+  static final byte KNOWLEDGE_REQUEST = 15;
+
   private FrameKind() {}
 }
--- a/src/main/java/io/embernotch/snapshot/BaseSnapshot.java
+++ b/src/main/java/io/embernotch/snapshot/BaseSnapshot.java
@@ -29,6 +29,8 @@
       new BaseSnapshot(ClusterSnapshot.newBuilder().setComplete(true).build(), 0);
 
   private final boolean complete;
+  private final boolean jobsMissing;
+  private final long madeMs;
   private final long since;
 
   /** Serialized: jobs that nobody asks for are never parsed. */
@@ -42,6 +44,8 @@
    */
   public BaseSnapshot(ClusterSnapshot snapshot, long since) {
     this.complete = snapshot.getComplete();
+    this.jobsMissing = snapshot.getJobsMissing();
+    this.madeMs = snapshot.getWallMs();
     this.since = since;
     for (JobSnapshot job : snapshot.getJobList()) {
       jobs.put(job.getRef(), job.toByteArray());
@@ -60,6 +64,16 @@
     return complete;
   }
 
+  /** Whether jobs may have been accepted before that nothing of this incarnation holds. */
+  public boolean jobsMissing() {
+    return jobsMissing;
+  }
+
+  /** The time of day at which it was made, in milliseconds. */
+  public long madeMs() {
+    return madeMs;
+  }
+
   /**
    * Keys of this modification revision or a lower one are older than the snapshot; 0 if there is
    * none.
--- /dev/null
+++ b/src/main/java/io/embernotch/snapshot/DeflatedParts.java
@@ -0,0 +1,94 @@
+package io.embernotch.snapshot;
+
+import io.embernotch.codec.MalformedInputException;
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.zip.CRC32;
+import java.util.zip.DataFormatException;
+import java.util.zip.Deflater;
+import java.util.zip.Inflater;
+
+/**
+ * Bytes, compressed and split into parts.
+ *
+ * @param parts the parts in their order
+ * @param crc checksum over all parts in their order
+ */
+public record DeflatedParts(List<byte[]> parts, long crc) {
+  private static final int BUFFER_BYTES = 4096;
+
+  /**
+   * Compresses and splits bytes.
+   *
+   * @param partBytes most bytes of a part
+   */
+  public static DeflatedParts of(byte[] bytes, int partBytes) {
+    byte[] deflated = deflate(bytes);
+    List<byte[]> parts = new ArrayList<>();
+    for (int from = 0; from < deflated.length; from += partBytes) {
+      parts.add(Arrays.copyOfRange(deflated, from, Math.min(deflated.length, from + partBytes)));
+    }
+    return new DeflatedParts(parts, sum(deflated));
+  }
+
+  /** The checksum of bytes. */
+  static long sum(byte[] bytes) {
+    CRC32 crc = new CRC32();
+    crc.update(bytes);
+    return crc.getValue();
+  }
+
+  /**
+   * The bytes as they were before.
+   *
+   * @throws MalformedInputException if a part is missing or damaged
+   */
+  public byte[] bytes() {
+    ByteArrayOutputStream all = new ByteArrayOutputStream();
+    parts.forEach(part -> all.write(part, 0, part.length));
+    byte[] deflated = all.toByteArray();
+    if (sum(deflated) != crc) {
+      throw new MalformedInputException(
+          "the checksum over all " + parts.size() + " blocks is wrong");
+    }
+    try {
+      return inflate(deflated);
+    } catch (DataFormatException e) {
+      throw new MalformedInputException("unreadable copy: " + e.getMessage());
+    }
+  }
+
+  private static byte[] deflate(byte[] bytes) {
+    Deflater deflater = new Deflater(Deflater.BEST_SPEED);
+    ByteArrayOutputStream packed = new ByteArrayOutputStream();
+    byte[] buffer = new byte[BUFFER_BYTES];
+    deflater.setInput(bytes);
+    deflater.finish();
+    while (!deflater.finished()) {
+      packed.write(buffer, 0, deflater.deflate(buffer));
+    }
+    deflater.end();
+    return packed.toByteArray();
+  }
+
+  private static byte[] inflate(byte[] packed) throws DataFormatException {
+    Inflater inflater = new Inflater();
+    try {
+      inflater.setInput(packed);
+      ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+      byte[] buffer = new byte[BUFFER_BYTES];
+      while (!inflater.finished()) {
+        int count = inflater.inflate(buffer);
+        if (count == 0 && inflater.needsInput()) {
+          throw new DataFormatException("it ends too early");
+        }
+        bytes.write(buffer, 0, count);
+      }
+      return bytes.toByteArray();
+    } finally {
+      inflater.end();
+    }
+  }
+}
--- a/src/main/java/io/embernotch/snapshot/SnapshotMerge.java
+++ b/src/main/java/io/embernotch/snapshot/SnapshotMerge.java
@@ -12,8 +12,10 @@
 import io.embernotch.snapshot.proto.SnapshotProto.SharedStateEntry;
 import java.util.BitSet;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.BinaryOperator;
 
@@ -40,14 +42,54 @@
   public static ClusterSnapshot of(ClusterSnapshot a, ClusterSnapshot b) {
     List<ClusterSnapshot> both = List.of(a, b);
     Map<String, EndedJobSnapshot> ended = endedJobs(both);
-    return ClusterSnapshot.newBuilder()
-        .setEpoch(Math.max(a.getEpoch(), b.getEpoch()))
-        .setWallMs(Math.max(a.getWallMs(), b.getWallMs()))
-        .setComplete(a.getComplete() && b.getComplete())
-        .addAllShared(shared(both).values())
-        .addAllJob(jobs(both, ended).values())
-        .addAllEnded(ended.values())
-        .build();
+    ClusterSnapshot.Builder merged =
+        ClusterSnapshot.newBuilder()
+            .setEpoch(Math.max(a.getEpoch(), b.getEpoch()))
+            .setWallMs(Math.max(a.getWallMs(), b.getWallMs()))
+            .setComplete(a.getComplete() && b.getComplete())
+            .addAllShared(shared(both).values())
+            .addAllJob(jobs(both, ended).values())
+            .addAllEnded(ended.values());
+    if (a.getJobsMissing() || b.getJobsMissing()) {
+      merged.setJobsMissing(true);
+    }
+    return merged.build();
+  }
+
+  /**
+   * A snapshot that is the newest in all that it holds, with the jobs of another one that it lacks:
+   * those that were accepted and not made known to whoever it is from.
+   */
+  public static ClusterSnapshot supplemented(ClusterSnapshot newest, ClusterSnapshot other) {
+    Set<String> known = new HashSet<>();
+    newest.getJobList().forEach(job -> known.add(job.getRef()));
+    newest.getEndedList().forEach(job -> known.add(job.getRef()));
+    ClusterSnapshot.Builder supplemented = newest.toBuilder();
+    other.getJobList().stream()
+        .filter(job -> !known.contains(job.getRef()))
+        .forEach(supplemented::addJob);
+    other.getEndedList().stream()
+        .filter(job -> !known.contains(job.getRef()))
+        .forEach(supplemented::addEnded);
+    return supplemented.build();
+  }
+
+  /**
+   * A snapshot with further ends of jobs, that users may have been told. Of a job that it holds the
+   * open attempts stay, since nothing proves that they are gone.
+   */
+  public static ClusterSnapshot withEnds(ClusterSnapshot snapshot, List<EndedJobSnapshot> ends) {
+    Map<String, EndedJobSnapshot> unknown = new TreeMap<>();
+    ends.forEach(end -> unknown.put(end.getRef(), end));
+    snapshot.getEndedList().forEach(end -> unknown.remove(end.getRef()));
+    ClusterSnapshot.Builder merged = snapshot.toBuilder();
+    for (JobSnapshot.Builder job : merged.getJobBuilderList()) {
+      EndedJobSnapshot end = unknown.remove(job.getRef());
+      if (end != null && !job.hasEnd()) {
+        job.setEnd(end.getEnd()).setEndedMs(end.getAtMs());
+      }
+    }
+    return merged.addAllEnded(unknown.values()).build();
   }
 
   private static Map<String, EndedJobSnapshot> endedJobs(List<ClusterSnapshot> snapshots) {
--- a/src/main/java/io/embernotch/snapshot/StateSnapshot.java
+++ b/src/main/java/io/embernotch/snapshot/StateSnapshot.java
@@ -6,6 +6,7 @@
 import io.embernotch.codec.Json;
 import io.embernotch.model.Job;
 import io.embernotch.snapshot.proto.SnapshotProto.ClusterSnapshot;
+import io.embernotch.snapshot.proto.SnapshotProto.EndedJobSnapshot;
 import io.embernotch.snapshot.proto.SnapshotProto.SharedStateEntry;
 import io.embernotch.state.ClusterState;
 import io.embernotch.store.VersionedEntry;
@@ -15,6 +16,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.ToIntFunction;
 import org.slf4j.Logger;
@@ -75,6 +77,30 @@
     return snapshot.build();
   }
 
+  /** The snapshot of a job of which only its end is left. */
+  public static EndedJobSnapshot endedJob(String ref, ClusterState.EndedJob endedJob) {
+    return JobSnapshots.writeEnded(ref, endedJob);
+  }
+
+  /**
+   * The end of one job, from all its entries in the store; empty if it has not ended, has open
+   * attempts, or its entries can't be read.
+   */
+  public static Optional<ClusterState.EndedJob> endOf(
+      List<VersionedEntry> submissions,
+      List<VersionedEntry> shards,
+      List<VersionedEntry> refinedShards) {
+    StoredJobs stored = new StoredJobs();
+    submissions.forEach(entry -> read(entry, stored::readJob));
+    shards.forEach(entry -> read(entry, stored::readShard));
+    refinedShards.forEach(entry -> read(entry, stored::readRefinedShard));
+    stored.applyRefinedShards();
+    return stored.jobs.values().stream()
+        .filter(job -> job.finalPhase != null && job.openAttempts.isEmpty())
+        .map(ClusterState.EndedJob::of)
+        .findFirst();
+  }
+
   private static SharedStateEntry sharedEntry(String name, ObjectNode value) {
     return SharedStateEntry.newBuilder()
         .setName(name)
--- a/src/main/java/io/embernotch/store/EntryReader.java
+++ b/src/main/java/io/embernotch/store/EntryReader.java
@@ -5,6 +5,7 @@
 import io.vertx.core.Future;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -73,16 +74,29 @@
 
   /** All entries under a prefix, with the revision of the first page. */
   Future<WatchEvents> list(String prefix) {
-    return listAfter(prefix, null, new ArrayList<>(), NO_REVISION);
+    List<VersionedEntry> entries = new ArrayList<>();
+    return forEachPage(prefix, RequestPriority.HIGH, entries::addAll)
+        .map(revision -> new WatchEvents(revision, entries));
   }
 
   /**
-   * Reads the pages after the key {@code after}, or all if it is null, and adds them to {@code
-   * entries}.
+   * Passes all entries under a prefix to {@code sink}, page by page.
+   *
+   * @return the revision of the first page
    */
-  private Future<WatchEvents> listAfter(
-      String prefix, String after, List<VersionedEntry> entries, long firstRevision) {
-    return page(StoreProtocol.listPath(prefix, after, PAGE_SIZE), TRIES_PER_PAGE)
+  Future<Long> forEachPage(
+      String prefix, RequestPriority priority, Consumer<List<VersionedEntry>> sink) {
+    return pagesAfter(prefix, null, priority, sink, NO_REVISION);
+  }
+
+  /** Reads the pages after the key {@code after}, or all if it is null. */
+  private Future<Long> pagesAfter(
+      String prefix,
+      String after,
+      RequestPriority priority,
+      Consumer<List<VersionedEntry>> sink,
+      long firstRevision) {
+    return page(StoreProtocol.listPath(prefix, after, PAGE_SIZE), priority, TRIES_PER_PAGE)
         .compose(
             reply ->
                 reply.status() == StatusCodes.OK
@@ -90,21 +104,23 @@
                     : reply.unexpected())
         .compose(
             page -> {
-              entries.addAll(StoreProtocol.readPage(page));
+              List<VersionedEntry> entries = StoreProtocol.readPage(page);
+              sink.accept(entries);
               long revision = firstRevision >= 0 ? firstRevision : StoreProtocol.readRevision(page);
               if (StoreProtocol.isTruncated(page) && !entries.isEmpty()) {
                 String last = entries.get(entries.size() - 1).key();
-                return listAfter(prefix, last, entries, revision);
+                return pagesAfter(prefix, last, priority, sink, revision);
               }
-              return Future.succeededFuture(new WatchEvents(revision, entries));
+              return Future.succeededFuture(revision);
             });
   }
 
   /** A page that fails is asked for again, so that the pages before it are not read anew. */
-  private Future<StoreReply> page(String path, int triesLeft) {
+  private Future<StoreReply> page(String path, RequestPriority priority, int triesLeft) {
     return transport
-        .send(StoreRequest.get(path, RequestPriority.HIGH), timeoutS * PAGE_TIMEOUT_FACTOR)
+        .send(StoreRequest.get(path, priority), timeoutS * PAGE_TIMEOUT_FACTOR)
         .recover(
-            failure -> triesLeft > 1 ? page(path, triesLeft - 1) : Future.failedFuture(failure));
+            failure ->
+                triesLeft > 1 ? page(path, priority, triesLeft - 1) : Future.failedFuture(failure));
   }
 }
--- a/src/main/java/io/embernotch/store/StoreClient.java
+++ b/src/main/java/io/embernotch/store/StoreClient.java
@@ -6,6 +6,8 @@
 import io.embernotch.settings.Settings;
 import io.embernotch.store.RateLimiter.RequestPriority;
 import io.vertx.core.Future;
+import java.util.List;
+import java.util.function.Consumer;
 
 /**
  * The store as the rest of the process sees it: reads, watches, transactions and leases, all within
@@ -25,6 +27,16 @@
     void fenceFailed();
   }
 
+  /** Is told of each transaction of this controller that the store has applied. */
+  @FunctionalInterface
+  public interface CommitListener {
+    /**
+     * A transaction was applied at this revision. Whoever sent it learns of that only once the
+     * future that is returned has completed; it must not fail.
+     */
+    Future<Void> committed(Transaction transaction, long revision);
+  }
+
   private final IncarnationGuard guard = new IncarnationGuard();
   private final IncarnationValidator validator = new IncarnationValidator(guard);
   private final StoreRateLimits limits;
@@ -58,6 +70,11 @@
     validator.setLossListener(listener);
   }
 
+  /** Replaces the listener of commits, of which there is one at most. */
+  public void setCommitListener(CommitListener listener) {
+    transactions.setCommitListener(listener);
+  }
+
   /**
    * Every transaction conditions on this key from now on, unless it is {@linkplain
    * Transaction#unfenced unfenced}.
@@ -109,6 +126,15 @@
     return entries.list(prefix);
   }
 
+  /**
+   * Passes everything under a prefix to {@code sink}, page by page, in the background.
+   *
+   * @return the revision of the first page: what has changed since may be missing
+   */
+  public Future<Long> forEachPage(String prefix, Consumer<List<VersionedEntry>> sink) {
+    return entries.forEachPage(prefix, RequestPriority.BACKGROUND, sink);
+  }
+
   /** Commits a transaction at normal priority. */
   public Future<TransactionResult> commit(Transaction transaction) {
     return commit(transaction, RequestPriority.NORMAL);
--- a/src/main/java/io/embernotch/store/Transaction.java
+++ b/src/main/java/io/embernotch/store/Transaction.java
@@ -3,6 +3,8 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.embernotch.codec.Json;
+import java.util.LinkedHashMap;
+import java.util.Map;
 
 /**
  * A transaction being put together: operations that are applied all together if all conditions
@@ -17,6 +19,7 @@
   private final ArrayNode operations = body.putArray(StoreProtocol.OPERATIONS);
   private boolean fenced = true;
   private String lastKey;
+  private final Map<String, ObjectNode> writes = new LinkedHashMap<>();
 
   /** Adds the condition that the key is at this modification revision; 0: that it is absent. */
   public Transaction when(String key, long modRevision) {
@@ -38,6 +41,7 @@
 
   private ObjectNode addWrite(String key, ObjectNode value) {
     lastKey = key;
+    writes.put(key, value);
     ObjectNode operation = operations.addObject().put(StoreProtocol.WRITE, key);
     operation.set(StoreProtocol.VALUE, value);
     return operation;
@@ -63,6 +67,11 @@
     return lastKey;
   }
 
+  /** The values that it writes, by key. */
+  public Map<String, ObjectNode> writes() {
+    return writes;
+  }
+
   /** Whether it is to condition on the fence of the present incarnation. */
   boolean fenced() {
     return fenced;
--- a/src/main/java/io/embernotch/store/TransactionSender.java
+++ b/src/main/java/io/embernotch/store/TransactionSender.java
@@ -9,6 +9,8 @@
   private final IncarnationGuard guard;
   private final IncarnationValidator validator;
   private final double timeoutS;
+  private StoreClient.CommitListener commitListener =
+      (transaction, revision) -> Future.succeededFuture();
 
   TransactionSender(
       StoreTransport transport,
@@ -21,6 +23,10 @@
     this.timeoutS = timeoutS;
   }
 
+  void setCommitListener(StoreClient.CommitListener listener) {
+    commitListener = listener;
+  }
+
   Future<TransactionResult> commit(Transaction transaction, RequestPriority priority) {
     guard.addFence(transaction);
     StoreRequest request = StoreRequest.commit(transaction, priority);
@@ -41,7 +47,12 @@
               case StatusCodes.OK ->
                   validator
                       .read(reply, StoreProtocol::readApplied, TransactionResult::revision)
-                      .compose(applied -> validator.recordWrite(reply, transaction, applied));
+                      .compose(applied -> validator.recordWrite(reply, transaction, applied))
+                      .compose(
+                          applied ->
+                              commitListener
+                                  .committed(transaction, applied.revision())
+                                  .map(applied));
               case StatusCodes.CONFLICT ->
                   validator
                       .read(reply, StoreProtocol::readConflict, TransactionResult::revision)
