--- a/src/main/java/io/embernotch/api/CompletedJobCache.java
+++ b/src/main/java/io/embernotch/api/CompletedJobCache.java
@@ -5,6 +5,7 @@
 import io.embernotch.http.HttpResponse;
 import io.embernotch.model.JobPhase;
 import java.util.Map;
+import java.util.TreeMap;
 
 /**
  * Ends of jobs that are known to be in the store. They never change, so any controller may repeat
@@ -28,6 +29,13 @@
     return job == null ? null : job.phase;
   }
 
+  /** How each job has ended whose end is known, by id. */
+  Map<String, JobPhase> phases() {
+    Map<String, JobPhase> phases = new TreeMap<>();
+    completed.forEach((ref, job) -> phases.put(ref, job.phase));
+    return phases;
+  }
+
   /** Whether the job is known to be done. */
   boolean isDone(String ref) {
     CompletedJob job = completed.get(ref);
--- a/src/main/java/io/embernotch/api/JobAnswers.java
+++ b/src/main/java/io/embernotch/api/JobAnswers.java
@@ -9,6 +9,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -106,6 +107,13 @@
     return told == null ? completedJobs.phase(ref) : told;
   }
 
+  /** The ends of jobs that were told here, or are known to be in the store, by id. */
+  public Map<String, JobPhase> ends() {
+    Map<String, JobPhase> ends = new TreeMap<>(completedJobs.phases());
+    ends.putAll(toldEnds);
+    return ends;
+  }
+
   /** How many states of jobs were told, by who decided them. */
   public Map<Source, Integer> counts() {
     return counts;
--- a/src/main/java/io/embernotch/controller/Controller.java
+++ b/src/main/java/io/embernotch/controller/Controller.java
@@ -18,10 +18,11 @@
 import io.embernotch.peer.Frame;
 import io.embernotch.peer.PeerLink;
 import io.embernotch.persistence.ShardLayout;
+import io.embernotch.replication.KnowledgeCollector;
+import io.embernotch.replication.StoreReplica;
 import io.embernotch.rounds.PartitionViews;
 import io.embernotch.rounds.StragglerRounds;
 import io.embernotch.settings.Settings;
-import io.embernotch.snapshot.BaseSnapshot;
 import io.embernotch.snapshot.file.SnapshotScheduler;
 import io.embernotch.store.LeaseRenewer;
 import io.embernotch.straggler.LocalPartition;
@@ -37,6 +38,11 @@
 
   private static final int TICKS_PER_HEARTBEAT_INTERVAL = 3;
 
+  /** The replica takes at most this share of the process's memory. */
+  private static final double REPLICA_SHARE = 0.1;
+
+  private static final int BYTES_PER_MB = 1 << 20;
+
   private final ControllerContext context;
   private final PeerLink peers;
   private final LeaseRenewer leaseRenewer;
@@ -45,9 +51,11 @@
   private final MachineTypeCatalog machineTypes;
   private final PeerLiveness peerLiveness;
   private final SnapshotScheduler snapshots;
+  private final StoreReplica replica;
+  private final RestoreSource restoreSource;
   private final StoreIncarnationTracker incarnations;
   private final LeaderElection election;
-  private final LeaderObserver leaderObserver = new LeaderObserver();
+  private final LeaderObserver leaderObserver;
   private final LocalLeader localLeader = new LocalLeader();
   private final LocalPartition localPartition;
   private final LeaderClient leaderClient;
@@ -63,6 +71,7 @@
   private final HeartbeatForwarder heartbeatForwarder;
   private final PeerHeartbeats peerHeartbeats;
   private final StoreHeartbeatWriter storeHeartbeats;
+  private final Replication replication;
   private final NodeStatus nodeStatus;
 
   /**
@@ -80,8 +89,15 @@
     imageInventory = new ImageInventory(settings.quota().rememberedMachines());
     machineTypes = new MachineTypeCatalog(context, this::machineTypesLearned);
     peerLiveness = new PeerLiveness(settings, context.clock());
+    leaderObserver = new LeaderObserver(context.clock());
     snapshots = new SnapshotScheduler(context);
-    incarnations = createIncarnationTracker();
+    replica = new StoreReplica((long) (REPLICA_SHARE * BYTES_PER_MB * settings.quota().memoryMb()));
+    restoreSource = createRestoreSource();
+    IncarnationEvents incarnationEvents =
+        new IncarnationEvents(settings.node(), peerLiveness, leaderObserver, localLeader);
+    incarnations =
+        new StoreIncarnationTracker(
+            context, incarnationEvents, restoreSource, leaseRenewer.leaseTtlS());
     election = new LeaderElection(context, leaseRenewer, incarnations, peerLiveness);
     localPartition =
         new LocalPartition(context.clock(), MACHINE_VIEW_ROUNDS * context.operator().roundS());
@@ -90,28 +106,58 @@
     jobAnnouncements = createJobAnnouncements();
     answers = new JobAnswers(context, completedJobs, this::knowledge);
     submissions = createSubmissionHandler();
-    jobQueries =
-        new JobQueries(
-            context,
-            answers,
-            completedJobs,
-            incarnations,
-            submissions::knows,
-            leaderClient::request);
+    jobQueries = createJobQueries();
     heartbeatForwarder =
         new HeartbeatForwarder(
             context, new ForwardingContext(context.store(), peers, pendingRequests, peerLiveness));
     peerHeartbeats = createPeerHeartbeats();
     storeHeartbeats = createStoreHeartbeats();
+    replication = createReplication();
+    incarnationEvents.connect(election, replication, submissions, machineTypes, peerHeartbeats);
     nodeStatus = createNodeStatus();
   }
 
-  private StoreIncarnationTracker createIncarnationTracker() {
-    return new StoreIncarnationTracker(
+  private JobAnswers answers() {
+    return answers;
+  }
+
+  private StoreIncarnationTracker incarnations() {
+    return incarnations;
+  }
+
+  private KnowledgeCollector knowledgeCollector() {
+    return new KnowledgeCollector(context, pendingRequests, peerLiveness, restoreSource);
+  }
+
+  private JobQueries createJobQueries() {
+    return new JobQueries(
+        context, answers, completedJobs, incarnations, submissions::knows, leaderClient::request);
+  }
+
+  private RestoreSource createRestoreSource() {
+    return new RestoreSource(
+        context,
+        localLeader,
+        leaderObserver,
+        snapshots,
+        replica,
+        () -> answers(),
+        () -> incarnations(),
+        () -> knowledgeCollector());
+  }
+
+  private Replication createReplication() {
+    return new Replication(
         context,
-        new IncarnationListener(),
-        new RestoreSource(localLeader, snapshots),
-        leaseRenewer.leaseTtlS());
+        peers,
+        peerLiveness,
+        replica,
+        restoreSource,
+        incarnations,
+        election,
+        leaderObserver,
+        localLeader,
+        jobAnnouncements);
   }
 
   private LeaderClient createLeaderClient() {
@@ -176,7 +222,8 @@
         peerLiveness,
         localPartition,
         localLeader,
-        answers);
+        answers,
+        replication);
   }
 
   private PeerFrameDispatcher createFrameDispatcher() {
@@ -190,7 +237,8 @@
         jobAnnouncements,
         leaderClient,
         localLeader,
-        answers);
+        answers,
+        replication);
   }
 
   private RoleTransitions createRoleTransitions() {
@@ -214,7 +262,9 @@
         peerLiveness,
         leaderObserver,
         leaderClient,
-        localLeader);
+        localLeader,
+        replication,
+        election);
   }
 
   /** Begins to accept frames, to contend for leadership, and to send heartbeats; called once. */
@@ -243,6 +293,7 @@
               incarnations.probe(leader.modRevision());
               snapshots.tick(incarnations.name(), leader::snapshot);
             });
+    replication.tick();
     peerLiveness.takeNewlyUnresponsive().forEach(peers::renew);
     double heartbeatIntervalS = context.settings().workers().heartbeatIntervalS();
     context.timers().after(heartbeatIntervalS / TICKS_PER_HEARTBEAT_INTERVAL, this::tick);
@@ -293,40 +344,4 @@
   public int answerContradictions() {
     return answers.contradictions();
   }
-
-  // ---- the store's contents
-
-  /** What a controller does when the store's contents are lost, or another incarnation begins. */
-  private final class IncarnationListener implements StoreIncarnationTracker.Host {
-    @Override
-    public void incarnationSettled(BaseSnapshot baseSnapshot) {
-      if (localLeader.isPresent()) {
-        // One that this node began is settled before its term begins, so another node began this
-        // one.
-        election.stepDown("another store incarnation has begun");
-      }
-      submissions.storeIncarnationChanged();
-      if (baseSnapshot.since() > 0) {
-        machineTypes.store();
-      }
-    }
-
-    @Override
-    public boolean allPeersHeard() {
-      return peerLiveness.hasHeardFromAll();
-    }
-
-    @Override
-    public boolean wouldHearOfLoss() {
-      String leader = leaderObserver.node();
-      boolean leaderIsElsewhere = leader != null && !leader.equals(context.settings().node());
-      return leaderIsElsewhere ? peerLiveness.isLive(leader) : peerLiveness.hearsAny();
-    }
-
-    @Override
-    public void dataLost(String why) {
-      election.stepDown("the store has lost data");
-      peerHeartbeats.send();
-    }
-  }
 }
--- a/src/main/java/io/embernotch/controller/JobAnnouncements.java
+++ b/src/main/java/io/embernotch/controller/JobAnnouncements.java
@@ -59,6 +59,31 @@
     }
   }
 
+  /**
+   * Passes jobs that another controller has committed to the leader, which is here.
+   *
+   * @return whether the leader knows of all that the update holds, and so acknowledges it
+   */
+  boolean committed(Frame.StateUpdate update) {
+    boolean allPassedOn = true;
+    for (Frame.StateEntry entry : update.entries()) {
+      allPassedOn &= entry.key().startsWith(JobProgressCodec.JOB) && passOn(entry, update);
+    }
+    return allPassedOn;
+  }
+
+  private boolean passOn(Frame.StateEntry entry, Frame.StateUpdate update) {
+    try {
+      StoredSubmission committed = StoredSubmission.read(Json.parseObject(entry.value()));
+      store.noteRevision(entry.key(), update.revision());
+      return localLeader.tell(
+          new LeaderMessage.JobAccepted(committed.job(), committed.shardSize()));
+    } catch (MalformedInputException e) {
+      LOG.info("malformed job from a controller: {}", e.getMessage());
+      return false;
+    }
+  }
+
   /** Passes another controller's announcement to the leader, if that is here. */
   void received(Frame.JobAccepted frame) {
     if (!localLeader.isPresent()) {
--- a/src/main/java/io/embernotch/controller/JobQueries.java
+++ b/src/main/java/io/embernotch/controller/JobQueries.java
@@ -105,7 +105,7 @@
 
   /** What the store holds, if it answers in time: users wait two seconds at most. */
   private Future<HttpResponse> statusFromStore(String ref) {
-    if (!incarnations.mayAnswerFromStore()) {
+    if (!incarnations.answerPolicy().mayTellEnds()) {
       return answer(contentsUnknown());
     }
     if (context.store().failingForS() > maxStoreFailureS) {
@@ -132,7 +132,8 @@
     return verified.status() == UNAVAILABLE
         ? answer(verified)
         : incarnations
-            .mayTellUnendedFromStore()
+            .answerPolicy()
+            .mayTellUnended()
             .map(proven -> proven ? verified : contentsUnknown());
   }
 
@@ -157,7 +158,7 @@
    */
   private HttpResponse verifyAbsence(String ref, HttpResponse notFound, boolean acceptedBefore) {
     if (!acceptedHere.test(ref)) {
-      return notFound;
+      return incarnations.answerPolicy().mayDenyJobs() ? notFound : contentsUnknown();
     }
     if (acceptedBefore) {
       incarnations.acceptedJobMissing(ref);
--- a/src/main/java/io/embernotch/controller/LocalLeader.java
+++ b/src/main/java/io/embernotch/controller/LocalLeader.java
@@ -2,16 +2,25 @@
 
 import io.embernotch.leader.Leader;
 import io.embernotch.leader.LeaderMessage;
-import io.embernotch.snapshot.proto.SnapshotProto.ClusterSnapshot;
 import java.util.Optional;
 
 /**
  * The leader of this process: present from the moment its node acquires leadership until it loses
- * it. The last one is kept until another leader is known, for the sake of its snapshot.
+ * it. The last one is kept for the sake of its snapshot.
  */
 final class LocalLeader {
+  /**
+   * A term that has ended.
+   *
+   * @param leader its leader, which is stopped
+   * @param claimedAt when this node began to claim it, by the steady clock
+   * @param provenUntil until when nobody else can have led, by the steady clock
+   */
+  record FormerTerm(Leader leader, double claimedAt, double provenUntil) {}
+
   private Leader current;
-  private Leader former;
+  private double claimedAt;
+  private FormerTerm former;
 
   /** The leader, or empty while this node is a follower or a candidate. */
   Optional<Leader> current() {
@@ -32,30 +41,37 @@
     return true;
   }
 
-  /** A term begins here. */
-  void begin(Leader leader) {
+  /**
+   * A term begins here.
+   *
+   * @param claimed when this node began to claim it, by the steady clock
+   */
+  void begin(Leader leader, double claimed) {
     former = null;
+    claimedAt = claimed;
     current = leader;
   }
 
-  /** The term that is led here ends; nothing happens if none is. */
-  void end() {
+  /**
+   * The term that is led here ends; nothing happens if none is.
+   *
+   * @param provenUntil until when nobody else can have led, by the steady clock
+   */
+  void end(double provenUntil) {
     if (current != null) {
       current.stop();
-      former = current;
+      former = new FormerTerm(current, claimedAt, provenUntil);
       current = null;
     }
   }
 
-  /** A leader of this epoch is known: what was led here before is out of date if it is older. */
-  void observeEpoch(long epoch) {
-    if (former != null && epoch > former.epoch()) {
-      former = null;
-    }
+  /** The last term that was led here, unless one is led now or it was forgotten. */
+  Optional<FormerTerm> former() {
+    return Optional.ofNullable(former);
   }
 
-  /** What the last leader of this process knew; null if there is none, or another has led since. */
-  ClusterSnapshot lastSnapshot() {
-    return former == null ? null : former.snapshot();
+  /** What the last term knew is not needed any more. */
+  void forgetFormer() {
+    former = null;
   }
 }
--- a/src/main/java/io/embernotch/controller/NodeStatus.java
+++ b/src/main/java/io/embernotch/controller/NodeStatus.java
@@ -26,6 +26,7 @@
   private final LocalPartition localPartition;
   private final LocalLeader localLeader;
   private final JobAnswers answers;
+  private final Replication replication;
 
   NodeStatus(
       ControllerContext context,
@@ -36,7 +37,8 @@
       PeerLiveness peerLiveness,
       LocalPartition localPartition,
       LocalLeader localLeader,
-      JobAnswers answers) {
+      JobAnswers answers,
+      Replication replication) {
     this.context = context;
     this.machineTypes = machineTypes;
     this.incarnations = incarnations;
@@ -46,6 +48,7 @@
     this.localPartition = localPartition;
     this.localLeader = localLeader;
     this.answers = answers;
+    this.replication = replication;
   }
 
   /** 200 if a load balancer is to send requests here, else 503. */
@@ -84,6 +87,7 @@
     overview.put("part", localPartition.size());
     overview.put("term_epoch", election.epoch());
     overview.put("lease_left_s", Math.max(0, -election.leaseUnprovenForS()));
+    replication.describe(overview.putObject("replica"));
     writeAnswers(overview.putObject("answers"));
     overview.put("answers_overtaken", answers.overtaken());
     overview.put("answer_contradictions", answers.contradictions());
--- a/src/main/java/io/embernotch/controller/PeerFrameDispatcher.java
+++ b/src/main/java/io/embernotch/controller/PeerFrameDispatcher.java
@@ -29,6 +29,7 @@
   private final LeaderClient leaderClient;
   private final LocalLeader localLeader;
   private final JobAnswers answers;
+  private final Replication replication;
 
   PeerFrameDispatcher(
       PeerHeartbeats peerHeartbeats,
@@ -40,7 +41,8 @@
       JobAnnouncements jobAnnouncements,
       LeaderClient leaderClient,
       LocalLeader localLeader,
-      JobAnswers answers) {
+      JobAnswers answers,
+      Replication replication) {
     this.peerHeartbeats = peerHeartbeats;
     this.heartbeatForwarder = heartbeatForwarder;
     this.pendingRequests = pendingRequests;
@@ -51,6 +53,7 @@
     this.leaderClient = leaderClient;
     this.localLeader = localLeader;
     this.answers = answers;
+    this.replication = replication;
   }
 
   /** Handles a frame; what it asks for is answered over {@code replies}. */
@@ -79,6 +82,12 @@
       localPartition.remove(removal.epoch(), removal.machine());
     } else if (frame instanceof Frame.RestartProposals proposals) {
       restartsProposed(proposals);
+    } else if (frame instanceof Frame.StateUpdate update) {
+      replication.received(update, replies);
+    } else if (frame instanceof Frame.StateUpdateAck acknowledgement) {
+      replication.acknowledged(acknowledgement);
+    } else if (frame instanceof Frame.KnowledgeRequest request) {
+      replication.asked(request, replies);
     }
   }
 
--- a/src/main/java/io/embernotch/controller/PeerHeartbeats.java
+++ b/src/main/java/io/embernotch/controller/PeerHeartbeats.java
@@ -52,22 +52,26 @@
 
   private Frame.PeerHeartbeat current(String node) {
     boolean storeReachable = context.store().failingForS() == 0;
-    if (incarnations.lost()) {
+    if (incarnations.lossNews().isTold()) {
       // While data is lost, the heartbeat names no leader and an epoch that the store can't reach.
-      return new Frame.PeerHeartbeat(node, null, incarnations.lossEpoch(), storeReachable);
+      return new Frame.PeerHeartbeat(
+          node, null, incarnations.lossNews().lossEpoch(), storeReachable, true);
     }
     if (localLeader.isPresent() && election.isLeaseValid()) {
-      return new Frame.PeerHeartbeat(node, node, election.epoch(), storeReachable);
+      return new Frame.PeerHeartbeat(node, node, election.epoch(), storeReachable, true);
     }
     return new Frame.PeerHeartbeat(
-        node, leaderObserver.node(), leaderObserver.epoch(), storeReachable);
+        node, leaderObserver.node(), leaderObserver.epoch(), storeReachable, true);
   }
 
   /** Processes the heartbeat of another controller. */
   void received(Frame.PeerHeartbeat heartbeat) {
     String sender = heartbeat.node();
-    peerLiveness.recordHeartbeat(sender, heartbeat.storeReachable());
-    incarnations.peerHeartbeatReceived(sender, heartbeat.leader(), heartbeat.leaderEpoch());
+    peerLiveness.recordHeartbeat(sender, heartbeat.storeReachable(), heartbeat.replicates());
+    incarnations.lossNews().heartbeatReceived(sender, heartbeat.leader(), heartbeat.leaderEpoch());
+    if (heartbeat.leader() != null) {
+      leaderObserver.observeEpoch(heartbeat.leader(), heartbeat.leaderEpoch());
+    }
     if (sender.equals(heartbeat.leader())) {
       leadershipClaimed(sender, heartbeat.leaderEpoch());
     }
@@ -81,8 +85,7 @@
       return;
     }
     // Whether the claimant accepts forwarded heartbeats is written in its key, which will be read
-    // if
-    // the store answers. Without the store, agents are sent to the claimant itself.
+    // if the store answers. Without the store, agents are sent to the claimant itself.
     if (context.store().failingForS() == 0) {
       heartbeatForwarder.leaderChanged(null, 0, false);
     } else {
--- a/src/main/java/io/embernotch/controller/RoleTransitions.java
+++ b/src/main/java/io/embernotch/controller/RoleTransitions.java
@@ -3,6 +3,7 @@
 import io.embernotch.context.ControllerContext;
 import io.embernotch.election.LeaderElection;
 import io.embernotch.election.LeaderObserver;
+import io.embernotch.election.LeadershipListener;
 import io.embernotch.election.PeerLiveness;
 import io.embernotch.forwarding.HeartbeatForwarder;
 import io.embernotch.incarnation.StoreIncarnationTracker;
@@ -14,7 +15,7 @@
 /**
  * What a controller does when the election makes it leader or follower, or finds another leader.
  */
-final class RoleTransitions implements LeaderElection.Listener {
+final class RoleTransitions implements LeadershipListener {
   private final ControllerContext context;
   private final LeaderContext leaderContext;
   private final MachineTypeCatalog machineTypes;
@@ -25,6 +26,8 @@
   private final LeaderObserver leaderObserver;
   private final LeaderClient leaderClient;
   private final LocalLeader localLeader;
+  private final Replication replication;
+  private final LeaderElection election;
 
   RoleTransitions(
       ControllerContext context,
@@ -36,7 +39,9 @@
       PeerLiveness peerLiveness,
       LeaderObserver leaderObserver,
       LeaderClient leaderClient,
-      LocalLeader localLeader) {
+      LocalLeader localLeader,
+      Replication replication,
+      LeaderElection election) {
     this.context = context;
     this.leaderContext = leaderContext;
     this.machineTypes = machineTypes;
@@ -47,6 +52,8 @@
     this.leaderObserver = leaderObserver;
     this.leaderClient = leaderClient;
     this.localLeader = localLeader;
+    this.replication = replication;
+    this.election = election;
   }
 
   @Override
@@ -60,7 +67,7 @@
             machineTypes.types().values(),
             incarnations.takeInitialSnapshot(),
             heartbeatForwarder.controllersDelayingCancellations());
-    localLeader.begin(leader);
+    localLeader.begin(leader, election.claimedAt());
     heartbeatForwarder
         .recentHeartbeats()
         .forEach(heartbeat -> leader.tell(new LeaderMessage.HeartbeatHandedOver(heartbeat)));
@@ -71,16 +78,16 @@
   }
 
   @Override
-  public void leadershipLost(String why) {
+  public void leadershipLost(String why, double provenUntil) {
     context.store().setLeading(false);
-    localLeader.end();
+    localLeader.end(provenUntil);
     leaderAbsent();
+    replication.leadershipLost();
   }
 
   @Override
   public void leaderChanged(String node, long epoch, boolean acceptsForwarded) {
     leaderObserver.update(node, epoch);
-    localLeader.observeEpoch(epoch);
     heartbeatForwarder.leaderChanged(node, epoch, acceptsForwarded);
   }
 
--- a/src/main/java/io/embernotch/election/LeaderElection.java
+++ b/src/main/java/io/embernotch/election/LeaderElection.java
@@ -32,39 +32,6 @@
   /** In place of a time: this node need not keep from contending. */
   private static final double NEVER = -1;
 
-  /** Is notified of changes of leadership, and asked whether to contend. */
-  public interface Listener {
-    /**
-     * This node leads from now on.
-     *
-     * @param epoch names the term in all store incarnations
-     * @param modRevision modification revision of the leader key
-     */
-    void leadershipAcquired(long epoch, long modRevision);
-
-    /**
-     * This node leads no more, or does not get to lead though it held the key.
-     *
-     * @param why the reason, for the log
-     */
-    void leadershipLost(String why);
-
-    /**
-     * The leader key names a leader, this node or another.
-     *
-     * @param node the leader
-     * @param epoch the leader's epoch
-     * @param acceptsForwarded whether the leader accepts heartbeats that others forward
-     */
-    void leaderChanged(String node, long epoch, boolean acceptsForwarded);
-
-    /** The leader key was read: there is no leader. */
-    void leaderAbsent();
-
-    /** True if another controller is better placed to lead, so that this one contends later. */
-    boolean shouldYield();
-  }
-
   private enum State {
     /** Reads the key, or waits for its change or for the next reading. */
     FOLLOWER,
@@ -92,10 +59,11 @@
   /** Seconds by which a controller that is badly placed contends later than the others. */
   private final double yieldS;
 
-  private Listener listener;
+  private LeadershipListener listener;
   private State state = State.FOLLOWER;
   private long leaseId;
   private long epoch;
+  private double claimedAt;
   private double leadsFrom;
   private double avoidUntil = NEVER;
   private boolean reading;
@@ -125,7 +93,7 @@
   }
 
   /** Begins as a follower, and contends whenever the key is absent; called once. */
-  public void start(Listener leadershipListener) {
+  public void start(LeadershipListener leadershipListener) {
     listener = leadershipListener;
     readKey();
   }
@@ -154,19 +122,31 @@
     return epoch;
   }
 
+  /** When this node began to claim the key for that term: nobody saw it hold the key before. */
+  public double claimedAt() {
+    return claimedAt;
+  }
+
   /** Gives up leadership, and does not contend again for {@code avoidS} seconds. */
   public void resign(String why, double avoidS) {
     avoidUntil = clock.now() + avoidS;
     if (state == State.LEADER) {
       store.revoke(leaseId);
-      loseLeadership(why);
+      loseLeadership(why, clock.now());
     }
   }
 
   /** Becomes a follower: another leader has been seen, or a commit failed on the leader key. */
   public void stepDown(String why) {
     if (state == State.LEADER) {
-      loseLeadership(why);
+      loseLeadership(why, NEVER);
+    }
+  }
+
+  /** Becomes a follower since the store has lost data, and with it the lease, if that lasted. */
+  public void stepDownAfterLoss() {
+    if (state == State.LEADER) {
+      loseLeadership("the store has lost data", leaseRenewer.provenUntil());
     }
   }
 
@@ -303,6 +283,7 @@
     state = State.LEADER;
     leaseId = success.leaseId();
     epoch = success.claim().epochFloor() + modRevision;
+    claimedAt = success.grantSentAt();
     leadsFrom = clock.now() + waitS;
     leaseRenewer.keep(leaseId, success.grantSentAt(), this::leaseEnded);
     candidacy.claimSucceeded(modRevision);
@@ -322,7 +303,7 @@
     }
     if (candidacy.startsNewIncarnation()) {
       // Data was lost while the claim was under way: the claim is lost too.
-      loseLeadership("the claim was made on store contents that are lost");
+      loseLeadership("the claim was made on store contents that are lost", NEVER);
       return;
     }
     LOG.info("leader since epoch {}", epoch);
@@ -332,16 +313,17 @@
 
   private void leaseEnded(long endedLeaseId) {
     if (state == State.LEADER && leaseId == endedLeaseId) {
-      loseLeadership("the lease expired");
+      // It may not end early: if it has, that is by a loss of data.
+      loseLeadership("the lease expired", leaseRenewer.provenUntil());
     }
   }
 
-  private void loseLeadership(String why) {
+  private void loseLeadership(String why, double provenUntil) {
     double leaseLeftS = -leaseUnprovenForS();
     LOG.info("no longer leader: {}; epoch {}, lease left {} s", why, epoch, leaseLeftS);
     state = State.FOLLOWER;
     leaseRenewer.release();
-    listener.leadershipLost(why);
+    listener.leadershipLost(why, provenUntil);
     readKey();
   }
 }
--- a/src/main/java/io/embernotch/election/LeaderObserver.java
+++ b/src/main/java/io/embernotch/election/LeaderObserver.java
@@ -1,5 +1,7 @@
 package io.embernotch.election;
 
+import io.embernotch.actor.Clock;
+
 /**
  * The leader that this controller knows: the one that the key names, and between two reads of the
  * key one that claims leadership in its heartbeat. A heartbeat may be seconds late, and its sender
@@ -10,6 +12,15 @@
   private String node;
   private long epoch;
   private long endedEpoch;
+  private final Clock clock;
+  private long highestEpoch;
+  private String highestNode;
+  private double highestSeenAt;
+
+  /** Nothing has been seen or heard yet. */
+  public LeaderObserver(Clock clock) {
+    this.clock = clock;
+  }
 
   /** Name of the leader; null if none is known. */
   public String node() {
@@ -21,6 +32,33 @@
     return epoch;
   }
 
+  /**
+   * The highest epoch of a leader that was ever seen or heard of, by whatever way. A term before it
+   * is not the last one; that a term is not before it proves nothing.
+   */
+  public long highestEpoch() {
+    return highestEpoch;
+  }
+
+  /** The leader of that epoch; null if none was seen. */
+  public String highestNode() {
+    return highestNode;
+  }
+
+  /** Seconds since that epoch was first seen or heard of. */
+  public double highestSeenForS() {
+    return clock.now() - highestSeenAt;
+  }
+
+  /** Another controller has seen a leader of this epoch. */
+  public void observeEpoch(String leader, long seen) {
+    if (seen > highestEpoch) {
+      highestEpoch = seen;
+      highestNode = leader;
+      highestSeenAt = clock.now();
+    }
+  }
+
   /**
    * The key was read, or a term here has ended.
    *
@@ -28,6 +66,7 @@
    * @param newEpoch its epoch, 0 if there is none
    */
   public void update(String newNode, long newEpoch) {
+    observeEpoch(newNode, newEpoch);
     if (newNode == null) {
       endedEpoch = Math.max(endedEpoch, epoch);
     }
@@ -37,6 +76,7 @@
 
   /** A controller claims to lead; false if that is known already, or known to be over. */
   public boolean observeClaim(String newNode, long newEpoch) {
+    observeEpoch(newNode, newEpoch);
     if (newEpoch <= Math.max(epoch, endedEpoch)) {
       return false;
     }
--- a/src/main/java/io/embernotch/election/PeerLiveness.java
+++ b/src/main/java/io/embernotch/election/PeerLiveness.java
@@ -12,7 +12,7 @@
 
 /** Which of the other controllers are live, and which of them the store answers. */
 public final class PeerLiveness {
-  private record LastHeartbeat(double at, boolean storeReachable) {}
+  private record LastHeartbeat(double at, boolean storeReachable, boolean replicates) {}
 
   private final Clock clock;
 
@@ -43,9 +43,23 @@
    * A heartbeat has come.
    *
    * @param storeReachable whether the store answers the sender
+   * @param replicates whether the sender takes the frames of replication; tells nothing unless the
+   *     store answers the sender
    */
-  public void recordHeartbeat(String node, boolean storeReachable) {
-    lastHeartbeats.put(node, new LastHeartbeat(clock.now(), storeReachable));
+  public void recordHeartbeat(String node, boolean storeReachable, boolean replicates) {
+    boolean stillReplicates = storeReachable ? replicates : replicates(node);
+    lastHeartbeats.put(node, new LastHeartbeat(clock.now(), storeReachable, stillReplicates));
+  }
+
+  /** Whether the controller takes the frames of replication, by the last that it told of that. */
+  public boolean replicates(String node) {
+    LastHeartbeat last = lastHeartbeats.get(node);
+    return last != null && last.replicates;
+  }
+
+  /** The live controllers that take the frames of replication, by name. */
+  public List<String> liveReplicas() {
+    return live().stream().filter(this::replicates).toList();
   }
 
   /** True once a heartbeat of every other controller has been received. */
--- a/src/main/java/io/embernotch/incarnation/IncarnationAdopter.java
+++ b/src/main/java/io/embernotch/incarnation/IncarnationAdopter.java
@@ -14,14 +14,14 @@
   private static final Logger LOG = LoggerFactory.getLogger(StoreIncarnationTracker.class);
 
   private final StoreClient store;
-  private final StoreIncarnationTracker.Host host;
+  private final IncarnationHost host;
   private final IncarnationKnowledge knowledge;
   private final PointerReader pointer;
   private final StoreRestorer restorer;
 
   IncarnationAdopter(
       StoreClient store,
-      StoreIncarnationTracker.Host host,
+      IncarnationHost host,
       IncarnationKnowledge knowledge,
       PointerReader pointer,
       StoreRestorer restorer) {
@@ -39,7 +39,10 @@
    */
   boolean mayAdoptAfterLoss(StoreIncarnation stored) {
     StoreIncarnation known = knowledge.incarnation();
-    if (known == null || stored.follows(known)) {
+    if (known == null) {
+      return !knowledge.isHeardToBeLost(stored);
+    }
+    if (stored.follows(known)) {
       return true;
     }
     return !stored.name().equals(known.name()) && !known.follows(stored) && !restorer.wasLeader();
--- a/src/main/java/io/embernotch/incarnation/IncarnationKnowledge.java
+++ b/src/main/java/io/embernotch/incarnation/IncarnationKnowledge.java
@@ -32,7 +32,20 @@
   /** The highest epoch that anybody here has seen. */
   private long highestEpoch;
 
+  /** The highest epoch of a leader that another controller has named. */
+  private long highestLeaderEpoch;
+
+  /** The highest epoch by which another controller has told of a loss. */
+  private long heardLossEpoch;
+
   private long lossEpoch;
+
+  /** Whether contents that this controller has seen itself are gone, by its own observation. */
+  private boolean lossSeen;
+
+  /** The highest revision that was seen before the loss. */
+  private long revisionBeforeLoss;
+
   private int losses;
 
   IncarnationKnowledge(StoreClient store) {
@@ -94,6 +107,55 @@
     highestEpoch = Math.max(highestEpoch, epoch);
   }
 
+  /** Another controller names a leader of this epoch. */
+  void observeLeaderEpoch(long epoch) {
+    observeEpoch(epoch);
+    highestLeaderEpoch = Math.max(highestLeaderEpoch, epoch);
+  }
+
+  /** The highest epoch of a leader that another controller has named. */
+  long highestLeaderEpoch() {
+    return highestLeaderEpoch;
+  }
+
+  /**
+   * Whether a leader has been named that led after the loss: another controller has begun the next
+   * incarnation, so the loss is not to be told any more and nothing is to be restored.
+   */
+  boolean isLossOver() {
+    return isLost() && highestLeaderEpoch > lossEpoch;
+  }
+
+  /** Whether a leader has been named whose epoch these contents have not reached. */
+  boolean isBehindLeader() {
+    return highestLeaderEpoch > reachedEpoch();
+  }
+
+  /** Whether these contents have not reached an epoch, as far as we have seen them. */
+  boolean isBefore(long epoch) {
+    return epoch > reachedEpoch();
+  }
+
+  /** Another controller names no leader; a high epoch tells of a loss. */
+  void observeLossEpoch(long epoch) {
+    observeEpoch(epoch);
+    heardLossEpoch = Math.max(heardLossEpoch, epoch);
+  }
+
+  /** The highest epoch by which another controller has told of a loss. */
+  long heardLossEpoch() {
+    return heardLossEpoch;
+  }
+
+  /**
+   * Whether another controller has told that the contents with this incarnation are lost.
+   *
+   * @param other null if the store holds none
+   */
+  boolean isHeardToBeLost(StoreIncarnation other) {
+    return heardLossEpoch > (other == null ? 0 : other.epochFloor()) + EPOCH_LEAP / 2;
+  }
+
   /** An epoch floor above all epochs that anybody may have seen. */
   long raisedEpochFloor() {
     return highestEpoch + EPOCH_LEAP;
@@ -109,17 +171,47 @@
     return losses;
   }
 
-  /** Data is lost. Returns false if it was lost already, and no incarnation has begun since. */
-  boolean recordLoss() {
-    observeEpoch(reachedEpoch());
+  /**
+   * Data is lost. Returns false if it was lost already, and no incarnation has begun since.
+   *
+   * @param namedBy the epoch by which another controller tells of the loss; 0 if it was noticed
+   *     here, and gets a new one
+   */
+  boolean recordLoss(long namedBy) {
+    long reached = Math.max(reachedEpoch(), isLossOver() ? highestLeaderEpoch : 0);
+    observeEpoch(reached);
+    boolean isAnother = state != State.LOST || isLossOver();
+    boolean first = state != State.LOST;
+    lossSeen = namedBy == 0;
+    revisionBeforeLoss = store.highestRevisionSeen();
     store.discardIncarnation();
     losses++;
-    if (state == State.LOST) {
-      return false;
-    }
     state = State.LOST;
-    lossEpoch = raisedEpochFloor();
-    return true;
+    if (isAnother) {
+      // Named by what these contents have reached, not by what has been heard of later ones: else
+      // late news of this loss would pass for news of the next one.
+      lossEpoch = namedBy > 0 ? namedBy : reached + EPOCH_LEAP;
+      observeEpoch(lossEpoch);
+    }
+    return first;
+  }
+
+  /**
+   * Whether contents that this controller has seen itself are gone, by its own observation. Else
+   * the loss may have come before all that it has seen, and so before a term that it has led.
+   */
+  boolean isLossSeen() {
+    return lossSeen;
+  }
+
+  /**
+   * The store has reached this revision since the loss. Returns true if that shows for the first
+   * time that contents which this controller has seen are gone.
+   */
+  boolean observeRevisionAfterLoss(long revision) {
+    boolean shown = isLost() && !lossSeen && revision < revisionBeforeLoss;
+    lossSeen |= shown;
+    return shown;
   }
 
   /**
--- a/src/main/java/io/embernotch/incarnation/StoreIncarnationTracker.java
+++ b/src/main/java/io/embernotch/incarnation/StoreIncarnationTracker.java
@@ -1,5 +1,6 @@
 package io.embernotch.incarnation;
 
+import io.embernotch.codec.IncarnationCodec;
 import io.embernotch.codec.JobProgressCodec;
 import io.embernotch.context.ControllerContext;
 import io.embernotch.election.Candidacy;
@@ -8,7 +9,6 @@
 import io.embernotch.snapshot.proto.SnapshotProto.ClusterSnapshot;
 import io.embernotch.store.StoreClient;
 import io.embernotch.store.Transaction;
-import io.vertx.core.Future;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -27,39 +27,20 @@
   /** The pointer is read again after the leader's lease divided by this. */
   private static final double READS_PER_LEASE = 4;
 
-  /** Receives what becomes of the incarnation. */
-  public interface Host {
-    /**
-     * The store holds our data.
-     *
-     * @param baseSnapshot what the present incarnation began with
-     */
-    void incarnationSettled(BaseSnapshot baseSnapshot);
-
-    /** Whether every other controller has been heard from since this process started. */
-    boolean allPeersHeard();
-
-    /**
-     * Whether this controller would have heard of a loss that others have noticed: it hears the
-     * leader or, while none is known, any other controller.
-     */
-    boolean wouldHearOfLoss();
-
-    /** Data is lost: whoever is leader here stops. */
-    void dataLost(String why);
-  }
+  /** In place of an epoch: a loss that is noticed here, and that nobody has told of. */
+  private static final long UNNAMED = 0;
 
   private final ControllerContext context;
-  private final Host host;
-  private final double leaseTtlS;
-  private final double startedAt;
+  private final IncarnationHost host;
   private final StoreRestorer.Source source;
   private final StoreRestorer restorer;
   private final IncarnationKnowledge knowledge;
   private final PointerReader pointer;
   private final IncarnationAdopter adopter;
   private final IncarnationClaimer claimer;
-  private final StoreHeartbeatReader leaderHeartbeats;
+  private final ClaimEligibility eligibility;
+  private final StoreAnswerPolicy answerPolicy;
+  private final LossNews lossNews;
 
   /**
    * The snapshot that the present incarnation was begun with, if this node's next term is its first
@@ -67,6 +48,9 @@
    */
   private ClusterSnapshot initialSnapshot;
 
+  /** As the pointer was read last, after a loss that is over: the highest epoch heard of then. */
+  private long overAtLastRead;
+
   /** The leader is of a version that knows no incarnations. */
   private boolean legacyLeaderPresent;
 
@@ -76,21 +60,26 @@
    * @param leaseTtlS time to live of a leader's lease in seconds
    */
   public StoreIncarnationTracker(
-      ControllerContext context, Host host, StoreRestorer.Source source, double leaseTtlS) {
+      ControllerContext context,
+      IncarnationHost host,
+      StoreRestorer.Source source,
+      double leaseTtlS) {
     this.context = context;
     this.host = host;
-    this.leaseTtlS = leaseTtlS;
-    this.startedAt = context.clock().now();
     this.source = source;
     this.knowledge = new IncarnationKnowledge(context.store());
-    this.restorer = new StoreRestorer(context, source, leaseTtlS, knowledge::isLost);
+    this.restorer = new StoreRestorer(context, source, leaseTtlS, knowledge);
     double retryS = leaseTtlS / READS_PER_LEASE;
     this.pointer =
         new PointerReader(
             context.store(), context.timers(), retryS, knowledge::isLost, this::pointerRead);
     this.adopter = new IncarnationAdopter(context.store(), host, knowledge, pointer, restorer);
     this.claimer = new IncarnationClaimer(knowledge, pointer, restorer, context.names());
-    this.leaderHeartbeats = new StoreHeartbeatReader(context);
+    this.eligibility =
+        new ClaimEligibility(
+            context, knowledge, host::allPeersHeard, why -> dataLost(why, UNNAMED));
+    this.answerPolicy = new StoreAnswerPolicy(context, host, this, knowledge, 2 * leaseTtlS);
+    this.lossNews = new LossNews(knowledge, this::dataLost, pointer::read);
     context.store().setLossListener(this);
   }
 
@@ -109,49 +98,23 @@
         && (knowledge.hasIncarnation() || (legacyLeaderPresent && !knowledge.isBehind()));
   }
 
-  /**
-   * Whether an end that the store holds may be told: ends are final, so also one in contents that
-   * were put back is true. A process that was just started can't tell contents that were restored
-   * from an earlier moment from present ones; after two leases whoever was up before has found that
-   * out.
-   */
-  public boolean mayAnswerFromStore() {
-    return isIntact() && !knowledge.isBehind() && upS() > 2 * leaseTtlS;
-  }
-
-  /**
-   * Whether it may be told that a job has not ended, or was never accepted, as the store alone said
-   * it before this call. This controller may have seen no later revision than contents that were
-   * put back show; the leader has, and is heard, or shows by its next heartbeat in the store.
-   */
-  public Future<Boolean> mayTellUnendedFromStore() {
-    Future<Boolean> proven =
-        host.wouldHearOfLoss() ? Future.succeededFuture(true) : leaderHeartbeats.next(name());
-    return proven.map(isProven -> isProven && mayAnswerFromStore());
+  /** What controllers tell each other of losses. */
+  public LossNews lossNews() {
+    return lossNews;
   }
 
-  /**
-   * The epoch by which heartbeats tell other controllers of a loss: no contents from before the
-   * next incarnation can ever reach it, whatever is still written to them, and the next incarnation
-   * is above it. Fixed at the loss, so that controllers which hear of each other's do not drive it
-   * up.
-   */
-  public long lossEpoch() {
-    return knowledge.lossEpoch();
+  /** What may be told from the store alone. */
+  public StoreAnswerPolicy answerPolicy() {
+    return answerPolicy;
   }
 
   /** A job that is known to have been accepted is not there. */
   public void acceptedJobMissing(String ref) {
     if (knowledge.isIntact()) {
-      dataLost("job " + ref + ", which was accepted, is not there");
+      dataLost("job " + ref + ", which was accepted, is not there", UNNAMED);
     }
   }
 
-  /** Whether data is lost, and no incarnation has begun since. */
-  public boolean lost() {
-    return knowledge.isLost();
-  }
-
   /** How often data was seen to be lost by this process. */
   public int losses() {
     return knowledge.losses();
@@ -183,21 +146,6 @@
     knowledge.observeEpoch(epoch);
   }
 
-  /**
-   * A controller names a leader and its epoch. Without a leader, an epoch far above what these
-   * contents can have reached tells that it has found data lost. A leader must not go on then: only
-   * that follower may have seen the one change that is gone, and it would begin an incarnation
-   * without what the leader knows.
-   *
-   * @param leader null if that controller knows of none
-   */
-  public void peerHeartbeatReceived(String node, String leader, long epoch) {
-    observeEpoch(epoch);
-    if (leader == null && isProbed() && knowledge.isLossEpoch(epoch)) {
-      dataLost(node + " says so");
-    }
-  }
-
   @Override
   public void incarnationNamed(String incarnation) {
     legacyLeaderPresent = incarnation != null && incarnation.isEmpty();
@@ -229,15 +177,11 @@
     return knowledge.isIntact() && knowledge.hasIncarnation();
   }
 
-  private double upS() {
-    return context.clock().now() - startedAt;
-  }
-
   // ---- detection of data loss
 
   @Override
   public void revisionFell(long seen, long now) {
-    dataLost("its revision fell from " + seen + " to " + now);
+    dataLost("its revision fell from " + seen + " to " + now, UNNAMED);
   }
 
   @Override
@@ -248,12 +192,14 @@
   @Override
   public void leaderKeyOrphaned(String holder) {
     if (knowledge.isIntact()) {
-      dataLost("the leader key names " + holder + ", and its lease is gone");
+      dataLost("the leader key names " + holder + ", and its lease is gone", UNNAMED);
     }
   }
 
-  private void dataLost(String why) {
-    boolean first = knowledge.recordLoss();
+  /** {@code namedBy}: the epoch by which another controller tells of the loss, or unnamed. */
+  private void dataLost(String why, long namedBy) {
+    double noticedAt = context.clock().now();
+    boolean first = knowledge.recordLoss(namedBy);
     claimer.discard();
     if (first) {
       LOG.warn("the store has lost data: {}", why);
@@ -262,27 +208,65 @@
       LOG.warn("the store has lost data again: {}", why);
     }
     pointer.invalidate();
-    restorer.begin();
+    restorer.begin(noticedAt);
+    if (!knowledge.isLossSeen()) {
+      observeRevision(noticedAt);
+    }
     pointer.read();
   }
 
+  /** A lower revision than was seen before shows that what this node may have led is lost. */
+  private void observeRevision(double noticedAt) {
+    context
+        .store()
+        .list(IncarnationCodec.POINTER)
+        .onSuccess(
+            listed -> {
+              if (knowledge.observeRevisionAfterLoss(listed.revision())) {
+                restorer.begin(noticedAt);
+              }
+            });
+  }
+
   private void pointerRead(StoredPointer read) {
     StoreIncarnation stored = read.incarnation();
     ClusterSnapshot kept =
         knowledge.isUnread() && stored == null ? source.newestStoredSnapshot() : null;
     if (kept != null) {
-      dataLost("it holds no era, and there is a snapshot of epoch " + kept.getEpoch());
+      dataLost("it holds no era, and there is a snapshot of epoch " + kept.getEpoch(), UNNAMED);
     } else if (knowledge.isLost()) {
-      if (stored != null && adopter.mayAdoptAfterLoss(stored)) {
-        adopter.adopt(stored);
-      }
+      pointerReadAfterLoss(stored);
+    } else if (knowledge.isUnread() && knowledge.isHeardToBeLost(stored)) {
+      dataLost("another controller says so", knowledge.heardLossEpoch());
     } else if (knowledge.isOurs(stored)) {
       adopter.adopt(stored);
     } else {
       dataLost(
           stored == null
               ? "era " + name() + " is not there"
-              : "era " + stored.name() + " is there, not " + name());
+              : "era " + stored.name() + " is there, not " + name(),
+          UNNAMED);
+    }
+  }
+
+  /** Whether another controller has begun the next incarnation; {@code stored} may be null. */
+  private boolean isNextIncarnation(StoreIncarnation stored) {
+    return stored != null && adopter.mayAdoptAfterLoss(stored);
+  }
+
+  /**
+   * Takes the next incarnation over; if that has been heard of and is not there, it is lost too.
+   */
+  private void pointerReadAfterLoss(StoreIncarnation stored) {
+    if (isNextIncarnation(stored)) {
+      adopter.adopt(stored);
+    } else if (knowledge.isLossOver()) {
+      // A read that was sent before the incarnation was heard of proves nothing, so it takes two.
+      if (overAtLastRead == knowledge.highestLeaderEpoch()) {
+        dataLost("an era after the loss was heard of, and is not there", UNNAMED);
+      } else {
+        overAtLastRead = knowledge.highestLeaderEpoch();
+      }
     }
   }
 
@@ -291,22 +275,12 @@
   @Override
   public boolean mayClaim() {
     if (knowledge.isIntact()) {
-      return knowledge.hasIncarnation() || mayBeginFirstIncarnation();
-    }
-    return knowledge.isLost() && pointer.hasReadSinceLoss() && restorer.prepared() != null;
-  }
-
-  /**
-   * Whoever was up before knows whether contents without an incarnation are new or emptied, and has
-   * restored emptied ones by the time that is waited for here. A process that was started into
-   * emptied contents must not begin a first incarnation there while another still holds all that
-   * was lost.
-   */
-  private boolean mayBeginFirstIncarnation() {
-    if (knowledge.isBehind()) {
-      return upS() > context.settings().workers().leaseS() / 2;
+      return eligibility.mayClaimIntact();
     }
-    return host.allPeersHeard() || upS() > context.settings().workers().heartbeatIntervalS();
+    return lossNews.isTold()
+        && pointer.hasReadSinceLoss()
+        && restorer.prepared() != null
+        && !isNextIncarnation(pointer.latest().incarnation());
   }
 
   @Override
@@ -344,7 +318,7 @@
     pointer.read();
     if (knowledge.isLost()) {
       // The blocks are lost too, or somebody has begun an incarnation, which needs none of ours.
-      restorer.begin();
+      restorer.begin(context.clock().now());
     }
   }
 }
--- a/src/main/java/io/embernotch/incarnation/StoreRestorer.java
+++ b/src/main/java/io/embernotch/incarnation/StoreRestorer.java
@@ -10,8 +10,9 @@
 import io.embernotch.snapshot.proto.SnapshotProto.ClusterSnapshot;
 import io.embernotch.store.RateLimiter.RequestPriority;
 import io.embernotch.store.Transaction;
+import io.vertx.core.Future;
 import java.util.List;
-import java.util.function.BooleanSupplier;
+import java.util.Optional;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -42,23 +43,46 @@
   /** Where the snapshot comes from. */
   public interface Source {
     /**
-     * The state of which this node was leader when the data was lost; null if it was not, or if
-     * another has been since.
+     * The state of the term that this node has led, if it is proven without asking anybody that
+     * nobody has led since: the lease of the term could be proven when the loss was noticed.
+     *
+     * @param noticedAt when that was, by the steady clock
      */
-    ClusterSnapshot lastLeaderSnapshot();
+    Optional<ClusterSnapshot> lastLeaderState(double noticedAt);
+
+    /**
+     * Puts together what this node and all others that answer know; completes within a bounded time
+     * and does not fail.
+     *
+     * @param lossEpoch the epoch that names the loss
+     */
+    Future<RestorableState> gather(long lossEpoch);
 
     /** The newest snapshot file that may be used; null if there is none. Blocks. */
     ClusterSnapshot newestStoredSnapshot();
   }
 
+  /**
+   * What is known of the contents that were lost.
+   *
+   * @param state all jobs with their progress
+   * @param fromLastLeader whether it is of the leader that led last, by proof, so that no start is
+   *     missing from it
+   * @param mayImprove whether others may soon know more, or put back more themselves: somebody has
+   *     not answered, or may have led last
+   */
+  public record RestorableState(
+      ClusterSnapshot state, boolean fromLastLeader, boolean mayImprove) {}
+
   private final ControllerContext context;
   private final Source source;
   private final double leaseTtlS;
-  private final BooleanSupplier needed;
+  private final IncarnationKnowledge knowledge;
 
   /** Null while no snapshot lies in the store. */
   private PreparedSnapshot prepared;
 
+  /** The snapshot is of the leader that led last, and that was this node. */
   private boolean wasLeader;
 
   /** Attempts are numbered: a later one ends those before it. */
@@ -66,14 +90,14 @@
 
   /**
    * @param leaseTtlS time to live of a leader's lease in seconds
-   * @param needed whether data is still lost
+   * @param knowledge tells whether data is still lost
    */
   StoreRestorer(
-      ControllerContext context, Source source, double leaseTtlS, BooleanSupplier needed) {
+      ControllerContext context, Source source, double leaseTtlS, IncarnationKnowledge knowledge) {
     this.context = context;
     this.source = source;
     this.leaseTtlS = leaseTtlS;
-    this.needed = needed;
+    this.knowledge = knowledge;
   }
 
   /** The snapshot that an incarnation may be begun with; null while none is there. */
@@ -92,24 +116,23 @@
   }
 
   /**
-   * Data was lost. Whoever was leader goes first: it knows most, and nobody else can have led
-   * meanwhile.
+   * Data was lost. Whoever is proven to have led last goes first: it knows of every start. Anybody
+   * else asks all others, and goes on with what is known together.
+   *
+   * @param noticedAt when the loss was noticed, by the steady clock
    */
-  void begin() {
+  void begin(double noticedAt) {
     prepared = null;
     int attempt = ++latestAttempt;
-    ClusterSnapshot snapshot = source.lastLeaderSnapshot();
-    wasLeader = snapshot != null;
+    Optional<ClusterSnapshot> ownState =
+        knowledge.isLossSeen() ? source.lastLeaderState(noticedAt) : Optional.empty();
+    wasLeader = ownState.isPresent();
     if (wasLeader) {
-      LOG.info(
-          "the state that this node had as leader of epoch {} is restored", snapshot.getEpoch());
-      prepare(attempt, snapshot);
-      return;
+      restoreLastLeader(attempt, ownState.get());
+    } else {
+      double patienceS = context.settings().workers().leaseS() / FORMER_LEADER_ADVANTAGE_DIVISOR;
+      gather(attempt, context.clock().now() + patienceS);
     }
-    double leaseS = context.settings().workers().leaseS();
-    context
-        .timers()
-        .after(leaseS / FORMER_LEADER_ADVANTAGE_DIVISOR, () -> restoreWithoutFormerLeader(attempt));
   }
 
   /** Ends the present attempt, if there is one: an incarnation has begun. */
@@ -119,21 +142,56 @@
   }
 
   private boolean isCurrent(int attempt) {
-    return attempt == latestAttempt && needed.getAsBoolean();
+    return attempt == latestAttempt && knowledge.isLost() && !knowledge.isLossOver();
+  }
+
+  /** The others may have accepted jobs that they could not make known to the leader in time. */
+  private void restoreLastLeader(int attempt, ClusterSnapshot state) {
+    LOG.info("the state that this node had as leader of epoch {} is restored", state.getEpoch());
+    source
+        .gather(knowledge.lossEpoch())
+        .onSuccess(
+            gathered -> {
+              if (isCurrent(attempt)) {
+                prepare(attempt, SnapshotMerge.supplemented(state, gathered.state()));
+              }
+            });
+  }
+
+  /** Asks all others, again and again until nothing can be gained by it or {@code until}. */
+  private void gather(int attempt, double until) {
+    if (isCurrent(attempt)) {
+      source
+          .gather(knowledge.lossEpoch())
+          .onSuccess(gathered -> gathered(attempt, until, gathered));
+    }
   }
 
-  private void restoreWithoutFormerLeader(int attempt) {
+  private void gathered(int attempt, double until, RestorableState gathered) {
     if (!isCurrent(attempt)) {
       return;
     }
+    if (gathered.fromLastLeader()) {
+      wasLeader = true;
+      LOG.info(
+          "all others confirm that nobody has led since epoch {}", gathered.state().getEpoch());
+      prepare(attempt, gathered.state());
+    } else if (gathered.mayImprove() && context.clock().now() < until) {
+      context.timers().after(leaseTtlS / READ_RETRIES_PER_LEASE, () -> gather(attempt, until));
+    } else {
+      restoreWithoutFormerLeader(attempt, gathered.state());
+    }
+  }
+
+  private void restoreWithoutFormerLeader(int attempt, ClusterSnapshot known) {
     ClusterSnapshot stored = source.newestStoredSnapshot();
     LOG.warn(
-        "no former leader has restored the store: continuing with what is left there and {}",
+        "no former leader has restored the store: continuing with what is left there, {} jobs and"
+            + " {} ends that controllers know, and {}",
+        known.getJobCount(),
+        known.getEndedCount(),
         describe(stored));
-    // Tasks may run of which nobody here knows: it is not complete, so nothing that was left is
-    // started for long.
-    ClusterSnapshot nothing = ClusterSnapshot.newBuilder().setComplete(false).build();
-    prepareWithRemains(attempt, stored == null ? nothing : stored);
+    prepareWithRemains(attempt, stored == null ? known : SnapshotMerge.of(known, stored));
   }
 
   private String describe(ClusterSnapshot stored) {
@@ -144,24 +202,34 @@
     return "a snapshot of epoch " + stored.getEpoch() + ", " + ageS + " s old";
   }
 
-  /** Neither a snapshot nor what is left in the store need be the newer one: both count. */
-  private void prepareWithRemains(int attempt, ClusterSnapshot stored) {
+  /**
+   * Neither what is known nor what is left in the store need be the newer one: both count. Tasks
+   * may run of which nobody here knows, and jobs may have been accepted.
+   */
+  private void prepareWithRemains(int attempt, ClusterSnapshot known) {
+    if (!isCurrent(attempt)) {
+      return;
+    }
     PersistedState.read(context.store())
         .map(
             left ->
                 StateSnapshot.of(left.jobs(), left.shards(), left.refinedShards(), left.shared()))
-        .onSuccess(left -> prepare(attempt, SnapshotMerge.of(left, stored)))
+        .onSuccess(left -> prepare(attempt, incomplete(SnapshotMerge.of(left, known))))
         .onFailure(
             failure ->
                 context
                     .timers()
                     .after(
                         leaseTtlS / READ_RETRIES_PER_LEASE,
-                        () -> {
-                          if (isCurrent(attempt)) {
-                            prepareWithRemains(attempt, stored);
-                          }
-                        }));
+                        () -> prepareWithRemains(attempt, known)));
+  }
+
+  private ClusterSnapshot incomplete(ClusterSnapshot snapshot) {
+    return snapshot.toBuilder()
+        .setComplete(false)
+        .setJobsMissing(true)
+        .setWallMs(context.clock().wallMs())
+        .build();
   }
 
   private void prepare(int attempt, ClusterSnapshot snapshot) {
--- a/src/main/java/io/embernotch/jobs/FailoverRecovery.java
+++ b/src/main/java/io/embernotch/jobs/FailoverRecovery.java
@@ -25,6 +25,9 @@
 public final class FailoverRecovery {
   private static final double MS_PER_S = 1000.0;
 
+  /** A loss counts as recent for so many times the longest lease: times of day may differ. */
+  private static final double CLOCK_ALLOWANCE = 2;
+
   private final ControllerContext context;
   private final ClusterState state;
   private final StateWriter stateWriter;
@@ -118,16 +121,31 @@
   }
 
   /**
-   * Holds back a job whose recorded progress may lack starts. After a loss of data of which no
-   * leader's snapshot is left, tasks that were started before it may run unknown to anybody; they
-   * are over once no worker's lease can have been renewed for them any more.
+   * Holds back a job of which starts may be unknown. After a loss of data of which no leader's
+   * snapshot is left, tasks that were started before it may run unknown to anybody; they are over
+   * once no worker's lease can have been renewed for them any more. Until then what looks like a
+   * new job may be the repeat of one that was lost.
    */
   public void delayIfProgressUncertain(Job job) {
-    if (job.restoredAfterLoss && !baseSnapshot.complete()) {
+    if (!baseSnapshot.complete() && (job.restoredAfterLoss || isLossRecent())) {
       job.notBefore = noTaskRunsAfter();
     }
   }
 
+  /** Whether tasks from before the loss may still run, by times of day of two controllers. */
+  private boolean isLossRecent() {
+    double sinceLossS = (context.clock().wallMs() - baseSnapshot.madeMs()) / MS_PER_S;
+    return sinceLossS < CLOCK_ALLOWANCE * WorkerLeases.longestLeaseS(context.settings());
+  }
+
+  /**
+   * Whether no task can run that this leader does not know of: nothing of that kind was left by a
+   * loss of data, or it is over.
+   */
+  public boolean allStartsKnown() {
+    return baseSnapshot.complete() || context.clock().now() > noTaskRunsAfter();
+  }
+
   /** When, by the steady clock, no task runs any more that only an earlier leader knew of. */
   private double noTaskRunsAfter() {
     return acquiredAt + WorkerLeases.longestLeaseS(context.settings());
--- a/src/main/java/io/embernotch/leader/Leader.java
+++ b/src/main/java/io/embernotch/leader/Leader.java
@@ -145,6 +145,11 @@
     components.state.types.putAll(types);
   }
 
+  /** Whether it has read the store, so that its cluster state holds all that the store did. */
+  public boolean isLoaded() {
+    return lifecycle.isLoaded();
+  }
+
   /** Modification revision of the leader key in this term. */
   public long modRevision() {
     return term.modRevision();
@@ -160,13 +165,19 @@
    * that is known. Also after the leader was stopped.
    */
   public ClusterSnapshot snapshot() {
-    return lifecycle.isLoaded()
-        ? StateSnapshot.of(
+    if (!lifecycle.isLoaded()) {
+      return initialSnapshot;
+    }
+    ClusterSnapshot snapshot =
+        StateSnapshot.of(
             components.state,
             components.shardLayout::shardSize,
             components.sharedState.entries(),
             term.epoch(),
-            context.clock().wallMs())
-        : initialSnapshot;
+            context.clock().wallMs());
+    return snapshot.toBuilder()
+        .setComplete(components.failoverRecovery.allStartsKnown())
+        .setJobsMissing(term.baseSnapshot().jobsMissing())
+        .build();
   }
 }
--- /dev/null
+++ b/src/main/java/io/embernotch/replication/ReplicaFeed.java
@@ -0,0 +1,160 @@
+package io.embernotch.replication;
+
+import io.embernotch.codec.JobProgressCodec;
+import io.embernotch.context.ControllerContext;
+import io.embernotch.snapshot.BaseSnapshot;
+import io.embernotch.store.StoreException;
+import io.embernotch.store.WatchEvents;
+import java.util.List;
+
+/**
+ * Fills the replica of this controller from the store and keeps it current: once it has read all,
+ * it follows the store's changes. What other controllers send beside that only makes the replica
+ * newer. Rests while this controller leads, since the leader's cluster state holds more, and while
+ * data is lost, since what the store holds then is not what was lost. Owned by the controller's
+ * event loop.
+ */
+public final class ReplicaFeed {
+  /** All keys: one watch costs less than one for each prefix. */
+  private static final String ALL_KEYS = "";
+
+  private static final List<String> PREFIXES =
+      List.of(
+          JobProgressCodec.JOB,
+          JobProgressCodec.SHARD,
+          JobProgressCodec.REFINED_SHARD,
+          JobProgressCodec.SHARED);
+
+  /** The watches of all controllers together take at most this share of the store's requests. */
+  private static final double REQUEST_SHARE = 0.03;
+
+  /** A watch waits for so many heartbeat intervals at most before it is renewed. */
+  private static final double LONG_POLL_HEARTBEATS = 3;
+
+  /** What failed is tried again after a heartbeat interval divided by this. */
+  private static final double RETRIES_PER_HEARTBEAT = 6;
+
+  private enum State {
+    /** Nothing is read; what is held stays. */
+    RESTING,
+    /** All that the store holds is being read. */
+    FILLING,
+    /** All was read, and changes are followed. */
+    FOLLOWING
+  }
+
+  private final ControllerContext context;
+  private final StoreReplica replica;
+  private final double pauseS;
+  private final double longPollS;
+  private final double retryS;
+  private State state = State.RESTING;
+
+  /** Of each beginning and end of the feed; answers to requests from before it are dropped. */
+  private int generation;
+
+  /** A feed that rests. */
+  public ReplicaFeed(ControllerContext context, StoreReplica replica) {
+    this.context = context;
+    this.replica = replica;
+    double heartbeatIntervalS = context.settings().workers().heartbeatIntervalS();
+    int controllers = 1 + context.settings().members().size();
+    this.pauseS = controllers / (REQUEST_SHARE * context.settings().minStoreLimits().rps());
+    this.longPollS = LONG_POLL_HEARTBEATS * heartbeatIntervalS;
+    this.retryS = heartbeatIntervalS / RETRIES_PER_HEARTBEAT;
+  }
+
+  /** Whether all that the store held was read, and changes have been followed since. */
+  public boolean isFollowing() {
+    return state == State.FOLLOWING;
+  }
+
+  /** Whether entries that other controllers send belong into the replica. */
+  public boolean isActive() {
+    return state != State.RESTING;
+  }
+
+  /** Reads the store anew: it holds an incarnation that began with this snapshot. */
+  public void begin(BaseSnapshot base) {
+    replica.reset(base);
+    state = State.FILLING;
+    fill(++generation);
+  }
+
+  /** Reads nothing any more; what is held stays. */
+  public void rest() {
+    generation++;
+    state = State.RESTING;
+  }
+
+  /** Reads nothing any more and forgets what is held: this controller leads. */
+  public void clear() {
+    rest();
+    replica.reset(BaseSnapshot.EMPTY);
+  }
+
+  private void fill(int begun) {
+    if (begun == generation) {
+      read(begun, 0, Long.MAX_VALUE);
+    }
+  }
+
+  /** Reads the prefixes from this one on; changes after the first revision are followed. */
+  private void read(int begun, int prefix, long firstRevision) {
+    context
+        .store()
+        .forEachPage(
+            PREFIXES.get(prefix),
+            page -> {
+              if (begun == generation) {
+                page.forEach(replica::put);
+              }
+            })
+        .onSuccess(revision -> prefixRead(begun, prefix, Math.min(firstRevision, revision)))
+        .onFailure(failure -> context.timers().after(retryS, () -> fill(begun)));
+  }
+
+  private void prefixRead(int begun, int prefix, long firstRevision) {
+    if (begun != generation) {
+      return;
+    }
+    if (prefix + 1 < PREFIXES.size()) {
+      read(begun, prefix + 1, firstRevision);
+      return;
+    }
+    state = State.FOLLOWING;
+    follow(begun, firstRevision);
+  }
+
+  private void follow(int begun, long revision) {
+    if (begun != generation) {
+      return;
+    }
+    context
+        .store()
+        .watch(ALL_KEYS, revision, longPollS)
+        .onSuccess(changes -> changed(begun, revision, changes))
+        .onFailure(failure -> watchFailed(begun, revision, failure));
+  }
+
+  private void changed(int begun, long revision, WatchEvents changes) {
+    if (begun != generation) {
+      return;
+    }
+    changes.events().forEach(replica::put);
+    long reached = Math.max(revision, changes.revision());
+    context.timers().after(pauseS, () -> follow(begun, reached));
+  }
+
+  private void watchFailed(int begun, long revision, Throwable failure) {
+    if (begun != generation) {
+      return;
+    }
+    if (StoreException.kindOf(failure) == StoreException.Kind.TOO_OLD) {
+      state = State.FILLING;
+      fill(begun);
+    } else {
+      context.timers().after(retryS, () -> follow(begun, revision));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/embernotch/replication/StoreReplica.java
@@ -0,0 +1,226 @@
+package io.embernotch.replication;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.embernotch.codec.JobProgressCodec;
+import io.embernotch.codec.Json;
+import io.embernotch.codec.MalformedInputException;
+import io.embernotch.snapshot.BaseSnapshot;
+import io.embernotch.snapshot.StateSnapshot;
+import io.embernotch.snapshot.proto.SnapshotProto.ClusterSnapshot;
+import io.embernotch.state.ClusterState.EndedJob;
+import io.embernotch.store.VersionedEntry;
+import io.embernotch.store.WatchEvents;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The newest known entry of each key that the store holds of jobs and shared state, within one
+ * store incarnation. Entries may come in any order and more than once: that of the highest
+ * modification revision stays. Of a job that has ended, with no attempt open, only its end is kept.
+ * Owned by the controller's event loop.
+ */
+public final class StoreReplica {
+  private static final Logger LOG = LoggerFactory.getLogger(StoreReplica.class);
+
+  /** Bytes that an entry takes besides its key and its value. */
+  private static final int ENTRY_OVERHEAD = 120;
+
+  /** Bytes that the end of a job takes besides its reference. */
+  private static final int END_OVERHEAD = 160;
+
+  /** A value as JSON: it is smaller than parsed, and seldom needed. */
+  @SuppressWarnings("ArrayRecordComponent") // The bytes are never compared.
+  private record HeldEntry(byte[] value, long modRevision) {}
+
+  private final long maxBytes;
+
+  /** By the id of the job, then by key. */
+  private final Map<String, Map<String, HeldEntry>> jobs = new LinkedHashMap<>();
+
+  /** By the id of the job, in the order in which they became known. */
+  private final Map<String, EndedJob> ended = new LinkedHashMap<>();
+
+  private final Map<String, HeldEntry> shared = new TreeMap<>();
+  private BaseSnapshot base = BaseSnapshot.EMPTY;
+  private long bytes;
+  private boolean evicted;
+
+  /**
+   * An empty replica.
+   *
+   * @param maxBytes about so many bytes are held at most; the oldest ends are given up first, then
+   *     the oldest jobs
+   */
+  public StoreReplica(long maxBytes) {
+    this.maxBytes = maxBytes;
+  }
+
+  /** Forgets everything: entries of another incarnation follow, which began with this snapshot. */
+  public void reset(BaseSnapshot newBase) {
+    jobs.clear();
+    ended.clear();
+    shared.clear();
+    base = newBase;
+    bytes = 0;
+    evicted = false;
+  }
+
+  /** About so many bytes are held. */
+  public long bytes() {
+    return bytes;
+  }
+
+  /** Whether something had to be given up, to stay within the bound on memory. */
+  public boolean hasEvicted() {
+    return evicted;
+  }
+
+  /** Takes an entry, if its key is one of those that are held. */
+  public void put(VersionedEntry entry) {
+    if (entry.present() && holds(entry.key())) {
+      put(entry.key(), Json.bytes(entry.value()), entry.modRevision());
+    }
+  }
+
+  /** Takes the value of a key, as JSON, that was written at this modification revision. */
+  public void put(String key, byte[] value, long modRevision) {
+    if (key.startsWith(JobProgressCodec.SHARED)) {
+      putNewer(shared, key, new HeldEntry(value, modRevision));
+    } else if (holds(key)) {
+      putOfJob(refOf(key), key, new HeldEntry(value, modRevision));
+    }
+    evictBeyondLimit();
+  }
+
+  /** Whether entries of this key belong into the replica. */
+  static boolean holds(String key) {
+    return key.startsWith(JobProgressCodec.JOB)
+        || key.startsWith(JobProgressCodec.SHARD)
+        || key.startsWith(JobProgressCodec.REFINED_SHARD)
+        || key.startsWith(JobProgressCodec.SHARED);
+  }
+
+  private static String refOf(String key) {
+    return key.split("/", -1)[1];
+  }
+
+  private void putOfJob(String ref, String key, HeldEntry entry) {
+    if (ended.containsKey(ref) || base.ended(ref) != null) {
+      return;
+    }
+    Map<String, HeldEntry> entries = jobs.computeIfAbsent(ref, unknown -> new TreeMap<>());
+    putNewer(entries, key, entry);
+    if (isFirstShard(ref, key) && tellsEnd(entry)) {
+      keepOnlyEnd(ref, entries);
+    }
+  }
+
+  /** The first shard, refined or not, holds the job's end too. */
+  private static boolean isFirstShard(String ref, String key) {
+    return key.equals(JobProgressCodec.shardKey(ref, 0))
+        || (key.startsWith(JobProgressCodec.REFINED_SHARD) && key.endsWith("/0"));
+  }
+
+  private static boolean tellsEnd(HeldEntry entry) {
+    try {
+      return JobProgressCodec.readEnd(Json.parseObject(entry.value)) != null;
+    } catch (MalformedInputException e) {
+      return false;
+    }
+  }
+
+  private void putNewer(Map<String, HeldEntry> entries, String key, HeldEntry entry) {
+    HeldEntry held = entries.get(key);
+    if (held == null || held.modRevision < entry.modRevision) {
+      entries.put(key, entry);
+      bytes += sizeOf(key, entry) - (held == null ? 0 : sizeOf(key, held));
+    }
+  }
+
+  /** Of a job that has ended, and has no attempt open, nothing but its end is needed. */
+  private void keepOnlyEnd(String ref, Map<String, HeldEntry> entries) {
+    List<VersionedEntry> held = new ArrayList<>();
+    entries.forEach((key, entry) -> held.add(versioned(key, entry)));
+    StateSnapshot.endOf(
+            base.overlay(ref, JobProgressCodec.JOB, under(JobProgressCodec.JOB, held)),
+            base.overlay(ref, JobProgressCodec.SHARD, under(JobProgressCodec.SHARD, held)),
+            base.overlay(
+                ref, JobProgressCodec.REFINED_SHARD, under(JobProgressCodec.REFINED_SHARD, held)))
+        .ifPresent(
+            end -> {
+              removeJob(ref);
+              ended.put(ref, end);
+              bytes += sizeOfEnd(ref);
+            });
+  }
+
+  private void removeJob(String ref) {
+    jobs.remove(ref).forEach((key, entry) -> bytes -= sizeOf(key, entry));
+  }
+
+  private static long sizeOf(String key, HeldEntry entry) {
+    return ENTRY_OVERHEAD + (long) key.length() + entry.value.length;
+  }
+
+  private static long sizeOfEnd(String ref) {
+    return END_OVERHEAD + (long) ref.length();
+  }
+
+  private void evictBeyondLimit() {
+    while (bytes > maxBytes && !(ended.isEmpty() && jobs.isEmpty())) {
+      if (!evicted) {
+        evicted = true;
+        LOG.warn("the replica exceeds {} KiB: the oldest ends are given up", maxBytes >> 10);
+      }
+      if (ended.isEmpty()) {
+        removeJob(jobs.keySet().iterator().next());
+      } else {
+        Iterator<String> oldest = ended.keySet().iterator();
+        bytes -= sizeOfEnd(oldest.next());
+        oldest.remove();
+      }
+    }
+  }
+
+  /**
+   * All that is held, laid over the snapshot that the incarnation began with. Starts that were sent
+   * may be missing from it, so it is not complete.
+   */
+  public ClusterSnapshot snapshot() {
+    List<VersionedEntry> held = new ArrayList<>();
+    jobs.values()
+        .forEach(entries -> entries.forEach((key, entry) -> held.add(versioned(key, entry))));
+    List<VersionedEntry> heldShared = new ArrayList<>();
+    shared.forEach((key, entry) -> heldShared.add(versioned(key, entry)));
+    ClusterSnapshot.Builder snapshot =
+        StateSnapshot.of(
+            overlay(JobProgressCodec.JOB, held),
+            overlay(JobProgressCodec.SHARD, held),
+            overlay(JobProgressCodec.REFINED_SHARD, held),
+            new WatchEvents(0, base.overlayShared(new WatchEvents(0, heldShared))))
+            .toBuilder();
+    Map<String, EndedJob> allEnded = new TreeMap<>(base.allEnded());
+    allEnded.putAll(ended);
+    allEnded.forEach((ref, end) -> snapshot.addEnded(StateSnapshot.endedJob(ref, end)));
+    return snapshot.build();
+  }
+
+  private WatchEvents overlay(String prefix, List<VersionedEntry> held) {
+    return base.overlay(prefix, new WatchEvents(0, under(prefix, held)));
+  }
+
+  private static List<VersionedEntry> under(String prefix, List<VersionedEntry> held) {
+    return held.stream().filter(entry -> entry.key().startsWith(prefix)).toList();
+  }
+
+  private static VersionedEntry versioned(String key, HeldEntry entry) {
+    ObjectNode value = Json.parseObject(entry.value);
+    return new VersionedEntry(key, value, entry.modRevision());
+  }
+}
--- a/src/test/java/io/embernotch/controller/ProcessIncarnationsTest.java
+++ b/src/test/java/io/embernotch/controller/ProcessIncarnationsTest.java
@@ -88,7 +88,7 @@
    */
   @Test
   void peerHeartbeatOfAnEndedTermIsIgnored() {
-    LeaderObserver leaderObserver = new LeaderObserver();
+    LeaderObserver leaderObserver = new LeaderObserver(cluster.time);
     assertThat(leaderObserver.observeClaim("c1", 7)).isTrue();
     leaderObserver.update(null, 0);
     assertThat(leaderObserver.observeClaim("c1", 7)).isFalse();
