--- a/src/main/java/io/embernotch/api/DependencyValidator.java
+++ b/src/main/java/io/embernotch/api/DependencyValidator.java
@@ -46,7 +46,7 @@
 
   /**
    * Why the job can never run, in words for its user; empty if it can. Fails if the store does not
-   * answer.
+   * answer, or may have lost a dependency.
    */
   Future<Optional<String>> rejectionReason(JobSpec job) {
     List<Future<Optional<String>>> checks = new ArrayList<>();
@@ -75,6 +75,9 @@
     return PersistedJob.submission(context.store(), baseSnapshot.get(), ref)
         .map(
             entry -> {
+              if (!entry.present() && baseSnapshot.get().jobsMissing()) {
+                throw new IllegalStateException(ref + " may have been accepted before a loss");
+              }
               if (!entry.present()) {
                 return Optional.of("awaits " + ref + ", which was never accepted");
               }
--- a/src/main/java/io/embernotch/jobs/JobRequestHandler.java
+++ b/src/main/java/io/embernotch/jobs/JobRequestHandler.java
@@ -37,6 +37,9 @@
     /** Whether the leader has stopped, so that it must not take over jobs any more. */
     boolean isStopped();
 
+    /** Whether a job that the store does not hold was never accepted; false after some losses. */
+    boolean mayDenyJobs();
+
     /** Adds further fields to the status of a job that has not ended. */
     void describe(Job job, ObjectNode into);
   }
@@ -195,7 +198,11 @@
         .onSuccess(
             entry -> {
               if (!entry.present()) {
-                reply.complete(HttpResponse.error(404, "no such job"));
+                reply.complete(
+                    host.mayDenyJobs()
+                        ? HttpResponse.error(404, "no such job")
+                        : HttpResponse.later(
+                            "whether it was accepted before data was lost is not known"));
               } else if (host.isStopped()) {
                 reply.complete(HttpResponse.later("no steward"));
               } else {
--- a/src/main/java/io/embernotch/leader/JobEventHandler.java
+++ b/src/main/java/io/embernotch/leader/JobEventHandler.java
@@ -108,6 +108,11 @@
     return components.lifecycle.isStopped();
   }
 
+  @Override
+  public boolean mayDenyJobs() {
+    return !components.term.baseSnapshot().jobsMissing();
+  }
+
   @Override
   public void describe(Job job, ObjectNode into) {
     components.sharedState.describe(job, into);
