A failing test: random losses of data while leaders are paused and end

A third variant of the search, with draws of its own (LeaderFaults): a leader is paused beyond its lease and comes back, controllers restart one after the other, a leader ends up to 0.6 s before or after a loss, and contents change a second time, forward again, at once or after 9 s. At any moment some other controller goes on that was up and knew the contents for 12 s.

--- a/src/test/java/io/embernotch/incarnation/DataLossRandomizedTest.java
+++ b/src/test/java/io/embernotch/incarnation/DataLossRandomizedTest.java
@@ -25,6 +25,15 @@
   private static final int STEPS = 30;
   private static final int CONTROLLERS = 3;
 
+  /** What happens beside the actions that all runs draw. */
+  private enum Variant {
+    PLAIN,
+    /** Controllers are cut off from the others. */
+    ISOLATED,
+    /** Leaders are paused, restarted, and end with a loss of data. */
+    WITHOUT_LEADER
+  }
+
   /** One run of random steps, all drawn from one seed. */
   private static final class RandomRun {
     private final SplittableRandom random;
@@ -37,11 +46,18 @@
     /** Draws who is cut off from the other controllers; null: nobody is. */
     private final SplittableRandom isolation;
 
+    /** Takes leaders away; null: none is taken away. */
+    private final LeaderFaults leaderFaults;
+
     private int nextJob = 1;
 
-    RandomRun(long seed, boolean isolates) {
+    RandomRun(long seed, Variant variant) {
       random = new SplittableRandom(seed);
-      isolation = isolates ? new SplittableRandom(~seed) : null;
+      isolation = variant == Variant.ISOLATED ? new SplittableRandom(~seed) : null;
+      leaderFaults =
+          variant == Variant.WITHOUT_LEADER
+              ? new LeaderFaults(cluster, new SplittableRandom(~seed))
+              : null;
     }
 
     /** Returns what went wrong. */
@@ -49,6 +65,9 @@
       cluster.awaitLeader(3);
       for (int step = 0; step < STEPS; step++) {
         isolateOrReconnect();
+        if (leaderFaults != null) {
+          leaderFaults.step();
+        }
         randomAction();
         if (random.nextInt(4) == 0) {
           moments.add(cluster.store.snapshot());
@@ -59,6 +78,9 @@
         }
       }
       cluster.nodes.forEach(node -> node.peersUnreachable = false);
+      if (leaderFaults != null) {
+        leaderFaults.end();
+      }
       cluster.faults.commitDelivery = Delivery.DELIVERED;
       cluster.deliverDelayed();
       cluster.advance(80);
@@ -90,7 +112,11 @@
         case 8 -> outage();
         default -> {
           cluster.faults.commitDelivery = Delivery.DELIVERED;
-          loseData();
+          if (leaderFaults == null) {
+            loseData();
+          } else {
+            leaderFaults.loseData(moments);
+          }
         }
       }
     }
@@ -154,28 +180,37 @@
 
   @Test
   void noAnswerIsRevokedAndNothingRunsTwice() {
-    assertThat(violationsBySeed(FROM, SEEDS, false)).isEmpty();
+    assertThat(violationsBySeed(FROM, SEEDS, Variant.PLAIN)).isEmpty();
   }
 
   /** Guards against answers of a controller that does not hear of a loss. */
   @Test
   void noAnswerIsRevokedWhileAControllerIsCutOffFromTheOthers() {
-    assertThat(violationsBySeed(FROM, SEEDS, true)).isEmpty();
+    assertThat(violationsBySeed(FROM, SEEDS, Variant.ISOLATED)).isEmpty();
+  }
+
+  /**
+   * Guards against what a leader takes with it, and against one that comes back with what is out of
+   * date. Others that were up for a while go on all the time.
+   */
+  @Test
+  void noAnswerIsRevokedWhileLeadersArePausedAndEnd() {
+    assertThat(violationsBySeed(FROM, SEEDS, Variant.WITHOUT_LEADER)).isEmpty();
   }
 
-  /** More seeds than a build has time for: FROM, how many, and whether controllers are cut off. */
+  /** More seeds than a build has time for: FROM, how many, and the variant. */
   public static void main(String[] args) {
     Map<Long, List<String>> violations =
         violationsBySeed(
-            Integer.parseInt(args[0]), Integer.parseInt(args[1]), Boolean.parseBoolean(args[2]));
+            Integer.parseInt(args[0]), Integer.parseInt(args[1]), Variant.valueOf(args[2]));
     System.err.println(args[1] + " seeds from " + args[0] + ": " + violations);
     System.exit(violations.isEmpty() ? 0 : 1);
   }
 
-  private static Map<Long, List<String>> violationsBySeed(int from, int seeds, boolean isolates) {
+  private static Map<Long, List<String>> violationsBySeed(int from, int seeds, Variant variant) {
     Map<Long, List<String>> violations = new TreeMap<>();
     for (long seed = from; seed < from + seeds; seed++) {
-      List<String> found = new RandomRun(seed, isolates).run();
+      List<String> found = new RandomRun(seed, variant).run();
       if (!found.isEmpty()) {
         violations.put(seed, found);
       }
--- /dev/null
+++ b/src/test/java/io/embernotch/incarnation/LeaderFaults.java
@@ -0,0 +1,159 @@
+package io.embernotch.incarnation;
+
+import io.embernotch.codec.Json;
+import io.embernotch.testkit.ControllerNode;
+import io.embernotch.testkit.FakeStore.Snapshot;
+import io.embernotch.testkit.SimulatedCluster;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/**
+ * Draws faults that take leaders away, along with losses of data: pauses of a leader beyond its
+ * lease, restarts of one controller after the other, leaders that end with a loss or just before
+ * it, and contents that change twice within one restore.
+ *
+ * <p>At any moment some controller goes on that was up and reached the others and the store for a
+ * while, so that whatever users were told is known to somebody.
+ */
+final class LeaderFaults {
+  /** A controller that was up for so long, and knows the contents, has learned what was told. */
+  private static final double STEADY_S = 12;
+
+  /** Pauses are longer than the lease of a leader. */
+  private static final double MIN_PAUSE_S = 4;
+
+  private static final double MAX_PAUSE_S = 14;
+  private static final double MAX_DOWN_S = 3;
+
+  /** What a submission takes at most to become known to the leader. */
+  private static final double ANNOUNCED_S = 1;
+
+  /** The longest time between a leader's end and a loss. */
+  private static final double MAX_BETWEEN_S = 0.6;
+
+  /** A restore by others than the leader begins after a third of a worker's lease. */
+  private static final double LATE_RESTORE_S = 9;
+
+  private final SimulatedCluster cluster;
+  private final SplittableRandom random;
+
+  /** By controller: since when it is up, reaches the others and knows the contents. */
+  private final double[] steadySince;
+
+  /** By controller: when a pause or the time between two processes ends. */
+  private final double[] awayUntil;
+
+  LeaderFaults(SimulatedCluster cluster, SplittableRandom random) {
+    this.cluster = cluster;
+    this.random = random;
+    steadySince = new double[cluster.nodes.size()];
+    awayUntil = new double[cluster.nodes.size()];
+  }
+
+  /** Ends faults whose time is over, and may begin another. */
+  void step() {
+    for (ControllerNode node : cluster.nodes) {
+      if (isAway(node) && cluster.time.now() >= awayUntil[node.index]) {
+        bringBack(node);
+      }
+      if (!isAway(node) && !isSteady(node) && !knowsContents(node)) {
+        steadySince[node.index] = cluster.time.now();
+      }
+    }
+    switch (random.nextInt(6)) {
+      case 0 -> pauseLeader();
+      case 1 -> restart(cluster.nodes.get(random.nextInt(cluster.nodes.size())));
+      default -> {}
+    }
+  }
+
+  /** Ends all faults. */
+  void end() {
+    cluster.nodes.stream().filter(LeaderFaults::isAway).forEach(this::bringBack);
+  }
+
+  /** Loses data once or twice; the leader may end with it. */
+  void loseData(List<Snapshot> moments) {
+    ControllerNode leader = cluster.leader();
+    boolean leaderEnds = leader != null && mayTakeAway(leader) && random.nextInt(3) > 0;
+    boolean endsBefore = random.nextBoolean();
+    Snapshot present = cluster.store.snapshot();
+    if (leaderEnds && endsBefore) {
+      kill(leader);
+      cluster.advance(random.nextDouble(MAX_BETWEEN_S));
+    }
+    loseOnce(moments);
+    if (leaderEnds && !endsBefore) {
+      cluster.advance(random.nextDouble(MAX_BETWEEN_S));
+      kill(leader);
+    }
+    if (random.nextInt(3) == 0) {
+      cluster.advance((random.nextBoolean() ? 0 : LATE_RESTORE_S) + random.nextDouble(4));
+      cluster.store.restore(present, random.nextBoolean());
+    }
+    moments.clear();
+  }
+
+  private void loseOnce(List<Snapshot> moments) {
+    if (moments.isEmpty() || random.nextInt(3) == 0) {
+      cluster.store.wipe();
+    } else {
+      Snapshot moment = moments.get(random.nextInt(moments.size()));
+      cluster.store.restore(moment, random.nextBoolean());
+    }
+  }
+
+  private void pauseLeader() {
+    ControllerNode leader = cluster.leader();
+    if (leader != null && mayTakeAway(leader)) {
+      leader.storeUnavailable = true;
+      leader.peersUnreachable = true;
+      leader.storeUnresponsive = random.nextBoolean();
+      leader.workersUnreachable = random.nextBoolean();
+      awayUntil[leader.index] =
+          cluster.time.now() + MIN_PAUSE_S + random.nextDouble(MAX_PAUSE_S - MIN_PAUSE_S);
+    }
+  }
+
+  private void restart(ControllerNode node) {
+    if (!isAway(node) && mayTakeAway(node)) {
+      cluster.advance(ANNOUNCED_S);
+      kill(node);
+    }
+  }
+
+  private void kill(ControllerNode node) {
+    node.kill();
+    awayUntil[node.index] = cluster.time.now() + random.nextDouble(MAX_DOWN_S);
+  }
+
+  private void bringBack(ControllerNode node) {
+    node.storeUnavailable = false;
+    node.peersUnreachable = false;
+    node.storeUnresponsive = false;
+    node.workersUnreachable = false;
+    if (node.down) {
+      node.start();
+    }
+    steadySince[node.index] = cluster.time.now();
+  }
+
+  private static boolean isAway(ControllerNode node) {
+    return node.down || node.storeUnavailable;
+  }
+
+  private boolean isSteady(ControllerNode node) {
+    return !isAway(node) && cluster.time.now() - steadySince[node.index] >= STEADY_S;
+  }
+
+  /** Whether another goes on that knows what was told. */
+  private boolean mayTakeAway(ControllerNode node) {
+    return cluster.nodes.stream().anyMatch(other -> other != node && isSteady(other));
+  }
+
+  private boolean knowsContents(ControllerNode node) {
+    return Json.parseObject(cluster.await(node.controller.overview()).body())
+        .get("sound")
+        .asBoolean();
+  }
+}
