--- a/src/main/java/io/embernotch/controller/RoleTransitions.java
+++ b/src/main/java/io/embernotch/controller/RoleTransitions.java
@@ -91,6 +91,11 @@
     heartbeatForwarder.leaderChanged(node, epoch, acceptsForwarded);
   }
 
+  @Override
+  public void formerLeaderSeen(String node, long epoch) {
+    leaderObserver.observeEpoch(node, epoch);
+  }
+
   @Override
   public void leaderAbsent() {
     leaderObserver.update(null, 0);
--- a/src/main/java/io/embernotch/election/LeaderElection.java
+++ b/src/main/java/io/embernotch/election/LeaderElection.java
@@ -182,6 +182,11 @@
     boolean startsNewIncarnation = candidacy.startsNewIncarnation();
     Optional<LeaderKey> key = LeaderKey.read(entry);
     candidacy.incarnationNamed(key.map(LeaderKey::incarnation).orElse(null));
+    if (startsNewIncarnation) {
+      key.ifPresent(
+          former ->
+              listener.formerLeaderSeen(former.node(), former.epochFloor() + entry.modRevision()));
+    }
     if ((startsNewIncarnation || key.isEmpty()) && !candidacy.mayClaim()) {
       listener.leaderAbsent();
       readKeyAfter(retryS);
--- a/src/main/java/io/embernotch/election/LeadershipListener.java
+++ b/src/main/java/io/embernotch/election/LeadershipListener.java
@@ -27,6 +27,14 @@
    */
   void leaderChanged(String node, long epoch, boolean acceptsForwarded);
 
+  /**
+   * The leader key was read in contents that are lost: whoever it names has led.
+   *
+   * @param node that leader
+   * @param epoch the leader's epoch
+   */
+  void formerLeaderSeen(String node, long epoch);
+
   /** The leader key was read: there is no leader. */
   void leaderAbsent();
 
--- a/src/main/java/io/embernotch/incarnation/PointerReader.java
+++ b/src/main/java/io/embernotch/incarnation/PointerReader.java
@@ -99,7 +99,8 @@
     }
   }
 
-  private static StoredPointer parse(VersionedEntry entry) {
+  /** The pointer that an entry holds; without an incarnation if it can't be read. */
+  static StoredPointer parse(VersionedEntry entry) {
     StoreIncarnation incarnation = null;
     try {
       incarnation =
--- /dev/null
+++ b/src/main/java/io/embernotch/incarnation/RemainsReader.java
@@ -0,0 +1,58 @@
+package io.embernotch.incarnation;
+
+import io.embernotch.codec.IncarnationCodec;
+import io.embernotch.codec.MalformedInputException;
+import io.embernotch.persistence.PersistedState;
+import io.embernotch.snapshot.BaseSnapshot;
+import io.embernotch.snapshot.StateSnapshot;
+import io.embernotch.snapshot.proto.SnapshotProto.ClusterSnapshot;
+import io.embernotch.store.StoreClient;
+import io.vertx.core.Future;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Reads what a store that has lost data still holds: the keys of whichever incarnation is left, and
+ * the snapshot that it began with, beneath them.
+ */
+final class RemainsReader {
+  private static final Logger LOG = LoggerFactory.getLogger(RemainsReader.class);
+
+  private RemainsReader() {}
+
+  /** What is left, as a snapshot that is not complete; fails as the first read that fails does. */
+  static Future<ClusterSnapshot> read(StoreClient store) {
+    return store
+        .get(IncarnationCodec.POINTER)
+        .map(PointerReader::parse)
+        .compose(pointer -> readBase(store, pointer))
+        .compose(
+            base ->
+                PersistedState.read(store)
+                    .map(
+                        left ->
+                            StateSnapshot.of(
+                                base,
+                                left.jobs(),
+                                left.shards(),
+                                left.refinedShards(),
+                                left.shared())));
+  }
+
+  private static Future<BaseSnapshot> readBase(StoreClient store, StoredPointer pointer) {
+    if (!pointer.isPresent() || pointer.incarnation().snapshotName() == null) {
+      return Future.succeededFuture(BaseSnapshot.EMPTY);
+    }
+    return store
+        .list(IncarnationCodec.blocks(pointer.incarnation().snapshotName()))
+        .map(
+            found -> {
+              try {
+                return BaseSnapshotReader.read(pointer.incarnation(), found.events());
+              } catch (MalformedInputException e) {
+                LOG.warn("the snapshot beneath what is left can't be read: {}", e.getMessage());
+                return BaseSnapshot.EMPTY;
+              }
+            });
+  }
+}
--- a/src/main/java/io/embernotch/incarnation/StoreRestorer.java
+++ b/src/main/java/io/embernotch/incarnation/StoreRestorer.java
@@ -2,11 +2,9 @@
 
 import io.embernotch.codec.IncarnationCodec;
 import io.embernotch.context.ControllerContext;
-import io.embernotch.persistence.PersistedState;
 import io.embernotch.settings.Settings;
 import io.embernotch.snapshot.SnapshotBlocks;
 import io.embernotch.snapshot.SnapshotMerge;
-import io.embernotch.snapshot.StateSnapshot;
 import io.embernotch.snapshot.proto.SnapshotProto.ClusterSnapshot;
 import io.embernotch.store.RateLimiter.RequestPriority;
 import io.embernotch.store.Transaction;
@@ -210,10 +208,7 @@
     if (!isCurrent(attempt)) {
       return;
     }
-    PersistedState.read(context.store())
-        .map(
-            left ->
-                StateSnapshot.of(left.jobs(), left.shards(), left.refinedShards(), left.shared()))
+    RemainsReader.read(context.store())
         .onSuccess(left -> prepare(attempt, incomplete(SnapshotMerge.of(left, known))))
         .onFailure(
             failure ->
--- a/src/main/java/io/embernotch/replication/StoreReplica.java
+++ b/src/main/java/io/embernotch/replication/StoreReplica.java
@@ -200,19 +200,18 @@
     shared.forEach((key, entry) -> heldShared.add(versioned(key, entry)));
     ClusterSnapshot.Builder snapshot =
         StateSnapshot.of(
-            overlay(JobProgressCodec.JOB, held),
-            overlay(JobProgressCodec.SHARD, held),
-            overlay(JobProgressCodec.REFINED_SHARD, held),
-            new WatchEvents(0, base.overlayShared(new WatchEvents(0, heldShared))))
+            base,
+            events(JobProgressCodec.JOB, held),
+            events(JobProgressCodec.SHARD, held),
+            events(JobProgressCodec.REFINED_SHARD, held),
+            new WatchEvents(0, heldShared))
             .toBuilder();
-    Map<String, EndedJob> allEnded = new TreeMap<>(base.allEnded());
-    allEnded.putAll(ended);
-    allEnded.forEach((ref, end) -> snapshot.addEnded(StateSnapshot.endedJob(ref, end)));
+    ended.forEach((ref, end) -> snapshot.addEnded(StateSnapshot.endedJob(ref, end)));
     return snapshot.build();
   }
 
-  private WatchEvents overlay(String prefix, List<VersionedEntry> held) {
-    return base.overlay(prefix, new WatchEvents(0, under(prefix, held)));
+  private static WatchEvents events(String prefix, List<VersionedEntry> held) {
+    return new WatchEvents(0, under(prefix, held));
   }
 
   private static List<VersionedEntry> under(String prefix, List<VersionedEntry> held) {
--- a/src/main/java/io/embernotch/snapshot/StateSnapshot.java
+++ b/src/main/java/io/embernotch/snapshot/StateSnapshot.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.ToIntFunction;
 import org.slf4j.Logger;
@@ -77,6 +78,28 @@
     return snapshot.build();
   }
 
+  /**
+   * The snapshot of what is left in the store of an incarnation, laid over the snapshot that it
+   * began with: what was not written since then stands only there. It is not complete.
+   */
+  public static ClusterSnapshot of(
+      BaseSnapshot base,
+      WatchEvents jobs,
+      WatchEvents shards,
+      WatchEvents refinedShards,
+      WatchEvents shared) {
+    ClusterSnapshot.Builder snapshot =
+        of(
+            base.overlay(JobProgressCodec.JOB, jobs),
+            base.overlay(JobProgressCodec.SHARD, shards),
+            base.overlay(JobProgressCodec.REFINED_SHARD, refinedShards),
+            new WatchEvents(shared.revision(), base.overlayShared(shared)))
+            .toBuilder();
+    new TreeMap<>(base.allEnded())
+        .forEach((ref, end) -> snapshot.addEnded(JobSnapshots.writeEnded(ref, end)));
+    return snapshot.build();
+  }
+
   /** The snapshot of a job of which only its end is left. */
   public static EndedJobSnapshot endedJob(String ref, ClusterState.EndedJob endedJob) {
     return JobSnapshots.writeEnded(ref, endedJob);
