--- a/src/main/java/io/embernotch/replication/ReplicaFeed.java
+++ b/src/main/java/io/embernotch/replication/ReplicaFeed.java
@@ -6,6 +6,8 @@
 import io.embernotch.store.StoreException;
 import io.embernotch.store.WatchEvents;
 import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Fills the replica of this controller from the store and keeps it current: once it has read all,
@@ -15,6 +17,8 @@
  * event loop.
  */
 public final class ReplicaFeed {
+  private static final Logger LOG = LoggerFactory.getLogger(ReplicaFeed.class);
+
   /** All keys: one watch costs less than one for each prefix. */
   private static final String ALL_KEYS = "";
 
@@ -34,6 +38,8 @@
   /** What failed is tried again after a heartbeat interval divided by this. */
   private static final double RETRIES_PER_HEARTBEAT = 6;
 
+  private static final int BYTES_PER_KIB = 1024;
+
   private enum State {
     /** Nothing is read; what is held stays. */
     RESTING,
@@ -123,6 +129,10 @@
       return;
     }
     state = State.FOLLOWING;
+    LOG.info(
+        "replica of the store: {} KiB, followed from revision {}",
+        replica.bytes() / BYTES_PER_KIB,
+        firstRevision);
     follow(begun, firstRevision);
   }
 
@@ -141,6 +151,7 @@
     if (begun != generation) {
       return;
     }
+    LOG.debug("{} changes after revision {}", changes.events().size(), revision);
     changes.events().forEach(replica::put);
     long reached = Math.max(revision, changes.revision());
     context.timers().after(pauseS, () -> follow(begun, reached));
@@ -150,6 +161,7 @@
     if (begun != generation) {
       return;
     }
+    LOG.debug("following from revision {} failed: {}", revision, failure.getMessage());
     if (StoreException.kindOf(failure) == StoreException.Kind.TOO_OLD) {
       state = State.FILLING;
       fill(begun);
