What is learned of a loss is kept, and nothing known is dropped for an incarnation without it

By review also: ends judged while the replica was still being filled (an open attempt of a cancelled job was lost), a leader that had not read the store acknowledging what it then forgot, a restore that was begun anew under a claim or stopped by one exception, a loss noticed between two pages of an adoption, a former term replaced by one that never loaded, an answer with a later epoch that was passed over.

Now answers of one loss are united and passed on; an incarnation that was not made from ours is not taken over but merged with what is known here; one that may lack jobs and does lack something known here is replaced once by one with both; contents that are behind are lost. The other points are mended each in its place.

--- a/src/main/java/io/embernotch/controller/Controller.java
+++ b/src/main/java/io/embernotch/controller/Controller.java
@@ -18,7 +18,6 @@
 import io.embernotch.peer.Frame;
 import io.embernotch.peer.PeerLink;
 import io.embernotch.persistence.ShardLayout;
-import io.embernotch.replication.KnowledgeCollector;
 import io.embernotch.replication.StoreReplica;
 import io.embernotch.rounds.PartitionViews;
 import io.embernotch.rounds.StragglerRounds;
@@ -60,9 +59,7 @@
   private final LocalPartition localPartition;
   private final LeaderClient leaderClient;
 
-  /** Number of tasks of a job that are kept in one shard. */
   private final int shardSize;
-
   private final JobAnnouncements jobAnnouncements;
   private final SubmissionHandler submissions;
   private final CompletedJobCache completedJobs = new CompletedJobCache();
@@ -93,11 +90,8 @@
     snapshots = new SnapshotScheduler(context);
     replica = new StoreReplica((long) (REPLICA_SHARE * BYTES_PER_MB * settings.quota().memoryMb()));
     restoreSource = createRestoreSource();
-    IncarnationEvents incarnationEvents =
-        new IncarnationEvents(settings.node(), peerLiveness, leaderObserver, localLeader);
-    incarnations =
-        new StoreIncarnationTracker(
-            context, incarnationEvents, restoreSource, leaseRenewer.leaseTtlS());
+    IncarnationEvents incarnationEvents = createIncarnationEvents();
+    incarnations = createIncarnationTracker(incarnationEvents);
     election = new LeaderElection(context, leaseRenewer, incarnations, peerLiveness);
     localPartition =
         new LocalPartition(context.clock(), MACHINE_VIEW_ROUNDS * context.operator().roundS());
@@ -117,16 +111,18 @@
     nodeStatus = createNodeStatus();
   }
 
-  private JobAnswers answers() {
-    return answers;
-  }
-
-  private StoreIncarnationTracker incarnations() {
-    return incarnations;
+  private IncarnationEvents createIncarnationEvents() {
+    return new IncarnationEvents(
+        context.settings().node(),
+        peerLiveness,
+        leaderObserver,
+        localLeader,
+        restoreSource,
+        () -> incarnations);
   }
 
-  private KnowledgeCollector knowledgeCollector() {
-    return new KnowledgeCollector(context, pendingRequests, peerLiveness, restoreSource);
+  private StoreIncarnationTracker createIncarnationTracker(IncarnationEvents events) {
+    return new StoreIncarnationTracker(context, events, restoreSource, leaseRenewer.leaseTtlS());
   }
 
   private JobQueries createJobQueries() {
@@ -141,9 +137,10 @@
         leaderObserver,
         snapshots,
         replica,
-        () -> answers(),
-        () -> incarnations(),
-        () -> knowledgeCollector());
+        pendingRequests,
+        peerLiveness,
+        () -> answers,
+        () -> incarnations);
   }
 
   private Replication createReplication() {
--- a/src/main/java/io/embernotch/controller/IncarnationEvents.java
+++ b/src/main/java/io/embernotch/controller/IncarnationEvents.java
@@ -5,7 +5,9 @@
 import io.embernotch.election.LeaderObserver;
 import io.embernotch.election.PeerLiveness;
 import io.embernotch.incarnation.IncarnationHost;
+import io.embernotch.incarnation.StoreIncarnationTracker;
 import io.embernotch.snapshot.BaseSnapshot;
+import java.util.function.Supplier;
 
 /** What a controller does when the store's contents are lost, or another incarnation begins. */
 final class IncarnationEvents implements IncarnationHost {
@@ -13,6 +15,8 @@
   private final PeerLiveness peerLiveness;
   private final LeaderObserver leaderObserver;
   private final LocalLeader localLeader;
+  private final RestoreSource restoreSource;
+  private final Supplier<StoreIncarnationTracker> incarnations;
   private LeaderElection election;
   private Replication replication;
   private SubmissionHandler submissions;
@@ -24,11 +28,15 @@
       String node,
       PeerLiveness peerLiveness,
       LeaderObserver leaderObserver,
-      LocalLeader localLeader) {
+      LocalLeader localLeader,
+      RestoreSource restoreSource,
+      Supplier<StoreIncarnationTracker> incarnations) {
     this.node = node;
     this.peerLiveness = peerLiveness;
     this.leaderObserver = leaderObserver;
     this.localLeader = localLeader;
+    this.restoreSource = restoreSource;
+    this.incarnations = incarnations;
   }
 
   /** Sets what is assembled after the tracker of the incarnation, which needs this object. */
@@ -52,11 +60,15 @@
       // one.
       election.stepDown("another store incarnation has begun");
     }
+    boolean lacksKnown = !election.holdsKey() && restoreSource.isMissingFrom(baseSnapshot);
     replication.incarnationSettled(baseSnapshot);
     submissions.storeIncarnationChanged();
     if (baseSnapshot.since() > 0) {
       machineTypes.store();
     }
+    if (lacksKnown) {
+      incarnations.get().contentsLackKnown();
+    }
   }
 
   @Override
--- a/src/main/java/io/embernotch/controller/LocalLeader.java
+++ b/src/main/java/io/embernotch/controller/LocalLeader.java
@@ -47,7 +47,6 @@
    * @param claimed when this node began to claim it, by the steady clock
    */
   void begin(Leader leader, double claimed) {
-    former = null;
     claimedAt = claimed;
     current = leader;
   }
@@ -60,7 +59,9 @@
   void end(double provenUntil) {
     if (current != null) {
       current.stop();
-      former = new FormerTerm(current, claimedAt, provenUntil);
+      if (former == null || current.snapshot() != null) {
+        former = new FormerTerm(current, claimedAt, provenUntil);
+      }
       current = null;
     }
   }
--- a/src/main/java/io/embernotch/controller/Replication.java
+++ b/src/main/java/io/embernotch/controller/Replication.java
@@ -85,7 +85,11 @@
 
   /** Called a few times in a heartbeat interval: forgets what something else holds as well. */
   void tick() {
-    if (feed.isActive() && localLeader.current().map(Leader::isLoaded).orElse(false)) {
+    boolean leads = localLeader.current().map(Leader::isLoaded).orElse(false);
+    if (leads) {
+      localLeader.forgetFormer();
+    }
+    if (leads && feed.isActive()) {
       feed.clear();
     }
     boolean superseded =
@@ -100,10 +104,15 @@
 
   /** Another controller has committed something. */
   void received(Frame.StateUpdate update, PeerLink.ReplyChannel replies) {
-    if (!localLeader.isPresent()) {
+    if (feed.isActive()) {
       replicator.received(update, replies);
-    } else if (update.incarnation().equals(intactIncarnation())
-        && jobAnnouncements.committed(update)) {
+    }
+    boolean passedOn =
+        localLeader.isPresent()
+            && update.incarnation().equals(intactIncarnation())
+            && jobAnnouncements.committed(update);
+    // A leader that has not read the store yet may end without having taken the job over.
+    if (passedOn && !feed.isActive() && localLeader.current().map(Leader::isLoaded).orElse(false)) {
       replies.send(new Frame.StateUpdateAck(update.id()));
     }
   }
--- a/src/main/java/io/embernotch/controller/RestoreSource.java
+++ b/src/main/java/io/embernotch/controller/RestoreSource.java
@@ -4,6 +4,8 @@
 import io.embernotch.context.ControllerContext;
 import io.embernotch.controller.LocalLeader.FormerTerm;
 import io.embernotch.election.LeaderObserver;
+import io.embernotch.election.PeerLiveness;
+import io.embernotch.forwarding.PendingRequests;
 import io.embernotch.incarnation.StoreIncarnationTracker;
 import io.embernotch.incarnation.StoreRestorer;
 import io.embernotch.replication.JoinedKnowledge;
@@ -11,13 +13,18 @@
 import io.embernotch.replication.LocalKnowledge;
 import io.embernotch.replication.StoreReplica;
 import io.embernotch.replication.proto.ReplicationProto.Knowledge;
+import io.embernotch.snapshot.BaseSnapshot;
 import io.embernotch.snapshot.SnapshotMerge;
 import io.embernotch.snapshot.StateSnapshot;
 import io.embernotch.snapshot.file.SnapshotScheduler;
 import io.embernotch.snapshot.proto.SnapshotProto.ClusterSnapshot;
+import io.embernotch.snapshot.proto.SnapshotProto.EndedJobSnapshot;
 import io.embernotch.state.ClusterState.EndedJob;
 import io.vertx.core.Future;
+import java.util.Collection;
+import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.function.Supplier;
 
 /**
@@ -27,6 +34,9 @@
 final class RestoreSource implements StoreRestorer.Source, LocalKnowledge {
   private static final double MS_PER_S = 1000;
 
+  /** So often in a row an incarnation is replaced since it lacks what is known here. */
+  private static final int MAX_MERGES = 3;
+
   private final ControllerContext context;
   private final LocalLeader localLeader;
   private final LeaderObserver leaderObserver;
@@ -34,9 +44,14 @@
   private final StoreReplica replica;
   private final Supplier<JobAnswers> answers;
   private final Supplier<StoreIncarnationTracker> incarnations;
-  private final Supplier<KnowledgeCollector> collector;
+  private final KnowledgeCollector collector;
   private final double startedAt;
 
+  /** What other controllers have told since the loss: they may have ended since. */
+  private Knowledge learned = Knowledge.getDefaultInstance();
+
+  private int mergesLeft = MAX_MERGES;
+
   /** Suppliers are of what is assembled later; they are asked only after that. */
   RestoreSource(
       ControllerContext context,
@@ -44,9 +59,10 @@
       LeaderObserver leaderObserver,
       SnapshotScheduler snapshots,
       StoreReplica replica,
+      PendingRequests pendingRequests,
+      PeerLiveness peerLiveness,
       Supplier<JobAnswers> answers,
-      Supplier<StoreIncarnationTracker> incarnations,
-      Supplier<KnowledgeCollector> collector) {
+      Supplier<StoreIncarnationTracker> incarnations) {
     this.context = context;
     this.localLeader = localLeader;
     this.leaderObserver = leaderObserver;
@@ -54,7 +70,7 @@
     this.replica = replica;
     this.answers = answers;
     this.incarnations = incarnations;
-    this.collector = collector;
+    this.collector = new KnowledgeCollector(context, pendingRequests, peerLiveness, this);
     this.startedAt = context.clock().now();
   }
 
@@ -68,27 +84,74 @@
   @Override
   public Future<StoreRestorer.RestorableState> gather(long lossEpoch) {
     return collector
-        .get()
         .collect(lossEpoch)
         .map(
             others -> {
+              others.stream().flatMap(Optional::stream).forEach(this::learn);
               JoinedKnowledge joined = JoinedKnowledge.of(knowledge(), others);
               return notSuperseded()
                   .filter(former -> JoinedKnowledge.provesLast(termOf(former), others))
                   .flatMap(RestoreSource::stateOf)
-                  .map(
-                      state ->
-                          new StoreRestorer.RestorableState(
-                              SnapshotMerge.supplemented(state, joined.state()), true, false))
-                  .orElseGet(
-                      () ->
-                          new StoreRestorer.RestorableState(
-                              joined.state(),
-                              false,
-                              !joined.allAnswered() || joined.ledElsewhere()));
+                  .map(state -> lastLeader(state, joined))
+                  .orElseGet(() -> withoutLastLeader(joined));
             });
   }
 
+  private static StoreRestorer.RestorableState lastLeader(
+      ClusterSnapshot state, JoinedKnowledge joined) {
+    return new StoreRestorer.RestorableState(
+        SnapshotMerge.supplemented(state, joined.state()), true, joined.highestEpoch(), false);
+  }
+
+  private static StoreRestorer.RestorableState withoutLastLeader(JoinedKnowledge joined) {
+    return new StoreRestorer.RestorableState(
+        joined.state(),
+        false,
+        joined.highestEpoch(),
+        !joined.allAnswered() || joined.ledElsewhere());
+  }
+
+  private void learn(Knowledge other) {
+    learned =
+        Knowledge.newBuilder()
+            .setState(SnapshotMerge.of(learned.getState(), other.getState()))
+            .addAllTold(ends(learned, other))
+            .build();
+  }
+
+  /** Of each job the end that either of two controllers has told. */
+  private static Collection<EndedJobSnapshot> ends(Knowledge a, Knowledge b) {
+    Map<String, EndedJobSnapshot> ends = new TreeMap<>();
+    a.getToldList().forEach(end -> ends.put(end.getRef(), end));
+    b.getToldList().forEach(end -> ends.putIfAbsent(end.getRef(), end));
+    return ends.values();
+  }
+
+  /**
+   * An incarnation has begun with this snapshot, perhaps without what is known here: then that is
+   * kept, to be merged with it.
+   *
+   * @return whether it lacks a job, or the end of one, that is known here
+   */
+  boolean isMissingFrom(BaseSnapshot base) {
+    Knowledge known = knowledge();
+    learned = Knowledge.getDefaultInstance();
+    if (!base.jobsMissing() || mergesLeft == 0) {
+      mergesLeft = MAX_MERGES;
+      return false;
+    }
+    boolean missing =
+        known.getToldList().stream().anyMatch(end -> !base.tellsEnd(end.getRef()))
+            || known.getState().getEndedList().stream()
+                .anyMatch(end -> !base.tellsEnd(end.getRef()))
+            || known.getState().getJobList().stream().anyMatch(job -> !base.has(job.getRef()));
+    if (missing) {
+      mergesLeft--;
+      learn(known);
+    }
+    return missing;
+  }
+
   @Override
   public ClusterSnapshot newestStoredSnapshot() {
     return snapshots.newest();
@@ -104,17 +167,21 @@
             .setHighestEpoch(leaderObserver.highestEpoch())
             .setHighestSeenMs((long) (leaderObserver.highestSeenForS() * MS_PER_S))
             .setLedEpoch(led.map(ClusterSnapshot::getEpoch).orElse(0L))
-            .setState(led.map(state -> SnapshotMerge.of(state, replicated)).orElse(replicated));
+            .setState(
+                SnapshotMerge.of(
+                    learned.getState(),
+                    led.map(state -> SnapshotMerge.of(state, replicated)).orElse(replicated)));
     if (leaderObserver.highestNode() != null) {
       knowledge.setHighestNode(leaderObserver.highestNode());
     }
+    Knowledge.Builder told = Knowledge.newBuilder();
     answers
         .get()
         .ends()
         .forEach(
             (ref, phase) ->
-                knowledge.addTold(StateSnapshot.endedJob(ref, new EndedJob(phase, 0, 0, 0))));
-    return knowledge.build();
+                told.addTold(StateSnapshot.endedJob(ref, new EndedJob(phase, 0, 0, 0))));
+    return knowledge.addAllTold(ends(told.build(), learned)).build();
   }
 
   @Override
--- a/src/main/java/io/embernotch/incarnation/ClaimEligibility.java
+++ b/src/main/java/io/embernotch/incarnation/ClaimEligibility.java
@@ -59,7 +59,10 @@
    */
   private boolean mayBeginFirstIncarnation() {
     if (knowledge.isBehind()) {
-      return upS() > context.settings().workers().leaseS() / 2;
+      if (upS() > context.settings().workers().leaseS() / 2) {
+        dataLost.accept("it holds no era, and a later epoch was heard of");
+      }
+      return false;
     }
     return allPeersHeard.getAsBoolean()
         || upS() > context.settings().workers().heartbeatIntervalS();
--- a/src/main/java/io/embernotch/incarnation/IncarnationAdopter.java
+++ b/src/main/java/io/embernotch/incarnation/IncarnationAdopter.java
@@ -17,35 +17,30 @@
   private final IncarnationHost host;
   private final IncarnationKnowledge knowledge;
   private final PointerReader pointer;
-  private final StoreRestorer restorer;
 
   IncarnationAdopter(
       StoreClient store,
       IncarnationHost host,
       IncarnationKnowledge knowledge,
-      PointerReader pointer,
-      StoreRestorer restorer) {
+      PointerReader pointer) {
     this.store = store;
     this.host = host;
     this.knowledge = knowledge;
     this.pointer = pointer;
-    this.restorer = restorer;
   }
 
   /**
    * After a loss an incarnation that was begun since is taken over if it was made from ours, or if
-   * we know nothing that could be put in its place. The one that we knew, or one before it, is what
-   * was restored from an earlier moment.
+   * we know none, and so nothing that could be put in its place. The one that we knew, or one
+   * before it, is what was restored from an earlier moment; one that was begun without what we know
+   * is replaced by one with both.
    */
   boolean mayAdoptAfterLoss(StoreIncarnation stored) {
     StoreIncarnation known = knowledge.incarnation();
     if (known == null) {
       return !knowledge.isHeardToBeLost(stored);
     }
-    if (stored.follows(known)) {
-      return true;
-    }
-    return !stored.name().equals(known.name()) && !known.follows(stored) && !restorer.wasLeader();
+    return stored.follows(known);
   }
 
   /**
@@ -62,10 +57,16 @@
       settle(stored, BaseSnapshot.EMPTY);
       return;
     }
+    int lossesBefore = knowledge.losses();
     store
         .list(IncarnationCodec.blocks(stored.snapshotName()))
         .onSuccess(
             found -> {
+              if (knowledge.losses() != lossesBefore) {
+                // What was read may be of contents that were lost meanwhile.
+                pointer.readLater();
+                return;
+              }
               try {
                 settle(stored, BaseSnapshotReader.read(stored, found.events()));
               } catch (MalformedInputException e) {
--- a/src/main/java/io/embernotch/incarnation/IncarnationClaimer.java
+++ b/src/main/java/io/embernotch/incarnation/IncarnationClaimer.java
@@ -77,6 +77,11 @@
     return begun;
   }
 
+  /** Whether a claim is under way that is to begin an incarnation. */
+  boolean isClaiming() {
+    return claimed != null;
+  }
+
   /** The claim under way is void; true if it was to begin an incarnation. */
   boolean discard() {
     boolean wasClaimed = claimed != null;
--- a/src/main/java/io/embernotch/incarnation/StoreIncarnationTracker.java
+++ b/src/main/java/io/embernotch/incarnation/StoreIncarnationTracker.java
@@ -73,7 +73,7 @@
     this.pointer =
         new PointerReader(
             context.store(), context.timers(), retryS, knowledge::isLost, this::pointerRead);
-    this.adopter = new IncarnationAdopter(context.store(), host, knowledge, pointer, restorer);
+    this.adopter = new IncarnationAdopter(context.store(), host, knowledge, pointer);
     this.claimer = new IncarnationClaimer(knowledge, pointer, restorer, context.names());
     this.eligibility =
         new ClaimEligibility(
@@ -115,6 +115,14 @@
     }
   }
 
+  /**
+   * The present incarnation began without something that users were told: it is taken for lost too,
+   * so that the next one begins with all that is known.
+   */
+  public void contentsLackKnown() {
+    dataLost("it began without what was told here", UNNAMED);
+  }
+
   /** How often data was seen to be lost by this process. */
   public int losses() {
     return knowledge.losses();
@@ -222,7 +230,7 @@
         .list(IncarnationCodec.POINTER)
         .onSuccess(
             listed -> {
-              if (knowledge.observeRevisionAfterLoss(listed.revision())) {
+              if (knowledge.observeRevisionAfterLoss(listed.revision()) && !claimer.isClaiming()) {
                 restorer.begin(noticedAt);
               }
             });
--- a/src/main/java/io/embernotch/incarnation/StoreRestorer.java
+++ b/src/main/java/io/embernotch/incarnation/StoreRestorer.java
@@ -66,11 +66,12 @@
    * @param state all jobs with their progress
    * @param fromLastLeader whether it is of the leader that led last, by proof, so that no start is
    *     missing from it
+   * @param highestEpoch highest epoch of a leader that anybody who answered has seen or heard of
    * @param mayImprove whether others may soon know more, or put back more themselves: somebody has
    *     not answered, or may have led last
    */
   public record RestorableState(
-      ClusterSnapshot state, boolean fromLastLeader, boolean mayImprove) {}
+      ClusterSnapshot state, boolean fromLastLeader, long highestEpoch, boolean mayImprove) {}
 
   private final ControllerContext context;
   private final Source source;
@@ -128,8 +129,7 @@
     if (wasLeader) {
       restoreLastLeader(attempt, ownState.get());
     } else {
-      double patienceS = context.settings().workers().leaseS() / FORMER_LEADER_ADVANTAGE_DIVISOR;
-      gather(attempt, context.clock().now() + patienceS);
+      gather(attempt, patientUntil());
     }
   }
 
@@ -150,9 +150,17 @@
         .gather(knowledge.lossEpoch())
         .onSuccess(
             gathered -> {
-              if (isCurrent(attempt)) {
+              if (isCurrent(attempt) && gathered.highestEpoch() > state.getEpoch()) {
+                wasLeader = false;
+                gathered(attempt, patientUntil(), gathered);
+              } else if (isCurrent(attempt)) {
                 prepare(attempt, SnapshotMerge.supplemented(state, gathered.state()));
               }
+            })
+        .onFailure(
+            failure -> {
+              LOG.error("what the others know can't be used: {}", failure.toString());
+              prepare(attempt, state);
             });
   }
 
@@ -161,10 +169,22 @@
     if (isCurrent(attempt)) {
       source
           .gather(knowledge.lossEpoch())
-          .onSuccess(gathered -> gathered(attempt, until, gathered));
+          .onSuccess(gathered -> gathered(attempt, until, gathered))
+          .onFailure(failure -> gatherAgain(attempt, until, failure));
     }
   }
 
+  private void gatherAgain(int attempt, double until, Throwable failure) {
+    LOG.error("what is known can't be put together: {}", failure.toString());
+    context.timers().after(leaseTtlS / READ_RETRIES_PER_LEASE, () -> gather(attempt, until));
+  }
+
+  /** Until when others may still answer, or restore the store themselves. */
+  private double patientUntil() {
+    double patienceS = context.settings().workers().leaseS() / FORMER_LEADER_ADVANTAGE_DIVISOR;
+    return context.clock().now() + patienceS;
+  }
+
   private void gathered(int attempt, double until, RestorableState gathered) {
     if (!isCurrent(attempt)) {
       return;
--- a/src/main/java/io/embernotch/leader/Leader.java
+++ b/src/main/java/io/embernotch/leader/Leader.java
@@ -34,6 +34,9 @@
   private final LeaderComponents components;
   private final LeaderMessageDispatcher dispatcher;
 
+  /** Whether no task could run that this leader did not know of, as its term ended. */
+  private boolean allStartsKnown;
+
   /** Used in place of the cluster state until that is loaded; null if there is none, and after. */
   private ClusterSnapshot initialSnapshot;
 
@@ -84,6 +87,7 @@
 
   /** Ends the term: nothing is written or sent any more, and what waits is refused. */
   public void stop() {
+    allStartsKnown = components.failoverRecovery.allStartsKnown();
     lifecycle.markStopped();
     components.schedulingLoop.close();
     components.stateWriter.close();
@@ -176,7 +180,8 @@
             term.epoch(),
             context.clock().wallMs());
     return snapshot.toBuilder()
-        .setComplete(components.failoverRecovery.allStartsKnown())
+        .setComplete(
+            lifecycle.isStopped() ? allStartsKnown : components.failoverRecovery.allStartsKnown())
         .setJobsMissing(term.baseSnapshot().jobsMissing())
         .build();
   }
--- a/src/main/java/io/embernotch/replication/JoinedKnowledge.java
+++ b/src/main/java/io/embernotch/replication/JoinedKnowledge.java
@@ -12,10 +12,12 @@
  * function of what each of them tells.
  *
  * @param state all jobs with their progress; not complete
+ * @param highestEpoch highest epoch of a leader that any of them has seen or heard of
  * @param allAnswered whether every controller has told what it knows
  * @param ledElsewhere whether another controller may have led last and still have that state
  */
-public record JoinedKnowledge(ClusterSnapshot state, boolean allAnswered, boolean ledElsewhere) {
+public record JoinedKnowledge(
+    ClusterSnapshot state, long highestEpoch, boolean allAnswered, boolean ledElsewhere) {
   private static final double MS_PER_S = 1000;
 
   /**
@@ -39,6 +41,7 @@
     }
     return new JoinedKnowledge(
         state,
+        highestEpoch,
         others.stream().allMatch(Optional::isPresent),
         ledEpoch > 0 && ledEpoch >= highestEpoch);
   }
--- a/src/main/java/io/embernotch/replication/ReplicaFeed.java
+++ b/src/main/java/io/embernotch/replication/ReplicaFeed.java
@@ -129,6 +129,7 @@
       return;
     }
     state = State.FOLLOWING;
+    replica.filled();
     LOG.info(
         "replica of the store: {} KiB, followed from revision {}",
         replica.bytes() / BYTES_PER_KIB,
--- a/src/main/java/io/embernotch/replication/StoreReplica.java
+++ b/src/main/java/io/embernotch/replication/StoreReplica.java
@@ -13,8 +13,10 @@
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -47,6 +49,11 @@
   private final Map<String, EndedJob> ended = new LinkedHashMap<>();
 
   private final Map<String, HeldEntry> shared = new TreeMap<>();
+
+  /** Jobs of which an entry states the end, and that are held whole. */
+  private final Set<String> endsTold = new LinkedHashSet<>();
+
+  private boolean filled;
   private BaseSnapshot base = BaseSnapshot.EMPTY;
   private long bytes;
   private boolean evicted;
@@ -69,6 +76,17 @@
     base = newBase;
     bytes = 0;
     evicted = false;
+    endsTold.clear();
+    filled = false;
+  }
+
+  /**
+   * All that the store held was put. Only from then on are jobs reduced to their ends: before, a
+   * shard with an open attempt may not have been read yet.
+   */
+  public void filled() {
+    filled = true;
+    List.copyOf(endsTold).forEach(this::keepOnlyEnd);
   }
 
   /** About so many bytes are held. */
@@ -117,7 +135,10 @@
     Map<String, HeldEntry> entries = jobs.computeIfAbsent(ref, unknown -> new TreeMap<>());
     putNewer(entries, key, entry);
     if (isFirstShard(ref, key) && tellsEnd(entry)) {
-      keepOnlyEnd(ref, entries);
+      endsTold.add(ref);
+    }
+    if (filled && endsTold.contains(ref)) {
+      keepOnlyEnd(ref);
     }
   }
 
@@ -144,9 +165,8 @@
   }
 
   /** Of a job that has ended, and has no attempt open, nothing but its end is needed. */
-  private void keepOnlyEnd(String ref, Map<String, HeldEntry> entries) {
-    List<VersionedEntry> held = new ArrayList<>();
-    entries.forEach((key, entry) -> held.add(versioned(key, entry)));
+  private void keepOnlyEnd(String ref) {
+    List<VersionedEntry> held = versioned(jobs.get(ref));
     StateSnapshot.endOf(
             base.overlay(ref, JobProgressCodec.JOB, under(JobProgressCodec.JOB, held)),
             base.overlay(ref, JobProgressCodec.SHARD, under(JobProgressCodec.SHARD, held)),
@@ -155,12 +175,14 @@
         .ifPresent(
             end -> {
               removeJob(ref);
+              endsTold.remove(ref);
               ended.put(ref, end);
               bytes += sizeOfEnd(ref);
             });
   }
 
   private void removeJob(String ref) {
+    endsTold.remove(ref);
     jobs.remove(ref).forEach((key, entry) -> bytes -= sizeOf(key, entry));
   }
 
@@ -194,10 +216,8 @@
    */
   public ClusterSnapshot snapshot() {
     List<VersionedEntry> held = new ArrayList<>();
-    jobs.values()
-        .forEach(entries -> entries.forEach((key, entry) -> held.add(versioned(key, entry))));
-    List<VersionedEntry> heldShared = new ArrayList<>();
-    shared.forEach((key, entry) -> heldShared.add(versioned(key, entry)));
+    jobs.values().forEach(entries -> held.addAll(versioned(entries)));
+    List<VersionedEntry> heldShared = versioned(shared);
     ClusterSnapshot.Builder snapshot =
         StateSnapshot.of(
             base,
@@ -218,8 +238,18 @@
     return held.stream().filter(entry -> entry.key().startsWith(prefix)).toList();
   }
 
-  private static VersionedEntry versioned(String key, HeldEntry entry) {
-    ObjectNode value = Json.parseObject(entry.value);
-    return new VersionedEntry(key, value, entry.modRevision());
+  /** Entries as the store would list them; one that can't be read must not keep the others back. */
+  private static List<VersionedEntry> versioned(Map<String, HeldEntry> entries) {
+    List<VersionedEntry> versioned = new ArrayList<>();
+    entries.forEach(
+        (key, entry) -> {
+          try {
+            ObjectNode value = Json.parseObject(entry.value);
+            versioned.add(new VersionedEntry(key, value, entry.modRevision()));
+          } catch (MalformedInputException e) {
+            LOG.warn("the replica's value of {} can't be read: {}", key, e.getMessage());
+          }
+        });
+    return versioned;
   }
 }
--- a/src/main/java/io/embernotch/snapshot/BaseSnapshot.java
+++ b/src/main/java/io/embernotch/snapshot/BaseSnapshot.java
@@ -13,9 +13,11 @@
 import io.embernotch.store.VersionedEntry;
 import io.embernotch.store.WatchEvents;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 
 /**
@@ -37,6 +39,10 @@
   private final Map<String, byte[]> jobs = new LinkedHashMap<>();
 
   private final Map<String, ClusterState.EndedJob> endedJobs = new HashMap<>();
+
+  /** Jobs that have ended, and have attempts whose end is not proven. */
+  private final Set<String> endedWithAttempts = new HashSet<>();
+
   private final Map<String, ObjectNode> shared = new TreeMap<>();
 
   /**
@@ -49,6 +55,9 @@
     this.since = since;
     for (JobSnapshot job : snapshot.getJobList()) {
       jobs.put(job.getRef(), job.toByteArray());
+      if (job.hasEnd()) {
+        endedWithAttempts.add(job.getRef());
+      }
     }
     for (EndedJobSnapshot endedJob : snapshot.getEndedList()) {
       endedJobs.put(endedJob.getRef(), JobSnapshots.readEnded(endedJob));
@@ -87,6 +96,11 @@
     return jobs.containsKey(ref) || endedJobs.containsKey(ref);
   }
 
+  /** Whether it tells how a job has ended. */
+  public boolean tellsEnd(String ref) {
+    return endedJobs.containsKey(ref) || endedWithAttempts.contains(ref);
+  }
+
   /** The end of a job of which nothing else is left; null if it holds no such job. */
   public ClusterState.EndedJob ended(String ref) {
     return endedJobs.get(ref);
--- a/src/main/java/io/embernotch/snapshot/SnapshotMerge.java
+++ b/src/main/java/io/embernotch/snapshot/SnapshotMerge.java
@@ -10,6 +10,7 @@
 import io.embernotch.snapshot.proto.SnapshotProto.JobSnapshot;
 import io.embernotch.snapshot.proto.SnapshotProto.OpenAttemptSnapshot;
 import io.embernotch.snapshot.proto.SnapshotProto.SharedStateEntry;
+import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Comparator;
 import java.util.HashSet;
@@ -57,8 +58,8 @@
   }
 
   /**
-   * A snapshot that is the newest in all that it holds, with the jobs of another one that it lacks:
-   * those that were accepted and not made known to whoever it is from.
+   * A snapshot that is the newest in all that it holds, with what it lacks of another one: jobs
+   * that were accepted and not made known to whoever it is from, and ends, which are final.
    */
   public static ClusterSnapshot supplemented(ClusterSnapshot newest, ClusterSnapshot other) {
     Set<String> known = new HashSet<>();
@@ -71,7 +72,23 @@
     other.getEndedList().stream()
         .filter(job -> !known.contains(job.getRef()))
         .forEach(supplemented::addEnded);
-    return supplemented.build();
+    return withEnds(supplemented.build(), ends(other));
+  }
+
+  /** The ends of all jobs that have ended, with and without open attempts. */
+  private static List<EndedJobSnapshot> ends(ClusterSnapshot snapshot) {
+    List<EndedJobSnapshot> ends = new ArrayList<>(snapshot.getEndedList());
+    snapshot.getJobList().stream()
+        .filter(JobSnapshot::hasEnd)
+        .map(
+            job ->
+                EndedJobSnapshot.newBuilder()
+                    .setRef(job.getRef())
+                    .setEnd(job.getEnd())
+                    .setAtMs(job.getEndedMs())
+                    .build())
+        .forEach(ends::add);
+    return ends;
   }
 
   /**
