--- a/src/test/java/io/embernotch/incarnation/PausedControllerTest.java
+++ b/src/test/java/io/embernotch/incarnation/PausedControllerTest.java
@@ -1,5 +1,8 @@
 package io.embernotch.incarnation;
 
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.embernotch.codec.Json;
 import io.embernotch.testkit.ControllerNode;
 import io.embernotch.testkit.FakeStore.Snapshot;
 import org.junit.jupiter.api.BeforeEach;
@@ -128,4 +131,54 @@
     resume(leader);
     scenario.verifyAllToldHolds();
   }
+
+  /** The first controller hears of a loss, and is paused before it hears that the loss is over. */
+  private void pauseOnceTheLossIsKnown() {
+    first.storeUnavailable = true;
+    scenario.cluster.store.restore(before, true);
+    for (int i = 0; i < 200 && lossesKnownTo(first) == 0; i++) {
+      scenario.cluster.time.advance(0.005);
+    }
+    assertThat(lossesKnownTo(first)).isEqualTo(1);
+    pause(first);
+    scenario.cluster.advance(5);
+  }
+
+  private int lossesKnownTo(ControllerNode node) {
+    return Json.parseObject(scenario.cluster.await(node.controller.overview()).body())
+        .get("losses")
+        .asInt();
+  }
+
+  /**
+   * Guards against a controller that has found one loss, waits through the incarnation that others
+   * begin then, and restores what it knows after the next loss.
+   */
+  @ParameterizedTest
+  @ValueSource(doubles = {1, 4, 6, 12, 30})
+  void whoeverMissedAnIncarnationDoesNotRestoreWhatWasBeforeIt(double betweenLossesS) {
+    pauseOnceTheLossIsKnown();
+    factsAreToldByTheLeader();
+    scenario.expectPhase(second, CANCELLED, "cancelled");
+    scenario.cluster.advance(betweenLossesS);
+    leader.kill();
+    scenario.cluster.store.wipe();
+    resume(first);
+    scenario.verifyAllToldHolds();
+  }
+
+  /** Guards against the same where the next loss is found by the other controller first. */
+  @ParameterizedTest
+  @ValueSource(doubles = {0.05, 0.3, 3, 8})
+  void whoeverMissedAnIncarnationAndComesBackLaterDoesNotRestoreEither(double backAfterS) {
+    pauseOnceTheLossIsKnown();
+    factsAreToldByTheLeader();
+    scenario.cluster.advance(12);
+    leader.kill();
+    scenario.cluster.store.wipe();
+    scenario.expectPhase(second, ACCEPTED, "status 503");
+    scenario.cluster.time.advance(backAfterS);
+    resume(first);
+    scenario.verifyAllToldHolds();
+  }
 }
