--- a/src/test/java/io/embernotch/incarnation/RestartIntoLossTest.java
+++ b/src/test/java/io/embernotch/incarnation/RestartIntoLossTest.java
@@ -120,4 +120,26 @@
     leader.start();
     scenario.verifyAllToldHolds();
   }
+
+  /**
+   * Guards against a process that waits for a time since its start, while another loss makes the
+   * only survivor's wait begin anew.
+   */
+  @ParameterizedTest
+  @ValueSource(doubles = {6, 9, 12, 14})
+  void aFirstIncarnationIsNotBegunWhileASurvivorWaitsAnew(double secondsBetweenLosses) {
+    leader.kill();
+    second.kill();
+    scenario.cluster.store.wipe();
+    scenario.expectPhase(first, ACCEPTED, "status 503");
+    second.storeUnavailable = true;
+    second.start();
+    // Something is written in between, so that the survivor sees that this is gone too.
+    scenario.cluster.store.put("mark", "{}");
+    scenario.cluster.advance(secondsBetweenLosses);
+    scenario.cluster.store.wipe();
+    scenario.cluster.advance(1);
+    second.storeUnavailable = false;
+    scenario.verifyAllToldHolds();
+  }
 }
