--- /dev/null
+++ b/src/test/java/io/embernotch/replication/JoinedKnowledgeTest.java
@@ -0,0 +1,139 @@
+package io.embernotch.replication;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.protobuf.ByteString;
+import io.embernotch.replication.JoinedKnowledge.EndedTerm;
+import io.embernotch.replication.proto.ReplicationProto.Knowledge;
+import io.embernotch.snapshot.proto.SnapshotProto.ClusterSnapshot;
+import io.embernotch.snapshot.proto.SnapshotProto.End;
+import io.embernotch.snapshot.proto.SnapshotProto.EndedJobSnapshot;
+import io.embernotch.snapshot.proto.SnapshotProto.JobSnapshot;
+import io.embernotch.snapshot.proto.SnapshotProto.OpenAttemptSnapshot;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/** What controllers know of lost contents, put together, and what it proves of the last leader. */
+class JoinedKnowledgeTest {
+  /** Begun 20 s ago by c0; its lease could last be proven 5 s ago. */
+  private static final EndedTerm TERM = new EndedTerm("c0", 7, 20, 5);
+
+  private static final Optional<Knowledge> NO_ANSWER = Optional.empty();
+
+  private static Knowledge knowledge(long highestEpoch, long ledEpoch) {
+    return Knowledge.newBuilder().setHighestEpoch(highestEpoch).setLedEpoch(ledEpoch).build();
+  }
+
+  /** What a controller tells that saw the term begin. */
+  private static Knowledge.Builder witness() {
+    return Knowledge.newBuilder()
+        .setUpMs(60_000)
+        .setHighestEpoch(7)
+        .setHighestNode("c0")
+        .setHighestSeenMs(19_000);
+  }
+
+  private static boolean proves(Knowledge.Builder other) {
+    return JoinedKnowledge.provesLast(TERM, List.of(Optional.of(other.build())));
+  }
+
+  private static EndedJobSnapshot cancelled(String ref) {
+    return EndedJobSnapshot.newBuilder().setRef(ref).setEnd(End.CANCELLED).setAtMs(99).build();
+  }
+
+  private static JobSnapshot running(String ref) {
+    return JobSnapshot.newBuilder()
+        .setRef(ref)
+        .setValue(ByteString.copyFromUtf8("{}"))
+        .addOpen(OpenAttemptSnapshot.newBuilder().setTask(0).setNumber(1).setMachine("n-1"))
+        .build();
+  }
+
+  private static Knowledge holding(JobSnapshot job) {
+    return Knowledge.newBuilder().setState(ClusterSnapshot.newBuilder().addJob(job)).build();
+  }
+
+  /** Guards against an end that a user was told being taken back since another replica is older. */
+  @Test
+  void endsThatAnybodyHasToldWin() {
+    Knowledge toldByOther =
+        Knowledge.newBuilder().addTold(cancelled("j-1")).addTold(cancelled("j-3")).build();
+    Knowledge own = holding(running("j-1")).toBuilder().addTold(cancelled("j-2")).build();
+    ClusterSnapshot joined =
+        JoinedKnowledge.of(
+                own, List.of(Optional.of(toldByOther), Optional.of(holding(running("j-2")))))
+            .state();
+    assertThat(joined.getJobList()).extracting(JobSnapshot::getRef).containsExactly("j-1", "j-2");
+    assertThat(joined.getJobList()).extracting(JobSnapshot::getEnd).containsOnly(End.CANCELLED);
+    assertThat(joined.getJobList()).allMatch(job -> job.getOpenCount() == 1);
+    assertThat(joined.getEndedList()).containsExactly(cancelled("j-3"));
+    assertThat(joined.getComplete()).isFalse();
+  }
+
+  /** Guards against a restore that goes on without a controller that has not answered. */
+  @Test
+  void allHaveAnsweredOnlyIfNoneIsMissing() {
+    Knowledge own = knowledge(7, 0);
+    Optional<Knowledge> other = Optional.of(knowledge(7, 0));
+    assertThat(JoinedKnowledge.of(own, List.of(other, other)).allAnswered()).isTrue();
+    assertThat(JoinedKnowledge.of(own, List.of(other, NO_ANSWER)).allAnswered()).isFalse();
+    assertThat(JoinedKnowledge.of(own, List.of()).allAnswered()).isTrue();
+  }
+
+  /** Guards against a restore from replicas while the last leader still has its state. */
+  @Test
+  void anotherHasLedLastIfItsTermIsTheHighestThatAnybodyHasSeen() {
+    assertThat(ledElsewhere(knowledge(7, 0), knowledge(7, 7))).isTrue();
+    assertThat(ledElsewhere(knowledge(6, 0), knowledge(6, 7))).isTrue();
+    assertThat(ledElsewhere(knowledge(8, 0), knowledge(7, 7))).isFalse();
+    assertThat(ledElsewhere(knowledge(7, 7), knowledge(7, 0))).isFalse();
+    assertThat(ledElsewhere(knowledge(0, 0), knowledge(0, 0))).isFalse();
+  }
+
+  /** Guards against a former leader that a third controller knows to have been followed. */
+  @Test
+  void aTermThatAThirdControllerHasSeenFollowedIsNotTheLast() {
+    assertThat(ledElsewhere(knowledge(7, 0), knowledge(7, 7), knowledge(8, 0))).isFalse();
+  }
+
+  private static boolean ledElsewhere(Knowledge own, Knowledge... others) {
+    return JoinedKnowledge.of(own, List.of(others).stream().map(Optional::of).toList())
+        .ledElsewhere();
+  }
+
+  /** Guards against a leader that never restores from its state although it led last. */
+  @Test
+  void aTermWasTheLastIfAllSawNoOther() {
+    assertThat(proves(witness())).isTrue();
+    assertThat(proves(witness().setHighestEpoch(6).setHighestNode("c2"))).isTrue();
+    assertThat(JoinedKnowledge.provesLast(TERM, List.of())).isTrue();
+  }
+
+  /** Guards against a later leader that only a silent controller knows of. */
+  @Test
+  void withoutEveryAnswerNothingIsProven() {
+    assertThat(JoinedKnowledge.provesLast(TERM, List.of(Optional.of(witness().build()), NO_ANSWER)))
+        .isFalse();
+  }
+
+  /** Guards against a later leader whose process was restarted and knows of its term no more. */
+  @Test
+  void whoHasBeenUpForLessThanTheLeaseIsUnprovenProvesNothing() {
+    assertThat(proves(witness().setUpMs(4_999))).isFalse();
+    assertThat(proves(witness().setUpMs(5_000))).isFalse();
+  }
+
+  /** Guards against a term that was followed by another one. */
+  @Test
+  void aLaterEpochShowsThatTheTermWasNotTheLast() {
+    assertThat(proves(witness().setHighestEpoch(8))).isFalse();
+  }
+
+  /** Guards against an epoch that came again after a loss. */
+  @Test
+  void theSameEpochSeenBeforeTheTermBeganOrOfAnotherNodeIsAnotherTerm() {
+    assertThat(proves(witness().setHighestSeenMs(21_000))).isFalse();
+    assertThat(proves(witness().setHighestNode("c2"))).isFalse();
+  }
+}
