Tests: commits are told once another controller holds them

The wait, its bound, its end after one in vain, acknowledgements to former processes, and what is acknowledged.

--- /dev/null
+++ b/src/test/java/io/embernotch/replication/StateReplicatorTest.java
@@ -0,0 +1,219 @@
+package io.embernotch.replication;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.embernotch.actor.EventLoopProfile;
+import io.embernotch.codec.Json;
+import io.embernotch.context.ControllerContext;
+import io.embernotch.election.PeerLiveness;
+import io.embernotch.http.HttpReply;
+import io.embernotch.peer.Frame;
+import io.embernotch.peer.PeerLink;
+import io.embernotch.settings.OperatorSettings;
+import io.embernotch.settings.Settings;
+import io.embernotch.settings.SettingsReader;
+import io.embernotch.snapshot.BaseSnapshot;
+import io.embernotch.store.StoreClient;
+import io.embernotch.store.Transaction;
+import io.embernotch.testkit.FakeTime;
+import io.embernotch.testkit.SimulatedCluster;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BiConsumer;
+import org.junit.jupiter.api.Test;
+
+/** What is committed is told once another controller holds it, if one answers in time. */
+class StateReplicatorTest {
+  private static final String INCARNATION = "c0-7";
+
+  /** Well over what an acknowledgement is waited for. */
+  private static final double LONGER_THAN_THE_WAIT_S = 0.5;
+
+  private final FakeTime time = new FakeTime();
+  private final Settings settings = SettingsReader.parse(SimulatedCluster.settingsToml(0));
+  private final PeerLiveness peerLiveness = new PeerLiveness(settings, time);
+  private final List<Frame.StateUpdate> sent = new ArrayList<>();
+  private final List<String> receivers = new ArrayList<>();
+  private String incarnation = INCARNATION;
+  private final StoreReplica replica = new StoreReplica(1 << 20);
+  private final ControllerContext context = context("process-1");
+  private final ReplicaFeed feed = new ReplicaFeed(context, replica);
+  private final StateReplicator replicator = replicator(context);
+
+  /** With a store that never answers. */
+  private ControllerContext context(String processName) {
+    return new ControllerContext(
+        settings,
+        OperatorSettings.DEFAULTS,
+        time,
+        time,
+        time,
+        EventLoopProfile.NONE,
+        new StoreClient(
+            (method, to, path, body, timeoutS) -> Promise.<HttpReply>promise().future(),
+            time,
+            time,
+            settings),
+        null,
+        null,
+        () -> processName,
+        Runnable::run);
+  }
+
+  private StateReplicator replicator(ControllerContext of) {
+    return new StateReplicator(
+        of, new RecordingLink(), peerLiveness, replica, feed, () -> incarnation);
+  }
+
+  /** Records what is sent, and delivers nothing. */
+  private final class RecordingLink implements PeerLink {
+    @Override
+    public void onFrame(BiConsumer<Frame, ReplyChannel> handler) {}
+
+    @Override
+    public void send(String node, Frame frame) {
+      receivers.add(node);
+      sent.add((Frame.StateUpdate) frame);
+    }
+
+    @Override
+    public void renew(String node) {}
+  }
+
+  private void bothOthersAreLive() {
+    peerLiveness.recordHeartbeat("c1", true, true);
+    peerLiveness.recordHeartbeat("c2", true, true);
+  }
+
+  private Future<Void> commit() {
+    return replicator.committed(new Transaction().write("run/j-1", Json.object()), 300);
+  }
+
+  private long lastId() {
+    return sent.get(sent.size() - 1).id();
+  }
+
+  private void acknowledge(long id) {
+    replicator.acknowledged(new Frame.StateUpdateAck(id));
+  }
+
+  private static Frame.StateUpdate update(String ofIncarnation) {
+    byte[] value = "{}".getBytes(StandardCharsets.UTF_8);
+    return new Frame.StateUpdate(
+        9, ofIncarnation, 300, List.of(new Frame.StateEntry("shared/x", value)));
+  }
+
+  /** Guards against an answer that only the controller that gives it knows. */
+  @Test
+  void aCommitIsToldOnceOneOtherControllerHasAcknowledgedIt() {
+    bothOthersAreLive();
+    Future<Void> told = commit();
+    assertThat(receivers).containsExactly("c1", "c2");
+    assertThat(told.isComplete()).isFalse();
+    acknowledge(lastId());
+    assertThat(told.succeeded()).isTrue();
+    time.advance(LONGER_THAN_THE_WAIT_S);
+    assertThat(replicator.unreplicated()).isZero();
+  }
+
+  /** Guards against an acknowledgement that is taken for that of another commit. */
+  @Test
+  void anAcknowledgementCountsForItsOwnCommitOnly() {
+    bothOthersAreLive();
+    Future<Void> first = commit();
+    long firstId = lastId();
+    Future<Void> second = commit();
+    acknowledge(lastId());
+    assertThat(first.isComplete()).isFalse();
+    assertThat(second.succeeded()).isTrue();
+    acknowledge(firstId);
+    assertThat(first.succeeded()).isTrue();
+  }
+
+  /** Guards against users who wait without end for a controller that has just failed. */
+  @Test
+  void withoutAnAcknowledgementACommitIsToldAfterABoundedTimeAndCounted() {
+    bothOthersAreLive();
+    Future<Void> told = commit();
+    time.advance(settings.workers().heartbeatIntervalS() / 40 - 0.001);
+    assertThat(told.isComplete()).isFalse();
+    assertThat(replicator.unreplicated()).isZero();
+    time.advance(0.002);
+    assertThat(told.succeeded()).isTrue();
+    assertThat(replicator.unreplicated()).isEqualTo(1);
+  }
+
+  /** Guards against commits that each wait in vain, one after the other. */
+  @Test
+  void afterOneInVainNoneWaitsUntilAnAcknowledgementArrives() {
+    bothOthersAreLive();
+    commit();
+    time.advance(LONGER_THAN_THE_WAIT_S);
+    assertThat(commit().succeeded()).isTrue();
+    assertThat(replicator.unreplicated()).isEqualTo(2);
+    acknowledge(lastId());
+    Future<Void> waiting = commit();
+    assertThat(waiting.isComplete()).isFalse();
+    acknowledge(lastId());
+    assertThat(waiting.succeeded()).isTrue();
+    assertThat(replicator.unreplicated()).isEqualTo(2);
+  }
+
+  /** Guards against a late acknowledgement that a process of the same address had waited for. */
+  @Test
+  void acknowledgementsToAFormerProcessCountForNothing() {
+    bothOthersAreLive();
+    replicator(context("process-0"))
+        .committed(new Transaction().write("run/j-1", Json.object()), 299);
+    long formerId = lastId();
+    Future<Void> told = commit();
+    acknowledge(formerId);
+    assertThat(told.isComplete()).isFalse();
+    time.advance(LONGER_THAN_THE_WAIT_S);
+    acknowledge(formerId);
+    assertThat(commit().isComplete()).isTrue();
+  }
+
+  /** Guards against a wait for controllers that are down or of the former version. */
+  @Test
+  void withNoLiveReplicaNothingIsSentOrWaitedForAndItIsCounted() {
+    assertThat(commit().succeeded()).isTrue();
+    peerLiveness.recordHeartbeat("c1", true, false);
+    assertThat(commit().succeeded()).isTrue();
+    bothOthersAreLive();
+    time.advance(settings.workers().heartbeatIntervalS());
+    assertThat(commit().succeeded()).isTrue();
+    assertThat(sent).isEmpty();
+    assertThat(replicator.unreplicated()).isEqualTo(3);
+  }
+
+  /** Guards against the cost of sending keys that no replica holds, such as the leader's. */
+  @Test
+  void aCommitOfOtherKeysAndOneWhileDataIsLostAreNotSent() {
+    bothOthersAreLive();
+    Transaction ofOtherKeys = new Transaction().write("steward", Json.object());
+    assertThat(replicator.committed(ofOtherKeys, 300).succeeded()).isTrue();
+    incarnation = null;
+    assertThat(commit().succeeded()).isTrue();
+    assertThat(sent).isEmpty();
+    assertThat(replicator.unreplicated()).isZero();
+  }
+
+  /** Guards against an acknowledgement of what is not held, or of other contents. */
+  @Test
+  void onlyWhatIsHeldIsAcknowledged() {
+    List<Frame> replies = new ArrayList<>();
+    replicator.received(update(INCARNATION), replies::add);
+    assertThat(replies).isEmpty();
+    feed.begin(BaseSnapshot.EMPTY);
+    replicator.received(update("c0-8"), replies::add);
+    assertThat(replies).isEmpty();
+    assertThat(replica.snapshot().getSharedList()).isEmpty();
+    replicator.received(update(INCARNATION), replies::add);
+    assertThat(replies).containsExactly(new Frame.StateUpdateAck(9));
+    assertThat(replica.snapshot().getSharedList()).hasSize(1);
+  }
+}
