--- /dev/null
+++ b/src/test/java/io/embernotch/incarnation/ToldMeansKnownByTwoTest.java
@@ -0,0 +1,187 @@
+package io.embernotch.incarnation;
+
+import static io.embernotch.testkit.TestJobs.job;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.embernotch.codec.Json;
+import io.embernotch.http.HttpResponse;
+import io.embernotch.testkit.ControllerNode;
+import io.embernotch.testkit.FakeStore.Snapshot;
+import io.embernotch.testkit.SeedRange;
+import io.embernotch.testkit.SimulatedCluster;
+import io.vertx.core.Future;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Whatever a controller tells a user is known to another controller by then, if one is live: the
+ * teller's process ends at the very event by which it tells, the store is put back to before, and
+ * nothing is denied or taken back. Seeds may be chosen by the properties told.from and told.seeds.
+ */
+class ToldMeansKnownByTwoTest {
+  private static final int SEEDS = 20;
+
+  /** Seconds after which everybody knows who is cut off. */
+  private static final double CUT_OFF_IS_KNOWN_S = 8;
+
+  /** Seconds after the loss in which whoever goes on restores what it knows. */
+  private static final double RESTORED_S = 25;
+
+  /** Seconds after the last fault by which every job is answered for. */
+  private static final double SETTLED_S = 45;
+
+  /** Guards against an answer that is given before another controller holds what it says. */
+  @Test
+  void whatWasToldHoldsThoughTheTellerEndsAndTheStoreIsPutBackAtThatMoment() {
+    assertThat(
+            SeedRange.fromProperties("told", SEEDS).violations(seed -> new RandomRun(seed).run()))
+        .isEmpty();
+  }
+
+  /** One run: some jobs, some answers, and the last of these ends its controller. */
+  private static final class RandomRun {
+    private static final int JOBS = 4;
+
+    private final SplittableRandom random;
+    private final SimulatedCluster cluster = new SimulatedCluster(3, 10);
+
+    /** By job: the last phase that a user was told, {@code accepted} if none but that. */
+    private final Map<String, String> told = new TreeMap<>();
+
+    private final List<String> findings = new ArrayList<>();
+
+    RandomRun(long seed) {
+      random = new SplittableRandom(seed);
+    }
+
+    /** Returns what was denied or taken back. */
+    List<String> run() {
+      cluster.awaitLeader(4);
+      for (int number = 1; number <= JOBS; number++) {
+        submit(randomNode(), "j-" + number, false);
+      }
+      cluster.advance(12);
+      Snapshot before = cluster.store.snapshot();
+      cluster.store.put("mark", "{}");
+      ControllerNode teller = randomNode();
+      ControllerNode cutOff = random.nextInt(3) == 0 ? cluster.otherNode(teller) : null;
+      if (cutOff != null) {
+        cutOff.storeUnavailable = true;
+        cutOff.peersUnreachable = true;
+      }
+      cluster.advance(CUT_OFF_IS_KNOWN_S + random.nextDouble());
+      int beforeTheLast = random.nextInt(3);
+      for (int i = 0; i < beforeTheLast; i++) {
+        tellSomething(teller, false);
+        cluster.advance(random.nextDouble());
+      }
+      tellSomething(teller, true);
+      if (!teller.down) {
+        // Whatever was asked for told nothing new, such as of a job that had not started.
+        submit(teller, "j-last", true);
+      }
+      if (!teller.down) {
+        findings.add("nothing was told by c" + teller.index);
+      }
+      cluster.store.restore(before, random.nextBoolean());
+      cluster.advance(RESTORED_S);
+      if (cutOff != null) {
+        cutOff.storeUnavailable = false;
+        cutOff.peersUnreachable = false;
+      }
+      teller.start();
+      cluster.advance(SETTLED_S);
+      verify();
+      return findings;
+    }
+
+    private ControllerNode randomNode() {
+      return cluster.nodes.get(random.nextInt(3));
+    }
+
+    private void tellSomething(ControllerNode teller, boolean isLast) {
+      String running = "j-" + (1 + random.nextInt(JOBS));
+      switch (random.nextInt(3)) {
+        case 0 -> submit(teller, "j-" + (JOBS + 1 + told.size()), isLast);
+        case 1 -> cancel(teller, running, isLast);
+        default -> completeAndPoll(teller, running, isLast);
+      }
+    }
+
+    private void submit(ControllerNode teller, String ref, boolean isLast) {
+      byte[] body = job(ref, "array", 1).getBytes(StandardCharsets.UTF_8);
+      cluster.invariants.submissionSent(body);
+      double sentAt = cluster.time.now();
+      Future<HttpResponse> answer = teller.controller.submit(body);
+      answer.onSuccess(
+          response -> {
+            cluster.invariants.submitted(body, response, sentAt, cluster.time.now());
+            answered(teller, ref, response, isLast);
+          });
+      cluster.await(answer);
+    }
+
+    private void cancel(ControllerNode teller, String ref, boolean isLast) {
+      cluster.invariants.cancelRequested(ref, cluster.time.now());
+      checkedAnswer(teller, ref, teller.controller.abort(ref), isLast);
+    }
+
+    /** Asks until the end is told: the first answer of it is what counts. */
+    private void completeAndPoll(ControllerNode teller, String ref, boolean isLast) {
+      cluster.completeTasks(ref);
+      for (int i = 0; i < 500 && !teller.down && !isEnd(told.get(ref)); i++) {
+        checkedAnswer(teller, ref, teller.controller.poll(ref), isLast);
+      }
+    }
+
+    private void checkedAnswer(
+        ControllerNode teller, String ref, Future<HttpResponse> answer, boolean isLast) {
+      double sentAt = cluster.time.now();
+      answer.onSuccess(
+          response -> {
+            cluster.invariants.statusReceived(ref, response, sentAt, cluster.time.now());
+            answered(teller, ref, response, isLast);
+          });
+      cluster.await(answer);
+    }
+
+    /** The process ends before anything else happens, if it was the last answer of an end. */
+    private void answered(
+        ControllerNode teller, String ref, HttpResponse response, boolean isLast) {
+      if (response.status() >= 300) {
+        return;
+      }
+      String phase =
+          response.status() == 201
+              ? "accepted"
+              : Json.parseObject(response.body()).get("phase").asText();
+      told.merge(ref, phase, (former, latter) -> isEnd(former) ? former : latter);
+      if (isLast && (response.status() == 201 || isEnd(phase))) {
+        teller.kill();
+      }
+    }
+
+    private static boolean isEnd(String phase) {
+      return "done".equals(phase) || "cancelled".equals(phase);
+    }
+
+    private void verify() {
+      told.forEach(
+          (ref, phase) -> {
+            for (ControllerNode node : cluster.nodes) {
+              String now = cluster.phase(node.index, ref);
+              boolean holds = isEnd(phase) ? now.equals(phase) : !now.startsWith("status");
+              if (!holds) {
+                findings.add(ref + " was " + phase + ", c" + node.index + " answers " + now);
+              }
+            }
+          });
+      findings.addAll(cluster.violations());
+    }
+  }
+}
