The soak says beside each violation who knew of it

A run with losses of data ends with a hundred violations, and whether any controller that was up could have prevented one had to be put together from a dozen logs. FactLedger reads the messages that MessageLog writes anyway, and notes when each controller process first told, read or wrote that a job was accepted, that it has ended, or where a task was started; when each process was up; when the store was put back; and when an incarnation began. A violation gets these as a suffix; process starts and ends also stand in messages.log.

Not seen by it: frames between controllers, and transactions that are carried out after their sender was given no answer.

--- a/src/test/java/io/embernotch/soak/ControllerProcess.java
+++ b/src/test/java/io/embernotch/soak/ControllerProcess.java
@@ -15,12 +15,14 @@
   final int index;
   private final Path settingsFile;
   private final Path directory;
+  private final FactLedger facts;
   private Process process;
   private int starts;
 
-  ControllerProcess(int index, String toml, Path directory) throws IOException {
+  ControllerProcess(int index, String toml, Path directory, FactLedger facts) throws IOException {
     this.index = index;
     this.directory = directory;
+    this.facts = facts;
     this.settingsFile = directory.resolve(name() + ".toml");
     Files.writeString(settingsFile, toml);
   }
@@ -56,6 +58,7 @@
     builder.redirectOutput(directory.resolve(name() + "-" + ++starts + LOG_SUFFIX).toFile());
     try {
       process = builder.start();
+      facts.started(name(), starts);
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
@@ -65,6 +68,7 @@
   void kill() {
     if (process != null) {
       process.destroyForcibly();
+      facts.killed(name());
     }
   }
 
--- a/src/test/java/io/embernotch/soak/FaultScript.java
+++ b/src/test/java/io/embernotch/soak/FaultScript.java
@@ -220,5 +220,6 @@
     FakeStore.Snapshot older = snapshot;
     snapshot = store.snapshot();
     store.restore(older, true);
+    messages.facts().storeChanged("store put back");
   }
 }
--- a/src/test/java/io/embernotch/soak/MessageLog.java
+++ b/src/test/java/io/embernotch/soak/MessageLog.java
@@ -18,13 +18,20 @@
   private static final int MAX_BODY_CHARACTERS = 600;
 
   private final BufferedWriter out;
+  private final FactLedger facts = new FactLedger(this);
 
   MessageLog(Path file) throws IOException {
     out = Files.newBufferedWriter(file);
   }
 
+  /** What can be learned of the messages. */
+  FactLedger facts() {
+    return facts;
+  }
+
   /** A request with its answer. */
   void record(String way, String path, byte[] request, int status, byte[] answer) {
+    facts.answered(way, request, status, answer);
     line("%s %s %s -> %d %s".formatted(way, path, text(request), status, text(answer)));
   }
 
--- a/src/test/java/io/embernotch/soak/SoakRun.java
+++ b/src/test/java/io/embernotch/soak/SoakRun.java
@@ -59,6 +59,7 @@
   private MachineAgents agents;
   private SoakUsers users;
   private FaultScript faults;
+  private FactLedger facts;
   private int mostMachines;
 
   SoakRun(SoakSettings settings, UnaryOperator<HttpReply> plant) {
@@ -94,6 +95,7 @@
         faults.count(),
         mostMachines,
         violations.size());
+    violations.replaceAll(facts::explain);
     return violations;
   }
 
@@ -106,6 +108,7 @@
   }
 
   private void assemble(MessageLog messages) throws IOException {
+    facts = messages.facts();
     FreePorts free = new FreePorts();
     SoakSettings.Ports ports = free.allocate();
     invariants = new InvariantChecker(SettingsReader.parse(settings.toml(0, ports)));
@@ -118,7 +121,7 @@
     List<Future<Void>> listening = new ArrayList<>();
     for (int node = 0; node < SoakSettings.CONTROLLERS; node++) {
       controllers.add(
-          new ControllerProcess(node, settings.toml(node, ports), settings.directory()));
+          new ControllerProcess(node, settings.toml(node, ports), settings.directory(), facts));
       StoreServer server = new StoreServer(time, store, messages, "c" + node, random.split());
       storeServers.add(server);
       listening.add(server.listen(vertx, ports.store().get(node)));
