--- a/src/test/java/io/embernotch/replication/StoreReplicaTest.java
+++ b/src/test/java/io/embernotch/replication/StoreReplicaTest.java
@@ -228,4 +228,38 @@
     assertThat(jobs()).containsExactly("j-1");
     assertThat(ends(replica)).containsExactly("j-2");
   }
+
+  /**
+   * Guards against one damaged update of another controller that makes all knowledge unreadable.
+   */
+  @Test
+  void bytesThatAreNoJsonHarmNothingElse() {
+    put("job/j-8", "not JSON", 15);
+    put("run/j-8", "not JSON", 16);
+    put("shared/x", "not JSON", 17);
+    putJob(replica, job("j-1"), 20);
+    putEnded(replica, "j-2", 21);
+    assertThat(jobs()).containsExactly("j-1");
+    assertThat(ends(replica)).containsExactly("j-2");
+  }
+
+  /** Guards against ended jobs that are kept whole for ever, since the last attempt ended late. */
+  @Test
+  void onlyTheEndStaysOnceTheLastOpenAttemptOfAFurtherShardIsGone() {
+    putJob(replica, job("j-1"), 10);
+    putShard(replica, withOpenAttempt(job("j-1"), 2), 1, 11);
+    putShard(replica, ended("j-1"), 0, 12);
+    putShard(replica, ended("j-1"), 1, 13);
+    assertThat(jobs()).isEmpty();
+    assertThat(ends(replica)).containsExactly("j-1");
+  }
+
+  /** Guards against ended jobs that are kept whole since their submission arrived last. */
+  @Test
+  void onlyTheEndStaysInWhateverOrderTheEntriesCome() {
+    putShard(replica, ended("j-1"), 0, 12);
+    putJob(replica, job("j-1"), 10);
+    assertThat(jobs()).isEmpty();
+    assertThat(ends(replica)).containsExactly("j-1");
+  }
 }
