Whoever was cut off hears the others before it restores; replicas are reduced only once filled

It goes on without the others now only when the store has answered it for a heartbeat interval, in which whoever is up is heard.

--- a/src/main/java/io/embernotch/incarnation/PointerReader.java
+++ b/src/main/java/io/embernotch/incarnation/PointerReader.java
@@ -1,5 +1,6 @@
 package io.embernotch.incarnation;
 
+import io.embernotch.actor.Clock;
 import io.embernotch.actor.Timers;
 import io.embernotch.codec.IncarnationCodec;
 import io.embernotch.codec.MalformedInputException;
@@ -18,6 +19,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(StoreIncarnationTracker.class);
 
   private final StoreClient store;
+  private final Clock clock;
   private final Timers timers;
   private final double retryS;
   private final BooleanSupplier lost;
@@ -27,17 +29,22 @@
   private boolean reading;
   private boolean retryScheduled;
 
+  /** When the store began to answer these reads again; never if the last one failed. */
+  private double answersSince = Double.POSITIVE_INFINITY;
+
   /**
    * @param lost whether data is lost; the pointer is then read again and again
    * @param listener receives what each read found
    */
   PointerReader(
       StoreClient store,
+      Clock clock,
       Timers timers,
       double retryS,
       BooleanSupplier lost,
       Consumer<StoredPointer> listener) {
     this.store = store;
+    this.clock = clock;
     this.timers = timers;
     this.retryS = retryS;
     this.lost = lost;
@@ -59,6 +66,11 @@
     return readSinceLoss;
   }
 
+  /** Seconds for which the store has answered all reads; not above 0 if the last one failed. */
+  double answersForS() {
+    return clock.now() - answersSince;
+  }
+
   /** Data was seen to be lost: what was read before does not count. */
   void invalidate() {
     readSinceLoss = false;
@@ -89,7 +101,10 @@
 
   private void readCompleted(AsyncResult<VersionedEntry> result) {
     reading = false;
-    if (result.succeeded()) {
+    if (result.failed()) {
+      answersSince = Double.POSITIVE_INFINITY;
+    } else {
+      answersSince = Math.min(answersSince, clock.now());
       readSinceLoss = true;
       latest = parse(result.result());
       listener.accept(latest);
--- a/src/main/java/io/embernotch/incarnation/StoreIncarnationTracker.java
+++ b/src/main/java/io/embernotch/incarnation/StoreIncarnationTracker.java
@@ -68,11 +68,16 @@
     this.host = host;
     this.source = source;
     this.knowledge = new IncarnationKnowledge(context.store());
-    this.restorer = new StoreRestorer(context, source, leaseTtlS, knowledge);
     double retryS = leaseTtlS / READS_PER_LEASE;
     this.pointer =
         new PointerReader(
-            context.store(), context.timers(), retryS, knowledge::isLost, this::pointerRead);
+            context.store(),
+            context.clock(),
+            context.timers(),
+            retryS,
+            knowledge::isLost,
+            this::pointerRead);
+    this.restorer = new StoreRestorer(context, source, leaseTtlS, knowledge, pointer::answersForS);
     this.adopter = new IncarnationAdopter(context.store(), host, knowledge, pointer);
     this.claimer = new IncarnationClaimer(knowledge, pointer, restorer, context.names());
     this.eligibility =
--- a/src/main/java/io/embernotch/incarnation/StoreRestorer.java
+++ b/src/main/java/io/embernotch/incarnation/StoreRestorer.java
@@ -11,6 +11,7 @@
 import io.vertx.core.Future;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.DoubleSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -77,6 +78,7 @@
   private final Source source;
   private final double leaseTtlS;
   private final IncarnationKnowledge knowledge;
+  private final DoubleSupplier storeAnswersForS;
 
   /** Null while no snapshot lies in the store. */
   private PreparedSnapshot prepared;
@@ -90,13 +92,19 @@
   /**
    * @param leaseTtlS time to live of a leader's lease in seconds
    * @param knowledge tells whether data is still lost
+   * @param storeAnswersForS seconds for which the store has answered without a failure
    */
   StoreRestorer(
-      ControllerContext context, Source source, double leaseTtlS, IncarnationKnowledge knowledge) {
+      ControllerContext context,
+      Source source,
+      double leaseTtlS,
+      IncarnationKnowledge knowledge,
+      DoubleSupplier storeAnswersForS) {
     this.context = context;
     this.source = source;
     this.leaseTtlS = leaseTtlS;
     this.knowledge = knowledge;
+    this.storeAnswersForS = storeAnswersForS;
   }
 
   /** The snapshot that an incarnation may be begun with; null while none is there. */
@@ -174,6 +182,14 @@
     }
   }
 
+  /**
+   * A controller that was cut off or paused through all the time for which it waits for others is
+   * to hear first what has become of them meanwhile.
+   */
+  private boolean isBackTooShortly() {
+    return storeAnswersForS.getAsDouble() < context.settings().workers().heartbeatIntervalS();
+  }
+
   private void gatherAgain(int attempt, double until, Throwable failure) {
     LOG.error("what is known can't be put together: {}", failure.toString());
     context.timers().after(leaseTtlS / READ_RETRIES_PER_LEASE, () -> gather(attempt, until));
@@ -194,7 +210,7 @@
       LOG.info(
           "all others confirm that nobody has led since epoch {}", gathered.state().getEpoch());
       prepare(attempt, gathered.state());
-    } else if (gathered.mayImprove() && context.clock().now() < until) {
+    } else if (gathered.mayImprove() && (context.clock().now() < until || isBackTooShortly())) {
       context.timers().after(leaseTtlS / READ_RETRIES_PER_LEASE, () -> gather(attempt, until));
     } else {
       restoreWithoutFormerLeader(attempt, gathered.state());
--- a/src/main/java/io/embernotch/replication/KnowledgeCollector.java
+++ b/src/main/java/io/embernotch/replication/KnowledgeCollector.java
@@ -34,7 +34,7 @@
   static final int NO_SUCH_PART = 404;
 
   /** A part is waited for a heartbeat interval divided by this. */
-  private static final double PART_TIMEOUTS_PER_HEARTBEAT = 6;
+  private static final double PART_TIMEOUTS_PER_HEARTBEAT = 4;
 
   private final ControllerContext context;
   private final PendingRequests requests;
--- a/src/main/java/io/embernotch/replication/ReplicaFeed.java
+++ b/src/main/java/io/embernotch/replication/ReplicaFeed.java
@@ -83,6 +83,7 @@
   /** Reads the store anew: it holds an incarnation that began with this snapshot. */
   public void begin(BaseSnapshot base) {
     replica.reset(base);
+    replica.beginFilling();
     state = State.FILLING;
     fill(++generation);
   }
--- a/src/main/java/io/embernotch/replication/StoreReplica.java
+++ b/src/main/java/io/embernotch/replication/StoreReplica.java
@@ -53,7 +53,7 @@
   /** Jobs of which an entry states the end, and that are held whole. */
   private final Set<String> endsTold = new LinkedHashSet<>();
 
-  private boolean filled;
+  private boolean filled = true;
   private BaseSnapshot base = BaseSnapshot.EMPTY;
   private long bytes;
   private boolean evicted;
@@ -77,6 +77,11 @@
     bytes = 0;
     evicted = false;
     endsTold.clear();
+    filled = true;
+  }
+
+  /** All that the store holds is about to be put. */
+  public void beginFilling() {
     filled = false;
   }
 
