--- a/src/main/java/io/embernotch/controller/RestoreSource.java
+++ b/src/main/java/io/embernotch/controller/RestoreSource.java
@@ -100,7 +100,11 @@
   private static StoreRestorer.RestorableState lastLeader(
       ClusterSnapshot state, JoinedKnowledge joined) {
     return new StoreRestorer.RestorableState(
-        SnapshotMerge.supplemented(state, joined.state()), true, joined.highestEpoch(), false);
+        SnapshotMerge.supplemented(state, joined.state()),
+        true,
+        joined.highestEpoch(),
+        joined.incarnations(),
+        false);
   }
 
   private static StoreRestorer.RestorableState withoutLastLeader(JoinedKnowledge joined) {
@@ -108,6 +112,7 @@
         joined.state(),
         false,
         joined.highestEpoch(),
+        joined.incarnations(),
         !joined.allAnswered() || joined.ledElsewhere());
   }
 
@@ -164,6 +169,7 @@
     Knowledge.Builder knowledge =
         Knowledge.newBuilder()
             .setUpMs((long) ((context.clock().now() - startedAt) * MS_PER_S))
+            .setIncarnation(incarnations.get().name())
             .setHighestEpoch(leaderObserver.highestEpoch())
             .setHighestSeenMs((long) (leaderObserver.highestSeenForS() * MS_PER_S))
             .setLedEpoch(led.map(ClusterSnapshot::getEpoch).orElse(0L))
--- a/src/main/java/io/embernotch/incarnation/IncarnationClaimer.java
+++ b/src/main/java/io/embernotch/incarnation/IncarnationClaimer.java
@@ -110,7 +110,7 @@
         prepared.blocks(),
         prepared.crc(),
         SINCE_BEGIN,
-        predecessors());
+        predecessors(prepared));
   }
 
   private StoreIncarnation firstIncarnation() {
@@ -140,11 +140,12 @@
 
   /**
    * The names that come before an incarnation that is begun after a loss: those that we knew, and
-   * whatever the store names besides.
+   * whatever others knew and the store names besides.
    */
-  private List<String> predecessors() {
+  private List<String> predecessors(PreparedSnapshot prepared) {
     List<String> names =
         new ArrayList<>(knowledge.hasIncarnation() ? knowledge.incarnation().lineage() : List.of());
+    prepared.incarnations().stream().filter(name -> !names.contains(name)).forEach(names::add);
     StoredPointer replaced = pointer.latest();
     if (replaced.isPresent()) {
       replaced.incarnation().lineage().stream()
--- a/src/main/java/io/embernotch/incarnation/StoreRestorer.java
+++ b/src/main/java/io/embernotch/incarnation/StoreRestorer.java
@@ -68,11 +68,16 @@
    * @param fromLastLeader whether it is of the leader that led last, by proof, so that no start is
    *     missing from it
    * @param highestEpoch highest epoch of a leader that anybody who answered has seen or heard of
+   * @param incarnations names of the store incarnations that the others knew
    * @param mayImprove whether others may soon know more, or put back more themselves: somebody has
    *     not answered, or may have led last
    */
   public record RestorableState(
-      ClusterSnapshot state, boolean fromLastLeader, long highestEpoch, boolean mayImprove) {}
+      ClusterSnapshot state,
+      boolean fromLastLeader,
+      long highestEpoch,
+      List<String> incarnations,
+      boolean mayImprove) {}
 
   private final ControllerContext context;
   private final Source source;
@@ -162,13 +167,16 @@
                 wasLeader = false;
                 gathered(attempt, patientUntil(), gathered);
               } else if (isCurrent(attempt)) {
-                prepare(attempt, SnapshotMerge.supplemented(state, gathered.state()));
+                prepare(
+                    attempt,
+                    SnapshotMerge.supplemented(state, gathered.state()),
+                    gathered.incarnations());
               }
             })
         .onFailure(
             failure -> {
               LOG.error("what the others know can't be used: {}", failure.toString());
-              prepare(attempt, state);
+              prepare(attempt, state, List.of());
             });
   }
 
@@ -209,15 +217,16 @@
       wasLeader = true;
       LOG.info(
           "all others confirm that nobody has led since epoch {}", gathered.state().getEpoch());
-      prepare(attempt, gathered.state());
+      prepare(attempt, gathered.state(), gathered.incarnations());
     } else if (gathered.mayImprove() && (context.clock().now() < until || isBackTooShortly())) {
       context.timers().after(leaseTtlS / READ_RETRIES_PER_LEASE, () -> gather(attempt, until));
     } else {
-      restoreWithoutFormerLeader(attempt, gathered.state());
+      restoreWithoutFormerLeader(attempt, gathered.state(), gathered.incarnations());
     }
   }
 
-  private void restoreWithoutFormerLeader(int attempt, ClusterSnapshot known) {
+  private void restoreWithoutFormerLeader(
+      int attempt, ClusterSnapshot known, List<String> incarnations) {
     ClusterSnapshot stored = source.newestStoredSnapshot();
     LOG.warn(
         "no former leader has restored the store: continuing with what is left there, {} jobs and"
@@ -225,7 +234,8 @@
         known.getJobCount(),
         known.getEndedCount(),
         describe(stored));
-    prepareWithRemains(attempt, stored == null ? known : SnapshotMerge.of(known, stored));
+    prepareWithRemains(
+        attempt, stored == null ? known : SnapshotMerge.of(known, stored), incarnations);
   }
 
   private String describe(ClusterSnapshot stored) {
@@ -240,19 +250,20 @@
    * Neither what is known nor what is left in the store need be the newer one: both count. Tasks
    * may run of which nobody here knows, and jobs may have been accepted.
    */
-  private void prepareWithRemains(int attempt, ClusterSnapshot known) {
+  private void prepareWithRemains(int attempt, ClusterSnapshot known, List<String> incarnations) {
     if (!isCurrent(attempt)) {
       return;
     }
     RemainsReader.read(context.store())
-        .onSuccess(left -> prepare(attempt, incomplete(SnapshotMerge.of(left, known))))
+        .onSuccess(
+            left -> prepare(attempt, incomplete(SnapshotMerge.of(left, known)), incarnations))
         .onFailure(
             failure ->
                 context
                     .timers()
                     .after(
                         leaseTtlS / READ_RETRIES_PER_LEASE,
-                        () -> prepareWithRemains(attempt, known)));
+                        () -> prepareWithRemains(attempt, known, incarnations)));
   }
 
   private ClusterSnapshot incomplete(ClusterSnapshot snapshot) {
@@ -263,7 +274,8 @@
         .build();
   }
 
-  private void prepare(int attempt, ClusterSnapshot snapshot) {
+  /** {@code incarnations}: those that others knew, whose contents the snapshot holds too. */
+  private void prepare(int attempt, ClusterSnapshot snapshot, List<String> incarnations) {
     String name = context.names().get();
     int valueBytes = (int) (context.settings().minStoreLimits().valueKb() * BYTES_PER_KB);
     SnapshotBlocks packed = SnapshotBlocks.pack(snapshot, valueBytes);
@@ -273,7 +285,8 @@
         snapshot.getJobCount(),
         snapshot.getEndedCount(),
         blocks);
-    PreparedSnapshot unwritten = new PreparedSnapshot(name, snapshot, blocks, packed.crc(), 0);
+    PreparedSnapshot unwritten =
+        new PreparedSnapshot(name, snapshot, incarnations, blocks, packed.crc(), 0);
     writeBlocks(attempt, unwritten, packed.blocks(), 0);
   }
 
--- a/src/main/java/io/embernotch/replication/JoinedKnowledge.java
+++ b/src/main/java/io/embernotch/replication/JoinedKnowledge.java
@@ -13,11 +13,17 @@
  *
  * @param state all jobs with their progress; not complete
  * @param highestEpoch highest epoch of a leader that any of them has seen or heard of
+ * @param incarnations names of the store incarnations that the others knew: the next one is made of
+ *     all of them
  * @param allAnswered whether every controller has told what it knows
  * @param ledElsewhere whether another controller may have led last and still have that state
  */
 public record JoinedKnowledge(
-    ClusterSnapshot state, long highestEpoch, boolean allAnswered, boolean ledElsewhere) {
+    ClusterSnapshot state,
+    long highestEpoch,
+    List<String> incarnations,
+    boolean allAnswered,
+    boolean ledElsewhere) {
   private static final double MS_PER_S = 1000;
 
   /**
@@ -42,6 +48,12 @@
     return new JoinedKnowledge(
         state,
         highestEpoch,
+        others.stream()
+            .flatMap(Optional::stream)
+            .map(Knowledge::getIncarnation)
+            .filter(name -> !name.isEmpty())
+            .distinct()
+            .toList(),
         others.stream().allMatch(Optional::isPresent),
         ledEpoch > 0 && ledEpoch >= highestEpoch);
   }
