--- a/src/main/java/io/embernotch/incarnation/StoreIncarnationTracker.java
+++ b/src/main/java/io/embernotch/incarnation/StoreIncarnationTracker.java
@@ -68,12 +68,17 @@
     this.host = host;
     this.source = source;
     this.knowledge = new IncarnationKnowledge(context.store());
-    this.restorer = new StoreRestorer(context, source, leaseTtlS, knowledge);
     double retryS = leaseTtlS / READS_PER_LEASE;
     this.pointer =
         new PointerReader(
-            context.store(), context.timers(), retryS, knowledge::isLost, this::pointerRead);
-    this.adopter = new IncarnationAdopter(context.store(), host, knowledge, pointer, restorer);
+            context.store(),
+            context.clock(),
+            context.timers(),
+            retryS,
+            knowledge::isLost,
+            this::pointerRead);
+    this.restorer = new StoreRestorer(context, source, leaseTtlS, knowledge, pointer::answersForS);
+    this.adopter = new IncarnationAdopter(context.store(), host, knowledge, pointer);
     this.claimer = new IncarnationClaimer(knowledge, pointer, restorer, context.names());
     this.eligibility =
         new ClaimEligibility(
@@ -115,6 +120,14 @@
     }
   }
 
+  /**
+   * The present incarnation began without something that users were told: it is taken for lost too,
+   * so that the next one begins with all that is known.
+   */
+  public void contentsLackKnown() {
+    dataLost("it began without what was told here", UNNAMED);
+  }
+
   /** How often data was seen to be lost by this process. */
   public int losses() {
     return knowledge.losses();
@@ -222,7 +235,7 @@
         .list(IncarnationCodec.POINTER)
         .onSuccess(
             listed -> {
-              if (knowledge.observeRevisionAfterLoss(listed.revision())) {
+              if (knowledge.observeRevisionAfterLoss(listed.revision()) && !claimer.isClaiming()) {
                 restorer.begin(noticedAt);
               }
             });
--- a/src/main/java/io/embernotch/incarnation/StoreRestorer.java
+++ b/src/main/java/io/embernotch/incarnation/StoreRestorer.java
@@ -11,6 +11,7 @@
 import io.vertx.core.Future;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.DoubleSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -66,16 +67,23 @@
    * @param state all jobs with their progress
    * @param fromLastLeader whether it is of the leader that led last, by proof, so that no start is
    *     missing from it
+   * @param highestEpoch highest epoch of a leader that anybody who answered has seen or heard of
+   * @param incarnations names of the store incarnations that the others knew
    * @param mayImprove whether others may soon know more, or put back more themselves: somebody has
    *     not answered, or may have led last
    */
   public record RestorableState(
-      ClusterSnapshot state, boolean fromLastLeader, boolean mayImprove) {}
+      ClusterSnapshot state,
+      boolean fromLastLeader,
+      long highestEpoch,
+      List<String> incarnations,
+      boolean mayImprove) {}
 
   private final ControllerContext context;
   private final Source source;
   private final double leaseTtlS;
   private final IncarnationKnowledge knowledge;
+  private final DoubleSupplier storeAnswersForS;
 
   /** Null while no snapshot lies in the store. */
   private PreparedSnapshot prepared;
@@ -89,13 +97,19 @@
   /**
    * @param leaseTtlS time to live of a leader's lease in seconds
    * @param knowledge tells whether data is still lost
+   * @param storeAnswersForS seconds for which the store has answered without a failure
    */
   StoreRestorer(
-      ControllerContext context, Source source, double leaseTtlS, IncarnationKnowledge knowledge) {
+      ControllerContext context,
+      Source source,
+      double leaseTtlS,
+      IncarnationKnowledge knowledge,
+      DoubleSupplier storeAnswersForS) {
     this.context = context;
     this.source = source;
     this.leaseTtlS = leaseTtlS;
     this.knowledge = knowledge;
+    this.storeAnswersForS = storeAnswersForS;
   }
 
   /** The snapshot that an incarnation may be begun with; null while none is there. */
@@ -128,8 +142,7 @@
     if (wasLeader) {
       restoreLastLeader(attempt, ownState.get());
     } else {
-      double patienceS = context.settings().workers().leaseS() / FORMER_LEADER_ADVANTAGE_DIVISOR;
-      gather(attempt, context.clock().now() + patienceS);
+      gather(attempt, patientUntil());
     }
   }
 
@@ -150,9 +163,20 @@
         .gather(knowledge.lossEpoch())
         .onSuccess(
             gathered -> {
-              if (isCurrent(attempt)) {
-                prepare(attempt, SnapshotMerge.supplemented(state, gathered.state()));
+              if (isCurrent(attempt) && gathered.highestEpoch() > state.getEpoch()) {
+                wasLeader = false;
+                gathered(attempt, patientUntil(), gathered);
+              } else if (isCurrent(attempt)) {
+                prepare(
+                    attempt,
+                    SnapshotMerge.supplemented(state, gathered.state()),
+                    gathered.incarnations());
               }
+            })
+        .onFailure(
+            failure -> {
+              LOG.error("what the others know can't be used: {}", failure.toString());
+              prepare(attempt, state, List.of());
             });
   }
 
@@ -161,10 +185,30 @@
     if (isCurrent(attempt)) {
       source
           .gather(knowledge.lossEpoch())
-          .onSuccess(gathered -> gathered(attempt, until, gathered));
+          .onSuccess(gathered -> gathered(attempt, until, gathered))
+          .onFailure(failure -> gatherAgain(attempt, until, failure));
     }
   }
 
+  /**
+   * A controller that was cut off or paused through all the time for which it waits for others is
+   * to hear first what has become of them meanwhile.
+   */
+  private boolean isBackTooShortly() {
+    return storeAnswersForS.getAsDouble() < context.settings().workers().heartbeatIntervalS();
+  }
+
+  private void gatherAgain(int attempt, double until, Throwable failure) {
+    LOG.error("what is known can't be put together: {}", failure.toString());
+    context.timers().after(leaseTtlS / READ_RETRIES_PER_LEASE, () -> gather(attempt, until));
+  }
+
+  /** Until when others may still answer, or restore the store themselves. */
+  private double patientUntil() {
+    double patienceS = context.settings().workers().leaseS() / FORMER_LEADER_ADVANTAGE_DIVISOR;
+    return context.clock().now() + patienceS;
+  }
+
   private void gathered(int attempt, double until, RestorableState gathered) {
     if (!isCurrent(attempt)) {
       return;
@@ -173,15 +217,16 @@
       wasLeader = true;
       LOG.info(
           "all others confirm that nobody has led since epoch {}", gathered.state().getEpoch());
-      prepare(attempt, gathered.state());
-    } else if (gathered.mayImprove() && context.clock().now() < until) {
+      prepare(attempt, gathered.state(), gathered.incarnations());
+    } else if (gathered.mayImprove() && (context.clock().now() < until || isBackTooShortly())) {
       context.timers().after(leaseTtlS / READ_RETRIES_PER_LEASE, () -> gather(attempt, until));
     } else {
-      restoreWithoutFormerLeader(attempt, gathered.state());
+      restoreWithoutFormerLeader(attempt, gathered.state(), gathered.incarnations());
     }
   }
 
-  private void restoreWithoutFormerLeader(int attempt, ClusterSnapshot known) {
+  private void restoreWithoutFormerLeader(
+      int attempt, ClusterSnapshot known, List<String> incarnations) {
     ClusterSnapshot stored = source.newestStoredSnapshot();
     LOG.warn(
         "no former leader has restored the store: continuing with what is left there, {} jobs and"
@@ -189,7 +234,8 @@
         known.getJobCount(),
         known.getEndedCount(),
         describe(stored));
-    prepareWithRemains(attempt, stored == null ? known : SnapshotMerge.of(known, stored));
+    prepareWithRemains(
+        attempt, stored == null ? known : SnapshotMerge.of(known, stored), incarnations);
   }
 
   private String describe(ClusterSnapshot stored) {
@@ -204,19 +250,20 @@
    * Neither what is known nor what is left in the store need be the newer one: both count. Tasks
    * may run of which nobody here knows, and jobs may have been accepted.
    */
-  private void prepareWithRemains(int attempt, ClusterSnapshot known) {
+  private void prepareWithRemains(int attempt, ClusterSnapshot known, List<String> incarnations) {
     if (!isCurrent(attempt)) {
       return;
     }
     RemainsReader.read(context.store())
-        .onSuccess(left -> prepare(attempt, incomplete(SnapshotMerge.of(left, known))))
+        .onSuccess(
+            left -> prepare(attempt, incomplete(SnapshotMerge.of(left, known)), incarnations))
         .onFailure(
             failure ->
                 context
                     .timers()
                     .after(
                         leaseTtlS / READ_RETRIES_PER_LEASE,
-                        () -> prepareWithRemains(attempt, known)));
+                        () -> prepareWithRemains(attempt, known, incarnations)));
   }
 
   private ClusterSnapshot incomplete(ClusterSnapshot snapshot) {
@@ -227,7 +274,8 @@
         .build();
   }
 
-  private void prepare(int attempt, ClusterSnapshot snapshot) {
+  /** {@code incarnations}: those that others knew, whose contents the snapshot holds too. */
+  private void prepare(int attempt, ClusterSnapshot snapshot, List<String> incarnations) {
     String name = context.names().get();
     int valueBytes = (int) (context.settings().minStoreLimits().valueKb() * BYTES_PER_KB);
     SnapshotBlocks packed = SnapshotBlocks.pack(snapshot, valueBytes);
@@ -237,7 +285,8 @@
         snapshot.getJobCount(),
         snapshot.getEndedCount(),
         blocks);
-    PreparedSnapshot unwritten = new PreparedSnapshot(name, snapshot, blocks, packed.crc(), 0);
+    PreparedSnapshot unwritten =
+        new PreparedSnapshot(name, snapshot, incarnations, blocks, packed.crc(), 0);
     writeBlocks(attempt, unwritten, packed.blocks(), 0);
   }
 
--- a/src/main/java/io/embernotch/replication/ReplicaFeed.java
+++ b/src/main/java/io/embernotch/replication/ReplicaFeed.java
@@ -83,6 +83,7 @@
   /** Reads the store anew: it holds an incarnation that began with this snapshot. */
   public void begin(BaseSnapshot base) {
     replica.reset(base);
+    replica.beginFilling();
     state = State.FILLING;
     fill(++generation);
   }
@@ -129,6 +130,7 @@
       return;
     }
     state = State.FOLLOWING;
+    replica.filled();
     LOG.info(
         "replica of the store: {} KiB, followed from revision {}",
         replica.bytes() / BYTES_PER_KIB,
