A replica is filled by another controller while the store does not answer

Cause: a replica is filled by the store alone.

Change: a process that has not read the store since its start asks each controller that it hears (a request for what is known, without naming a loss; a version that does not know it answers 409, which is ignored). It learns the incarnation and the highest revision, too: it takes commits from then on, and notices contents that were put back when it can read them. The request shows the other side that the asker replicates, which heartbeats of a controller without the store leave open.

--- a/src/main/java/io/embernotch/controller/Controller.java
+++ b/src/main/java/io/embernotch/controller/Controller.java
@@ -140,7 +140,8 @@
         pendingRequests,
         peerLiveness,
         () -> answers,
-        () -> incarnations);
+        () -> incarnations,
+        () -> replication.isFilled());
   }
 
   private Replication createReplication() {
--- a/src/main/java/io/embernotch/controller/PeerFrameDispatcher.java
+++ b/src/main/java/io/embernotch/controller/PeerFrameDispatcher.java
@@ -60,6 +60,7 @@
   void dispatch(Frame frame, PeerLink.ReplyChannel replies) {
     if (frame instanceof Frame.PeerHeartbeat heartbeat) {
       peerHeartbeats.received(heartbeat);
+      replication.peerHeard(heartbeat.node());
     } else if (frame instanceof Frame.JobAccepted accepted) {
       jobAnnouncements.received(accepted);
     } else if (frame instanceof Frame.ForwardedRequest request) {
--- a/src/main/java/io/embernotch/controller/RestoreSource.java
+++ b/src/main/java/io/embernotch/controller/RestoreSource.java
@@ -1,6 +1,9 @@
 package io.embernotch.controller;
 
+import com.google.protobuf.ByteString;
 import io.embernotch.api.JobAnswers;
+import io.embernotch.codec.IncarnationCodec;
+import io.embernotch.codec.Json;
 import io.embernotch.context.ControllerContext;
 import io.embernotch.controller.LocalLeader.FormerTerm;
 import io.embernotch.election.LeaderObserver;
@@ -8,9 +11,12 @@
 import io.embernotch.forwarding.PendingRequests;
 import io.embernotch.incarnation.StoreIncarnationTracker;
 import io.embernotch.incarnation.StoreRestorer;
+import io.embernotch.incarnation.ToldIncarnation;
+import io.embernotch.leader.Leader;
 import io.embernotch.replication.JoinedKnowledge;
 import io.embernotch.replication.KnowledgeCollector;
 import io.embernotch.replication.LocalKnowledge;
+import io.embernotch.replication.ReplicaBootstrap;
 import io.embernotch.replication.StoreReplica;
 import io.embernotch.replication.proto.ReplicationProto.Knowledge;
 import io.embernotch.snapshot.BaseSnapshot;
@@ -25,6 +31,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 /**
@@ -44,7 +51,9 @@
   private final StoreReplica replica;
   private final Supplier<JobAnswers> answers;
   private final Supplier<StoreIncarnationTracker> incarnations;
+  private final BooleanSupplier replicaFilled;
   private final KnowledgeCollector collector;
+  private final ReplicaBootstrap bootstrap;
   private final double startedAt;
 
   /** What other controllers have told since the loss: they may have ended since. */
@@ -62,7 +71,8 @@
       PendingRequests pendingRequests,
       PeerLiveness peerLiveness,
       Supplier<JobAnswers> answers,
-      Supplier<StoreIncarnationTracker> incarnations) {
+      Supplier<StoreIncarnationTracker> incarnations,
+      BooleanSupplier replicaFilled) {
     this.context = context;
     this.localLeader = localLeader;
     this.leaderObserver = leaderObserver;
@@ -71,9 +81,16 @@
     this.answers = answers;
     this.incarnations = incarnations;
     this.collector = new KnowledgeCollector(context, pendingRequests, peerLiveness, this);
+    this.bootstrap = new ReplicaBootstrap(context, collector);
+    this.replicaFilled = replicaFilled;
     this.startedAt = context.clock().now();
   }
 
+  /** What another controller has told of contents that were not read here yet. */
+  ReplicaBootstrap bootstrap() {
+    return bootstrap;
+  }
+
   @Override
   public Optional<ClusterSnapshot> lastLeaderState(double noticedAt) {
     return notSuperseded()
@@ -117,11 +134,15 @@
   }
 
   private void learn(Knowledge other) {
-    learned =
-        Knowledge.newBuilder()
-            .setState(SnapshotMerge.of(learned.getState(), other.getState()))
-            .addAllTold(ends(learned, other))
-            .build();
+    learned = union(learned, other);
+  }
+
+  /** The jobs and ends that either of two controllers knows. */
+  private static Knowledge union(Knowledge a, Knowledge b) {
+    return Knowledge.newBuilder()
+        .setState(SnapshotMerge.of(a.getState(), b.getState()))
+        .addAllTold(ends(a, b))
+        .build();
   }
 
   /** Of each job the end that either of two controllers has told. */
@@ -141,7 +162,8 @@
   boolean isMissingFrom(BaseSnapshot base) {
     Knowledge known = knowledge();
     learned = Knowledge.getDefaultInstance();
-    if (!base.jobsMissing() || mergesLeft == 0) {
+    boolean isTold = bootstrap.told().getIncarnation().equals(incarnations.get().name());
+    if (!base.jobsMissing() || mergesLeft == 0 || isTold) {
       mergesLeft = MAX_MERGES;
       return false;
     }
@@ -164,30 +186,59 @@
 
   @Override
   public Knowledge knowledge() {
-    Optional<ClusterSnapshot> led = localLeader.former().flatMap(RestoreSource::stateOf);
-    ClusterSnapshot replicated = replica.snapshot();
+    Optional<ClusterSnapshot> led = ledState();
     Knowledge.Builder knowledge =
-        Knowledge.newBuilder()
+        union(ownKnowledge(led), union(learned, bootstrap.told())).toBuilder()
             .setUpMs((long) ((context.clock().now() - startedAt) * MS_PER_S))
             .setIncarnation(incarnations.get().name())
             .setHighestEpoch(leaderObserver.highestEpoch())
             .setHighestSeenMs((long) (leaderObserver.highestSeenForS() * MS_PER_S))
-            .setLedEpoch(led.map(ClusterSnapshot::getEpoch).orElse(0L))
-            .setState(
-                SnapshotMerge.of(
-                    learned.getState(),
-                    led.map(state -> SnapshotMerge.of(state, replicated)).orElse(replicated)));
+            .setLedEpoch(led.map(ClusterSnapshot::getEpoch).orElse(0L));
     if (leaderObserver.highestNode() != null) {
       knowledge.setHighestNode(leaderObserver.highestNode());
     }
-    Knowledge.Builder told = Knowledge.newBuilder();
+    addIncarnation(knowledge);
+    return knowledge.build();
+  }
+
+  /** The state of the term that is led here or was led last; empty if it had not read the store. */
+  private Optional<ClusterSnapshot> ledState() {
+    return localLeader
+        .current()
+        .filter(Leader::isLoaded)
+        .map(Leader::snapshot)
+        .or(() -> localLeader.former().flatMap(RestoreSource::stateOf));
+  }
+
+  /** What this controller has led, replicated and told itself. */
+  private Knowledge ownKnowledge(Optional<ClusterSnapshot> led) {
+    ClusterSnapshot replicated = replica.snapshot();
+    Knowledge.Builder own =
+        Knowledge.newBuilder()
+            .setState(led.map(state -> SnapshotMerge.of(state, replicated)).orElse(replicated));
     answers
         .get()
         .ends()
         .forEach(
-            (ref, phase) ->
-                told.addTold(StateSnapshot.endedJob(ref, new EndedJob(phase, 0, 0, 0))));
-    return knowledge.addAllTold(ends(told.build(), learned)).build();
+            (ref, phase) -> own.addTold(StateSnapshot.endedJob(ref, new EndedJob(phase, 0, 0, 0))));
+    return own.build();
+  }
+
+  private void addIncarnation(Knowledge.Builder knowledge) {
+    ToldIncarnation told = incarnations.get().toldIncarnation();
+    knowledge.setRevision(told.highestRevision());
+    told.known()
+        .ifPresent(
+            incarnation ->
+                knowledge
+                    .setPointer(
+                        ByteString.copyFrom(Json.bytes(IncarnationCodec.write(incarnation))))
+                    .setPointerModRevision(incarnation.modRevision()));
+  }
+
+  @Override
+  public boolean holdsContents() {
+    return replicaFilled.getAsBoolean() || bootstrap.isTold() || ledState().isPresent();
   }
 
   @Override
--- a/src/main/java/io/embernotch/election/PeerLiveness.java
+++ b/src/main/java/io/embernotch/election/PeerLiveness.java
@@ -51,6 +51,12 @@
     lastHeartbeats.put(node, new LastHeartbeat(clock.now(), storeReachable, stillReplicates));
   }
 
+  /** A frame of replication has come from a controller: it takes them too. */
+  public void recordReplicates(String node) {
+    lastHeartbeats.computeIfPresent(
+        node, (name, last) -> new LastHeartbeat(last.at, last.storeReachable, true));
+  }
+
   /** Whether the controller takes the frames of replication, by the last that it told of that. */
   public boolean replicates(String node) {
     LastHeartbeat last = lastHeartbeats.get(node);
--- a/src/main/java/io/embernotch/incarnation/IncarnationAdopter.java
+++ b/src/main/java/io/embernotch/incarnation/IncarnationAdopter.java
@@ -49,7 +49,8 @@
    * @param stored null if the store holds none
    */
   void adopt(StoreIncarnation stored) {
-    if (stored == null || knowledge.isSame(stored)) {
+    // The snapshot of an incarnation that another controller has told of is not known here yet.
+    if (stored == null || (knowledge.isSame(stored) && !knowledge.isTold())) {
       settle(stored, knowledge.baseSnapshot());
       return;
     }
--- a/src/main/java/io/embernotch/incarnation/IncarnationKnowledge.java
+++ b/src/main/java/io/embernotch/incarnation/IncarnationKnowledge.java
@@ -64,6 +64,23 @@
     return state == State.LOST;
   }
 
+  /** Whether the incarnation is known from another controller alone: nothing was read here yet. */
+  boolean isTold() {
+    return isUnread() && hasIncarnation();
+  }
+
+  /** Another controller, which has read the store, tells which incarnation it held. */
+  void observeTold(StoreIncarnation told) {
+    if (isUnread() && (!hasIncarnation() || told.follows(incarnation))) {
+      incarnation = told;
+    }
+  }
+
+  /** The highest revision seen of the incarnation that we know, which may be lost. */
+  long highestRevision() {
+    return isLost() ? revisionBeforeLoss : store.highestRevisionSeen();
+  }
+
   /** The incarnation that we know; null if there was none yet. */
   StoreIncarnation incarnation() {
     return incarnation;
--- a/src/main/java/io/embernotch/incarnation/StoreIncarnationTracker.java
+++ b/src/main/java/io/embernotch/incarnation/StoreIncarnationTracker.java
@@ -41,6 +41,7 @@
   private final ClaimEligibility eligibility;
   private final StoreAnswerPolicy answerPolicy;
   private final LossNews lossNews;
+  private final ToldIncarnation toldIncarnation;
 
   /**
    * The snapshot that the present incarnation was begun with, if this node's next term is its first
@@ -85,6 +86,7 @@
             context, knowledge, host::allPeersHeard, why -> dataLost(why, UNNAMED));
     this.answerPolicy = new StoreAnswerPolicy(context, host, this, knowledge, 2 * leaseTtlS);
     this.lossNews = new LossNews(knowledge, this::dataLost, pointer::read);
+    this.toldIncarnation = new ToldIncarnation(context.store(), knowledge);
     context.store().setLossListener(this);
   }
 
@@ -108,6 +110,11 @@
     return lossNews;
   }
 
+  /** What controllers tell each other of the incarnation that the store holds. */
+  public ToldIncarnation toldIncarnation() {
+    return toldIncarnation;
+  }
+
   /** What may be told from the store alone. */
   public StoreAnswerPolicy answerPolicy() {
     return answerPolicy;
--- a/src/main/java/io/embernotch/replication/KnowledgeCollector.java
+++ b/src/main/java/io/embernotch/replication/KnowledgeCollector.java
@@ -18,12 +18,16 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Asks all other controllers what they know of the contents that the store has lost. Whoever does
- * not answer in time is left out. Owned by the controller's event loop.
+ * Asks other controllers what they know: all of them of contents that the store has lost, one of
+ * present contents that can't be read. Whoever does not answer in time is left out. Owned by the
+ * controller's event loop.
  */
 public final class KnowledgeCollector {
   private static final Logger LOG = LoggerFactory.getLogger(KnowledgeCollector.class);
 
+  /** In place of the epoch of a loss: none is told of, and the present contents are asked for. */
+  static final long NO_LOSS = 0;
+
   /** Status of an answer that holds a part. */
   static final int OK = 200;
 
@@ -70,6 +74,11 @@
     return Future.all(answers).map(all -> answers.stream().map(Future::result).toList());
   }
 
+  /** Asks one controller what it knows of the present contents; empty if it does not tell. */
+  Future<Optional<Knowledge>> askForPresent(String node) {
+    return ask(node, NO_LOSS);
+  }
+
   private Future<Optional<Knowledge>> ask(String node, long lossEpoch) {
     if (!peerLiveness.liveReplicas().contains(node)) {
       return Future.succeededFuture(Optional.empty());
@@ -100,7 +109,7 @@
     }
 
     private Future<Optional<Knowledge>> answered(HttpResponse response) {
-      if (response.status() == LOSS_IS_OVER) {
+      if (response.status() == LOSS_IS_OVER && lossEpoch != NO_LOSS) {
         local.lossIsOver();
       }
       if (response.status() != OK) {
--- a/src/main/java/io/embernotch/replication/KnowledgeServer.java
+++ b/src/main/java/io/embernotch/replication/KnowledgeServer.java
@@ -8,9 +8,9 @@
 import java.util.Map;
 
 /**
- * Answers other controllers that ask what is known here of the contents that the store has lost. A
- * part is sent for each question, since a connection that is congested drops frames. Owned by the
- * controller's event loop.
+ * Answers other controllers that ask what is known here of the contents that the store has lost, or
+ * that it holds and they can't read. A part is sent for each question, since a connection that is
+ * congested drops frames. Owned by the controller's event loop.
  */
 public final class KnowledgeServer {
   private final LocalKnowledge local;
@@ -25,10 +25,13 @@
 
   /** Answers a question for one part; that for the first one fixes what all parts are of. */
   public void answer(Frame.KnowledgeRequest request, PeerLink.ReplyChannel replies) {
-    if (!local.lossHeard(request.node(), request.lossEpoch())) {
-      packed.remove(request.node());
-      replies.send(
-          new Frame.Response(request.id(), KnowledgeCollector.LOSS_IS_OVER, 0, new byte[0]));
+    if (request.lossEpoch() == KnowledgeCollector.NO_LOSS) {
+      if (!local.holdsContents()) {
+        refuse(request, KnowledgeCollector.NO_SUCH_PART, replies);
+        return;
+      }
+    } else if (!local.lossHeard(request.node(), request.lossEpoch())) {
+      refuse(request, KnowledgeCollector.LOSS_IS_OVER, replies);
       return;
     }
     if (request.part() == 0) {
@@ -36,8 +39,7 @@
     }
     PackedKnowledge all = packed.get(request.node());
     if (all == null || request.part() < 0 || request.part() >= all.parts().size()) {
-      replies.send(
-          new Frame.Response(request.id(), KnowledgeCollector.NO_SUCH_PART, 0, new byte[0]));
+      refuse(request, KnowledgeCollector.NO_SUCH_PART, replies);
       return;
     }
     KnowledgePart part =
@@ -48,4 +50,9 @@
             .build();
     replies.send(new Frame.Response(request.id(), KnowledgeCollector.OK, 0, part.toByteArray()));
   }
+
+  private void refuse(Frame.KnowledgeRequest request, int status, PeerLink.ReplyChannel replies) {
+    packed.remove(request.node());
+    replies.send(new Frame.Response(request.id(), status, 0, new byte[0]));
+  }
 }
--- a/src/main/java/io/embernotch/replication/ReplicaFeed.java
+++ b/src/main/java/io/embernotch/replication/ReplicaFeed.java
@@ -43,6 +43,8 @@
   private enum State {
     /** Nothing is read; what is held stays. */
     RESTING,
+    /** Nothing is read yet; what other controllers send is taken. */
+    AWAITING_STORE,
     /** All that the store holds is being read. */
     FILLING,
     /** All was read, and changes are followed. */
@@ -80,6 +82,14 @@
     return state != State.RESTING;
   }
 
+  /** Takes what other controllers send: this one can't read the store yet. */
+  public void awaitStore() {
+    generation++;
+    replica.reset(BaseSnapshot.EMPTY);
+    replica.beginFilling();
+    state = State.AWAITING_STORE;
+  }
+
   /** Reads the store anew: it holds an incarnation that began with this snapshot. */
   public void begin(BaseSnapshot base) {
     replica.reset(base);
--- a/src/main/java/io/embernotch/replication/StateReplicator.java
+++ b/src/main/java/io/embernotch/replication/StateReplicator.java
@@ -53,8 +53,8 @@
   private int unreplicated;
 
   /**
-   * @param incarnation name of the store incarnation whose contents are intact as far as is known;
-   *     null while there is none
+   * @param incarnation name of the store incarnation whose contents are intact as far as is known
+   *     or told; null while there is none
    */
   public StateReplicator(
       ControllerContext context,
@@ -152,16 +152,21 @@
     }
   }
 
-  /** Another controller has committed something; acknowledged if it is held here from now on. */
-  public void received(Frame.StateUpdate update, PeerLink.ReplyChannel replies) {
-    if (!feed.isActive() || !update.incarnation().equals(incarnation.get())) {
-      return;
-    }
+  /** Puts what another controller has committed into the replica, and notes the revision. */
+  public void take(Frame.StateUpdate update) {
     take(update.entries(), update.revision());
     for (Frame.StateEntry entry : update.entries()) {
       // So contents that are put back to before it are noticed here too.
       context.store().noteRevision(entry.key(), update.revision());
     }
+  }
+
+  /** Another controller has committed something; acknowledged if it is held here from now on. */
+  public void received(Frame.StateUpdate update, PeerLink.ReplyChannel replies) {
+    if (!feed.isActive() || !update.incarnation().equals(incarnation.get())) {
+      return;
+    }
+    take(update);
     replies.send(new Frame.StateUpdateAck(update.id()));
   }
 }
--- a/src/main/java/io/embernotch/replication/StoreReplica.java
+++ b/src/main/java/io/embernotch/replication/StoreReplica.java
@@ -55,6 +55,10 @@
 
   private boolean filled = true;
   private BaseSnapshot base = BaseSnapshot.EMPTY;
+
+  /** Told by another controller, in place of what is not put yet; null if there is none. */
+  private BaseSnapshot told;
+
   private long bytes;
   private boolean evicted;
 
@@ -74,6 +78,7 @@
     ended.clear();
     shared.clear();
     base = newBase;
+    told = null;
     bytes = 0;
     evicted = false;
     endsTold.clear();
@@ -85,12 +90,23 @@
     filled = false;
   }
 
+  /**
+   * What another controller has told of the store's contents: it lies beneath the entries until all
+   * is put, so that a shard is of use though its job was not put yet.
+   */
+  public void putBeneath(BaseSnapshot toldContents) {
+    if (!filled) {
+      told = toldContents;
+    }
+  }
+
   /**
    * All that the store held was put. Only from then on are jobs reduced to their ends: before, a
    * shard with an open attempt may not have been read yet.
    */
   public void filled() {
     filled = true;
+    told = null;
     List.copyOf(endsTold).forEach(this::keepOnlyEnd);
   }
 
@@ -216,8 +232,8 @@
   }
 
   /**
-   * All that is held, laid over the snapshot that the incarnation began with. Starts that were sent
-   * may be missing from it, so it is not complete.
+   * All that is held, laid over what another controller has told or else the snapshot that the
+   * incarnation began with. Starts that were sent may be missing from it, so it is not complete.
    */
   public ClusterSnapshot snapshot() {
     List<VersionedEntry> held = new ArrayList<>();
@@ -225,7 +241,7 @@
     List<VersionedEntry> heldShared = versioned(shared);
     ClusterSnapshot.Builder snapshot =
         StateSnapshot.of(
-            base,
+            told == null ? base : told,
             events(JobProgressCodec.JOB, held),
             events(JobProgressCodec.SHARD, held),
             events(JobProgressCodec.REFINED_SHARD, held),
--- a/src/main/java/io/embernotch/store/StoreClient.java
+++ b/src/main/java/io/embernotch/store/StoreClient.java
@@ -93,6 +93,11 @@
     guard.recordWrite(IncarnationGuard.Baseline.NONE, key, revision);
   }
 
+  /** Another controller has seen the present contents reach this revision. */
+  public void noteRevision(long revision) {
+    guard.observe(IncarnationGuard.Baseline.NONE, revision);
+  }
+
   /** The highest revision seen since the last loss. */
   public long highestRevisionSeen() {
     return guard.highestRevision();
--- /dev/null
+++ b/src/test/java/io/embernotch/incarnation/UnreadStoreTest.java
@@ -0,0 +1,203 @@
+package io.embernotch.incarnation;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.embernotch.codec.Json;
+import io.embernotch.testkit.ControllerNode;
+import io.embernotch.testkit.FakeStore.Snapshot;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * A process that is started while the store does not answer it reads nothing. It still holds what
+ * users were told by the time that whoever read the store has ended.
+ */
+class UnreadStoreTest {
+  private static final String CANCELLED = "j-1";
+  private static final String DONE = "j-2";
+  private static final String ACCEPTED = "j-3";
+
+  private final LossScenario scenario = new LossScenario();
+  private final ControllerNode leader = scenario.leader;
+  private final ControllerNode first = scenario.cluster.otherNode(leader);
+  private final ControllerNode started = scenario.third(leader, first);
+  private final Snapshot before = jobsRunBeforeTheLoss();
+
+  private Snapshot jobsRunBeforeTheLoss() {
+    scenario.accept(leader, CANCELLED, "array", 2);
+    scenario.accept(first, DONE, "array", 2);
+    scenario.letTasksStart();
+    return scenario.rememberContents();
+  }
+
+  private void factsAreTold() {
+    scenario.accept(first, ACCEPTED, "array", 1);
+    scenario.cancel(first, CANCELLED);
+    scenario.complete(leader, DONE);
+  }
+
+  /**
+   * @param silent whether the store answers the process nothing at all, rather than refuse
+   */
+  private void startWithoutStore(boolean silent) {
+    started.kill();
+    scenario.cluster.advance(1);
+    started.storeUnavailable = true;
+    started.storeUnresponsive = silent;
+    started.start();
+  }
+
+  private void storeAnswersAgain() {
+    started.storeUnavailable = false;
+    started.storeUnresponsive = false;
+  }
+
+  private void othersEnd() {
+    leader.kill();
+    first.kill();
+  }
+
+  /** Guards against a replica that is filled by the store alone. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void whatWasToldBeforeItWasStartedHolds(boolean silent) {
+    factsAreTold();
+    scenario.cluster.advance(2);
+    startWithoutStore(silent);
+    scenario.cluster.advance(3);
+    othersEnd();
+    scenario.cluster.store.restore(before, false);
+    scenario.cluster.advance(1);
+    storeAnswersAgain();
+    scenario.verifyAllToldHolds();
+  }
+
+  /** Guards against commits that are not taken before the store was read. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void whatWasToldAfterItWasStartedHolds(boolean silent) {
+    startWithoutStore(silent);
+    scenario.cluster.advance(3);
+    factsAreTold();
+    othersEnd();
+    scenario.cluster.store.restore(before, false);
+    scenario.cluster.advance(1);
+    storeAnswersAgain();
+    scenario.verifyAllToldHolds();
+  }
+
+  /** Guards against another process that is started into the loss, and restores without asking. */
+  @ParameterizedTest
+  @CsvSource({"0.1,false", "0.1,true", "1,false", "1,true", "6,false", "6,true"})
+  void itIsAskedByProcessesThatAreStartedAfterTheLoss(double storeSilentForS, boolean silent) {
+    factsAreTold();
+    startWithoutStore(silent);
+    scenario.cluster.advance(3);
+    othersEnd();
+    scenario.cluster.store.restore(before, false);
+    scenario.cluster.advance(0.1);
+    leader.start();
+    first.start();
+    scenario.cluster.advance(storeSilentForS);
+    storeAnswersAgain();
+    scenario.verifyAllToldHolds();
+  }
+
+  /**
+   * Guards against knowledge that goes with those who asked, rather than on from one to another.
+   */
+  @Test
+  void whatItKnowsReachesTheNextProcessThatTheStoreDoesNotAnswer() {
+    factsAreTold();
+    startWithoutStore(true);
+    scenario.cluster.advance(3);
+    othersEnd();
+    first.storeUnavailable = true;
+    first.start();
+    scenario.cluster.advance(3);
+    started.kill();
+    scenario.cluster.store.restore(before, false);
+    scenario.cluster.advance(1);
+    first.storeUnavailable = false;
+    scenario.verifyAllToldHolds();
+  }
+
+  /** Guards against a process that commits without telling one of which it knows nothing yet. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void whatIsToldByAProcessThatIsStartedLaterHolds(boolean silent) {
+    startWithoutStore(silent);
+    scenario.cluster.advance(3);
+    othersEnd();
+    leader.start();
+    ControllerNode next = scenario.cluster.awaitLeader(10);
+    scenario.cluster.advance(1);
+    scenario.accept(next, ACCEPTED, "array", 1);
+    scenario.cancel(next, CANCELLED);
+    scenario.cluster.time.advance(0.05);
+    next.kill();
+    scenario.cluster.store.restore(before, false);
+    scenario.cluster.advance(1);
+    storeAnswersAgain();
+    scenario.verifyAllToldHolds();
+  }
+
+  /** Guards against a store that is silent once the incarnation was read, and before the rest. */
+  @ParameterizedTest
+  @ValueSource(doubles = {0.005, 0.015, 0.03, 0.05})
+  void whatWasToldHoldsThoughTheStoreFallsSilentWhileItIsRead(double answersForS) {
+    factsAreTold();
+    started.kill();
+    scenario.cluster.advance(1);
+    started.start();
+    scenario.cluster.time.advance(answersForS);
+    started.storeUnavailable = true;
+    started.storeUnresponsive = true;
+    scenario.cluster.advance(3);
+    othersEnd();
+    scenario.cluster.store.restore(before, false);
+    scenario.cluster.advance(1);
+    storeAnswersAgain();
+    scenario.verifyAllToldHolds();
+  }
+
+  /** Guards against a leader that is alive at the loss and ends before it was asked by anybody. */
+  @ParameterizedTest
+  @ValueSource(doubles = {0.05, 0.3, 0.6, 1})
+  void whatTheLeaderToldHoldsThoughItEndsSoonAfterTheLoss(double secondsAfter) {
+    factsAreTold();
+    startWithoutStore(false);
+    first.kill();
+    scenario.cluster.advance(2);
+    scenario.cluster.store.restore(before, true);
+    scenario.cluster.time.advance(secondsAfter);
+    leader.kill();
+    scenario.cluster.advance(1);
+    storeAnswersAgain();
+    scenario.verifyAllToldHolds();
+  }
+
+  /** Guards against an incarnation that is taken for one without what was told of its own jobs. */
+  @Test
+  void whatWasToldOfAnIncompleteIncarnationIsNotMissedInIt() {
+    scenario.cluster.nodes.forEach(ControllerNode::kill);
+    scenario.cluster.store.restore(before, false);
+    scenario.cluster.nodes.forEach(ControllerNode::start);
+    scenario.cluster.advance(40);
+    scenario.accept(first, ACCEPTED, "array", 1);
+    startWithoutStore(false);
+    scenario.cluster.advance(3);
+    storeAnswersAgain();
+    scenario.cluster.advance(3);
+    assertThat(lossesKnownTo(started)).isZero();
+    scenario.verifyAllToldHolds();
+  }
+
+  private int lossesKnownTo(ControllerNode node) {
+    return Json.parseObject(scenario.cluster.await(node.controller.overview()).body())
+        .get("losses")
+        .asInt();
+  }
+}
