Whoever connects is greeted with a heartbeat, and connected to at once

Seen in logs: a process listens at 32.134, the last that knew is killed at 32.884, and was not asked. A process that is back within a heartbeat interval is not noticed by liveness either, so that can't be the sign.

Change: who accepts a connection sends its heartbeat on it, and tries its own missing connections at once. The simulated network greets likewise.

--- a/src/main/java/io/embernotch/controller/Controller.java
+++ b/src/main/java/io/embernotch/controller/Controller.java
@@ -268,6 +268,7 @@
   /** Begins to accept frames, to contend for leadership, and to send heartbeats; called once. */
   public void start() {
     peers.onFrame(createFrameDispatcher()::dispatch);
+    peers.onConnected(peerHeartbeats::greet);
     incarnations.start();
     machineTypes.load();
     election.start(createRoleTransitions());
--- a/src/main/java/io/embernotch/controller/PeerHeartbeats.java
+++ b/src/main/java/io/embernotch/controller/PeerHeartbeats.java
@@ -50,6 +50,11 @@
     settings.members().forEach(member -> peers.send(member.node(), heartbeat));
   }
 
+  /** Another controller has connected, perhaps just started: it learns at once who is here. */
+  void greet(PeerLink.ReplyChannel replies) {
+    replies.send(current(context.settings().node()));
+  }
+
   private Frame.PeerHeartbeat current(String node) {
     boolean storeReachable = context.store().failingForS() == 0;
     if (incarnations.lossNews().isTold()) {
--- a/src/main/java/io/embernotch/peer/PeerLink.java
+++ b/src/main/java/io/embernotch/peer/PeerLink.java
@@ -1,6 +1,7 @@
 package io.embernotch.peer;
 
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 
 /** Carries frames to the other controllers. Delivery is not guaranteed. Core loop only. */
 public interface PeerLink {
@@ -13,6 +14,9 @@
   /** Sets the handler of all incoming frames, in place of the one before. */
   void onFrame(BiConsumer<Frame, ReplyChannel> handler);
 
+  /** Sets what is done for a controller that connects to this one, in place of what was before. */
+  default void onConnected(Consumer<ReplyChannel> greeter) {}
+
   /** Sends a frame to a controller, or drops it if there is no connection or it is congested. */
   void send(String node, Frame frame);
 
--- a/src/main/java/io/embernotch/peer/VertxPeerLink.java
+++ b/src/main/java/io/embernotch/peer/VertxPeerLink.java
@@ -14,6 +14,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -40,6 +41,7 @@
   private final double retryS;
   private final Map<String, Outgoing> outgoing = new HashMap<>();
   private BiConsumer<Frame, ReplyChannel> handler = (frame, reply) -> {};
+  private Consumer<ReplyChannel> greeter = replies -> {};
 
   /** A link to all members of the settings; {@link #start} connects it. */
   public VertxPeerLink(Vertx vertx, Timers timers, Settings settings) {
@@ -54,25 +56,37 @@
   }
 
   /**
-   * Connects to the members and listens for their connections; the future fails if the address
+   * Listens for the members' connections, and connects to them; the future fails if the address
    * cannot be listened on.
    */
   public Future<Void> start(Vertx vertx, HostPort listen) {
-    outgoing.values().forEach(Outgoing::connect);
     NetServerOptions options = new NetServerOptions();
     options.setTcpNoDelay(true).setReuseAddress(true);
     return vertx
         .createNetServer(options)
-        .connectHandler(this::attach)
+        .connectHandler(this::accept)
         .listen(listen.port(), listen.host())
+        .onSuccess(listening -> outgoing.values().forEach(Outgoing::connect))
         .mapEmpty();
   }
 
+  /** Whoever connects may have been started just now: it is greeted, and connected to at once. */
+  private void accept(NetSocket socket) {
+    Outbox outbox = attach(socket);
+    greeter.accept(outbox::add);
+    outgoing.values().forEach(Outgoing::connect);
+  }
+
   @Override
   public void onFrame(BiConsumer<Frame, ReplyChannel> newHandler) {
     handler = newHandler;
   }
 
+  @Override
+  public void onConnected(Consumer<ReplyChannel> newGreeter) {
+    greeter = newGreeter;
+  }
+
   @Override
   public void send(String node, Frame frame) {
     Outgoing connection = outgoing.get(node);
@@ -144,14 +158,21 @@
     NetSocket socket;
     Outbox outbox;
     double retryDelayS = FIRST_RETRY_SHARE * retryS;
+    boolean connecting;
 
     Outgoing(HostPort address) {
       this.address = address;
     }
 
+    /** Connects, unless it is connected or about to be. */
     void connect() {
+      if (socket != null || connecting) {
+        return;
+      }
+      connecting = true;
       client
           .connect(address.port(), address.host())
+          .onComplete(attempt -> connecting = false)
           .onSuccess(
               connected -> {
                 socket = connected;
--- a/src/test/java/io/embernotch/testkit/ControllerNode.java
+++ b/src/test/java/io/embernotch/testkit/ControllerNode.java
@@ -5,6 +5,7 @@
 import io.embernotch.peer.PeerLink;
 import io.embernotch.settings.Settings;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 
 /** The machine of one controller. Each start begins a new incarnation of the process. */
 public final class ControllerNode {
@@ -35,6 +36,7 @@
   private int incarnation;
   private int formerContradictions;
   private BiConsumer<Frame, PeerLink.ReplyChannel> frameHandler;
+  private Consumer<PeerLink.ReplyChannel> greeter = replies -> {};
 
   ControllerNode(int index, Settings settings, ControllerFactory factory) {
     this.index = index;
@@ -73,6 +75,15 @@
     frameHandler = handler;
   }
 
+  void onConnected(Consumer<PeerLink.ReplyChannel> newGreeter) {
+    greeter = newGreeter;
+  }
+
+  /** Another process has connected to this one. */
+  void greet(PeerLink.ReplyChannel replies) {
+    greeter.accept(replies);
+  }
+
   void receive(Frame frame, PeerLink.ReplyChannel replies) {
     frameHandler.accept(frame, replies);
   }
--- a/src/test/java/io/embernotch/testkit/PeerNetwork.java
+++ b/src/test/java/io/embernotch/testkit/PeerNetwork.java
@@ -4,6 +4,7 @@
 import io.embernotch.peer.PeerLink;
 import java.util.List;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 
 /** Carries frames between controllers. */
 final class PeerNetwork {
@@ -67,6 +68,23 @@
       from.onFrame(handler);
     }
 
+    /** A process that is started connects to the others, which greet it. */
+    @Override
+    public void onConnected(Consumer<ReplyChannel> greeter) {
+      from.onConnected(greeter);
+      for (ControllerNode to : nodes) {
+        if (to != from) {
+          time.after(HttpNetwork.HOP_S, () -> connected(to));
+        }
+      }
+    }
+
+    private void connected(ControllerNode to) {
+      if (!to.down) {
+        to.greet(frame -> PeerNetwork.this.send(to, from, frame));
+      }
+    }
+
     @Override
     public void send(String name, Frame frame) {
       for (ControllerNode to : nodes) {
