A restore does not wait for a controller to which there is no connection

Cause: it asked a controller that had been killed 0.5 s before and still counted as live, and waited for its answer for a quarter of a heartbeat interval.

Change: who is not connected is taken for one that has not answered, at once. What that means stays: without the proof of having led last a restore asks again and again.

--- a/src/main/java/io/embernotch/forwarding/PendingRequests.java
+++ b/src/main/java/io/embernotch/forwarding/PendingRequests.java
@@ -50,6 +50,11 @@
     return response.future();
   }
 
+  /** Whether a request would be sent at all: there is a connection to the controller. */
+  public boolean canSend(String node) {
+    return peers.isConnected(node);
+  }
+
   private void timedOut(long id, String node) {
     Promise<HttpResponse> response = pending.remove(id);
     if (response != null) {
--- a/src/main/java/io/embernotch/peer/PeerLink.java
+++ b/src/main/java/io/embernotch/peer/PeerLink.java
@@ -20,6 +20,11 @@
   /** Sends a frame to a controller, or drops it if there is no connection or it is congested. */
   void send(String node, Frame frame);
 
+  /** Whether there is a connection to a controller, so that a frame is not dropped at once. */
+  default boolean isConnected(String node) {
+    return true;
+  }
+
   /** Closes the connection to a node that has become unresponsive, and connects anew. */
   void renew(String node);
 }
--- a/src/main/java/io/embernotch/peer/VertxPeerLink.java
+++ b/src/main/java/io/embernotch/peer/VertxPeerLink.java
@@ -95,6 +95,12 @@
     }
   }
 
+  @Override
+  public boolean isConnected(String node) {
+    Outgoing connection = outgoing.get(node);
+    return connection != null && connection.socket != null;
+  }
+
   @Override
   public void renew(String node) {
     Outgoing connection = outgoing.get(node);
--- a/src/main/java/io/embernotch/replication/KnowledgeCollector.java
+++ b/src/main/java/io/embernotch/replication/KnowledgeCollector.java
@@ -80,7 +80,8 @@
   }
 
   private Future<Optional<Knowledge>> ask(String node, long lossEpoch) {
-    if (!peerLiveness.liveReplicas().contains(node)) {
+    // Whoever has just ended is not waited for: the asker may end as soon.
+    if (!peerLiveness.liveReplicas().contains(node) || !requests.canSend(node)) {
       return Future.succeededFuture(Optional.empty());
     }
     return new Download(node, lossEpoch).next();
--- a/src/test/java/io/embernotch/peer/VertxPeerLinkTest.java
+++ b/src/test/java/io/embernotch/peer/VertxPeerLinkTest.java
@@ -82,6 +82,22 @@
     assertThat(receivedBySecond.poll(AT_ONCE_MS, TimeUnit.MILLISECONDS)).isEqualTo("c0");
   }
 
+  /** Guards against answers that are waited for from a process that has ended. */
+  @Test
+  void whoeverDoesNotListenIsNotConnected() throws Exception {
+    start(first, 0);
+    start(second, 1);
+    Thread.sleep(AT_ONCE_MS);
+    BlockingQueue<Boolean> connected = new LinkedBlockingQueue<>();
+    loop.runOnContext(
+        v -> {
+          connected.add(first.isConnected("c1"));
+          connected.add(first.isConnected("c2"));
+        });
+    assertThat(connected.poll(AT_ONCE_MS, TimeUnit.MILLISECONDS)).isTrue();
+    assertThat(connected.poll(AT_ONCE_MS, TimeUnit.MILLISECONDS)).isFalse();
+  }
+
   /** Guards against frames that are dropped until the next retry of a connection. */
   @Test
   void whoeverConnectsIsConnectedToAtOnce() throws Exception {
