A process that was just started hears the others before it leads on

Cause: contents that name an incarnation were led on at once; only for the first incarnation others were waited for.

Change: the same wait for both: until all others were heard, or a heartbeat interval since the start. With all others up that is a round trip.

--- a/src/main/java/io/embernotch/incarnation/ClaimEligibility.java
+++ b/src/main/java/io/embernotch/incarnation/ClaimEligibility.java
@@ -48,7 +48,16 @@
       verifyReached();
       return false;
     }
-    return true;
+    return othersHadTimeToTell();
+  }
+
+  /**
+   * Whether every other controller has been heard from, or could have been: whoever was up before
+   * this process tells whether the contents are lost.
+   */
+  private boolean othersHadTimeToTell() {
+    return allPeersHeard.getAsBoolean()
+        || upS() > context.settings().workers().heartbeatIntervalS();
   }
 
   /**
@@ -64,8 +73,7 @@
       }
       return false;
     }
-    return allPeersHeard.getAsBoolean()
-        || upS() > context.settings().workers().heartbeatIntervalS();
+    return othersHadTimeToTell();
   }
 
   /** Whether the contents have reached the epoch is proven by a request that is sent after. */
