--- a/src/main/java/io/embernotch/incarnation/IncarnationAdopter.java
+++ b/src/main/java/io/embernotch/incarnation/IncarnationAdopter.java
@@ -63,7 +63,8 @@
         .list(IncarnationCodec.blocks(stored.snapshotName()))
         .onSuccess(
             found -> {
-              if (knowledge.losses() != lossesBefore) {
+              boolean heardToBeLost = knowledge.isUnread() && knowledge.isHeardToBeLost(stored);
+              if (knowledge.losses() != lossesBefore || heardToBeLost) {
                 // What was read may be of contents that were lost meanwhile.
                 pointer.readLater();
                 return;
