--- a/src/main/java/io/embernotch/incarnation/IncarnationAdopter.java
+++ b/src/main/java/io/embernotch/incarnation/IncarnationAdopter.java
@@ -72,13 +72,28 @@
               try {
                 settle(stored, BaseSnapshotReader.read(stored, found.events()));
               } catch (MalformedInputException e) {
-                LOG.error("store incarnation {} cannot be used: {}", stored.name(), e.getMessage());
-                pointer.readLater();
+                reportUnusable(stored, e.getMessage());
               }
             })
         .onFailure(failure -> pointer.readLater());
   }
 
+  /** Missing blocks are an error, unless the contents were replaced after the pointer was read. */
+  private void reportUnusable(StoreIncarnation stored, String why) {
+    store
+        .get(IncarnationCodec.POINTER)
+        .map(PointerReader::parse)
+        .onSuccess(
+            present -> {
+              if (present.isPresent() && present.incarnation().name().equals(stored.name())) {
+                LOG.error("store incarnation {} cannot be used: {}", stored.name(), why);
+              } else {
+                LOG.info("store incarnation {} was replaced while it was read", stored.name());
+              }
+            })
+        .onComplete(read -> pointer.readLater());
+  }
+
   /**
    * The store's contents are ours from now on, and every transaction conditions on the fence.
    *
--- /dev/null
+++ b/src/test/java/io/embernotch/incarnation/ReplacedSnapshotTest.java
@@ -0,0 +1,76 @@
+package io.embernotch.incarnation;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.read.ListAppender;
+import io.embernotch.testkit.ControllerNode;
+import io.embernotch.testkit.FakeStore.Snapshot;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.slf4j.LoggerFactory;
+
+/** A process reads which incarnation the store holds, and then the blocks that this began with. */
+class ReplacedSnapshotTest {
+  private static final Logger LOGGER =
+      (Logger) LoggerFactory.getLogger(StoreIncarnationTracker.class);
+
+  private final LossScenario scenario = new LossScenario();
+  private final ControllerNode started = scenario.cluster.otherNode(scenario.leader);
+  private final ListAppender<ILoggingEvent> appender = new ListAppender<>();
+
+  @BeforeEach
+  void observe() {
+    appender.start();
+    LOGGER.addAppender(appender);
+  }
+
+  @AfterEach
+  void release() {
+    LOGGER.detachAppender(appender);
+  }
+
+  private boolean anyError() {
+    return appender.list.stream().anyMatch(event -> event.getLevel() == Level.ERROR);
+  }
+
+  /** An incarnation with a snapshot begins, and a process ends; returns what was before. */
+  private Snapshot anIncarnationBeginsWithASnapshot() {
+    scenario.accept(scenario.leader, "j-1", "array", 1);
+    scenario.cluster.advance(5);
+    Snapshot before = scenario.rememberContents();
+    scenario.cluster.store.wipe();
+    scenario.cluster.advance(10);
+    started.kill();
+    scenario.cluster.advance(1);
+    return before;
+  }
+
+  /** Guards against an alarm over blocks that belong to contents which are not there any more. */
+  @ParameterizedTest
+  @ValueSource(doubles = {0.001, 0.002, 0.003, 0.004, 0.005, 0.006, 0.007, 0.008})
+  void contentsThatAreReplacedBetweenTheReadsAreNotCalledDamaged(double replacedAfterS) {
+    Snapshot before = anIncarnationBeginsWithASnapshot();
+    started.start();
+    scenario.cluster.time.advance(replacedAfterS);
+    scenario.cluster.store.restore(before, false);
+    scenario.cluster.advance(5);
+    assertThat(anyError()).isFalse();
+    scenario.verifyAllToldHolds();
+  }
+
+  /** Guards against damage that nobody is told of. */
+  @Test
+  void missingBlocksAreAnError() {
+    anIncarnationBeginsWithASnapshot();
+    scenario.cluster.store.deletePrefix("block/");
+    started.start();
+    scenario.cluster.advance(5);
+    assertThat(anyError()).isTrue();
+  }
+}
