--- a/src/main/java/io/embernotch/incarnation/StoreRestorer.java
+++ b/src/main/java/io/embernotch/incarnation/StoreRestorer.java
@@ -117,11 +117,6 @@
     return prepared;
   }
 
-  /** Whether this node was leader when the data was lost, and so has a snapshot of its own. */
-  boolean wasLeader() {
-    return wasLeader;
-  }
-
   /** Seconds for which a leader from before the loss may count itself leader after a claim. */
   double formerLeaderGraceS() {
     return wasLeader ? 0 : leaseTtlS * (1 + 2 * Settings.DRIFT);
