A follower tells what it knows after it has noticed a loss, too

What callers would see: as with the replica that only the store filled: 503 for ever, ends taken back.

Cause: only a replica that is being followed counted as one that holds the contents, and it rests from the moment at which the loss is noticed. A process that the store does not answer takes no part in the restore, so it was told nothing if it asked after that.

Change: a replica counts as filled until it is emptied or filled anew.

Evidence: UnreadStoreTest#whatAFollowerKnowsIsToldAfterItHasNoticedTheLoss, both cases red with the former condition, green now; the other 22 cases of the class stay green.

--- a/src/main/java/io/embernotch/controller/Replication.java
+++ b/src/main/java/io/embernotch/controller/Replication.java
@@ -81,9 +81,9 @@
     return told ? incarnations.name() : intactIncarnation();
   }
 
-  /** Whether all that the store held was read here, and changes have been followed since. */
+  /** Whether the replica holds all that the store did when it was last followed. */
   boolean isFilled() {
-    return feed.isFollowing();
+    return feed.isFilled();
   }
 
   /**
--- a/src/main/java/io/embernotch/controller/RestoreSource.java
+++ b/src/main/java/io/embernotch/controller/RestoreSource.java
@@ -238,7 +238,10 @@
 
   @Override
   public boolean holdsContents() {
-    return replicaFilled.getAsBoolean() || bootstrap.isTold() || ledState().isPresent();
+    return replicaFilled.getAsBoolean()
+        || bootstrap.isTold()
+        || localLeader.current().map(Leader::isLoaded).orElse(false)
+        || localLeader.former().map(former -> former.leader().isLoaded()).orElse(false);
   }
 
   @Override
--- a/src/main/java/io/embernotch/replication/ReplicaFeed.java
+++ b/src/main/java/io/embernotch/replication/ReplicaFeed.java
@@ -57,6 +57,7 @@
   private final double longPollS;
   private final double retryS;
   private State state = State.RESTING;
+  private boolean filled;
 
   /** Of each beginning and end of the feed; answers to requests from before it are dropped. */
   private int generation;
@@ -72,6 +73,11 @@
     this.retryS = heartbeatIntervalS / RETRIES_PER_HEARTBEAT;
   }
 
+  /** Whether the replica holds all that the store did when it was last followed. */
+  public boolean isFilled() {
+    return filled;
+  }
+
   /** Whether all that the store held was read, and changes have been followed since. */
   public boolean isFollowing() {
     return state == State.FOLLOWING;
@@ -88,6 +94,7 @@
     replica.reset(BaseSnapshot.EMPTY);
     replica.beginFilling();
     state = State.AWAITING_STORE;
+    filled = false;
   }
 
   /** Reads the store anew: it holds an incarnation that began with this snapshot. */
@@ -95,6 +102,7 @@
     replica.reset(base);
     replica.beginFilling();
     state = State.FILLING;
+    filled = false;
     fill(++generation);
   }
 
@@ -107,6 +115,7 @@
   /** Reads nothing any more and forgets what is held: this controller leads. */
   public void clear() {
     rest();
+    filled = false;
     replica.reset(BaseSnapshot.EMPTY);
   }
 
@@ -140,6 +149,7 @@
       return;
     }
     state = State.FOLLOWING;
+    filled = true;
     replica.filled();
     LOG.info(
         "replica of the store: {} KiB, followed from revision {}",
--- a/src/test/java/io/embernotch/incarnation/UnreadStoreTest.java
+++ b/src/test/java/io/embernotch/incarnation/UnreadStoreTest.java
@@ -179,6 +179,24 @@
     scenario.verifyAllToldHolds();
   }
 
+  /** Guards against a replica that is told of no more once the loss is noticed. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void whatAFollowerKnowsIsToldAfterItHasNoticedTheLoss(boolean silent) {
+    factsAreTold();
+    scenario.cluster.advance(3);
+    started.kill();
+    leader.kill();
+    scenario.cluster.store.restore(before, false);
+    scenario.expectPhase(first, ACCEPTED, "status 503");
+    startWithoutStore(silent);
+    scenario.cluster.advance(3);
+    first.kill();
+    scenario.cluster.advance(1);
+    storeAnswersAgain();
+    scenario.verifyAllToldHolds();
+  }
+
   /** Guards against an incarnation that is taken for one without what was told of its own jobs. */
   @Test
   void whatWasToldOfAnIncompleteIncarnationIsNotMissedInIt() {
