--- a/src/test/java/io/embernotch/peer/VertxPeerLinkTest.java
+++ b/src/test/java/io/embernotch/peer/VertxPeerLinkTest.java
@@ -21,11 +21,16 @@
 class VertxPeerLinkTest {
   private static final String HOST = "127.0.0.1";
 
-  /** Long enough for any connection; a retry of one would take as long as a heartbeat interval. */
-  private static final int AT_ONCE_MS = 400;
+  /** So long that no connection is retried within a test: the first time after a 96th of it. */
+  private static final String HEARTBEAT_INTERVAL = "report_s = 600.0";
 
-  private static final int UP_FOR_MS = 3000;
-  private static final int STARTED_S = 5;
+  private static final String LEASE = "lease_s = 6000.0";
+  private static final String CANCEL = "cancel_s = 9000.0";
+
+  /** Long enough for whatever is done at once, and shorter than the first retry. */
+  private static final int AT_ONCE_MS = 5000;
+
+  private static final int STEP_MS = 50;
 
   private final Vertx vertx = Vertx.vertx();
   private final Context loop = vertx.getOrCreateContext();
@@ -47,7 +52,11 @@
   }
 
   private VertxPeerLink link(int index, BlockingQueue<String> received) {
-    String toml = SimulatedCluster.settingsToml(index);
+    String toml =
+        SimulatedCluster.settingsToml(index)
+            .replace("report_s = 3.0", HEARTBEAT_INTERVAL)
+            .replace("lease_s = 30.0", LEASE)
+            .replace("cancel_s = 50.0", CANCEL);
     for (int node = 0; node < ports.length; node++) {
       toml = toml.replace("'10.0.0." + (node + 1) + ":8081'", "'" + HOST + ":" + ports[node] + "'");
     }
@@ -66,12 +75,12 @@
     HostPort address = HostPort.parse(HOST + ":" + ports[index]);
     Promise<Void> started = Promise.promise();
     loop.runOnContext(v -> link.start(vertx, address).onComplete(started));
-    started.future().await(STARTED_S, TimeUnit.SECONDS);
+    started.future().await(AT_ONCE_MS, TimeUnit.MILLISECONDS);
   }
 
   @AfterEach
   void close() throws Exception {
-    vertx.close().await(STARTED_S, TimeUnit.SECONDS);
+    vertx.close().await(AT_ONCE_MS, TimeUnit.MILLISECONDS);
   }
 
   /** Guards against a process that hears of the others only with their next heartbeats. */
@@ -87,26 +96,33 @@
   void whoeverDoesNotListenIsNotConnected() throws Exception {
     start(first, 0);
     start(second, 1);
-    Thread.sleep(AT_ONCE_MS);
-    BlockingQueue<Boolean> connected = new LinkedBlockingQueue<>();
-    loop.runOnContext(
-        v -> {
-          connected.add(first.isConnected("c1"));
-          connected.add(first.isConnected("c2"));
-        });
-    assertThat(connected.poll(AT_ONCE_MS, TimeUnit.MILLISECONDS)).isTrue();
-    assertThat(connected.poll(AT_ONCE_MS, TimeUnit.MILLISECONDS)).isFalse();
+    awaitConnected("c1");
+    assertThat(isConnected("c2")).isFalse();
   }
 
   /** Guards against frames that are dropped until the next retry of a connection. */
   @Test
   void whoeverConnectsIsConnectedToAtOnce() throws Exception {
     start(first, 0);
-    Thread.sleep(UP_FOR_MS);
     start(second, 1);
-    Thread.sleep(AT_ONCE_MS);
+    awaitConnected("c1");
     receivedBySecond.clear();
     loop.runOnContext(v -> first.send("c1", heartbeatOf(0)));
     assertThat(receivedBySecond.poll(AT_ONCE_MS, TimeUnit.MILLISECONDS)).isEqualTo("c0");
   }
+
+  private void awaitConnected(String node) throws Exception {
+    boolean connected = isConnected(node);
+    for (int waitedMs = 0; !connected && waitedMs < AT_ONCE_MS; waitedMs += STEP_MS) {
+      Thread.sleep(STEP_MS);
+      connected = isConnected(node);
+    }
+    assertThat(connected).as("connected to " + node).isTrue();
+  }
+
+  private boolean isConnected(String node) throws Exception {
+    Promise<Boolean> answer = Promise.promise();
+    loop.runOnContext(v -> answer.complete(first.isConnected(node)));
+    return answer.future().await(AT_ONCE_MS, TimeUnit.MILLISECONDS);
+  }
 }
