Revisions of an incarnation that was told are not expected of the one that follows it

Cause: a process that can't read the store is told incarnation and revision by the others. When a later incarnation was told, the revision of the former one stayed as the lower bound of its own first look: 'its revision fell from 171 to 132'. It came with what is told.

Why it works: as after a loss that is noticed here, nothing that was seen of the former incarnation counts for the next one; only revisions that were told or seen of that one do.

--- a/src/main/java/io/embernotch/incarnation/IncarnationKnowledge.java
+++ b/src/main/java/io/embernotch/incarnation/IncarnationKnowledge.java
@@ -69,11 +69,17 @@
     return isUnread() && hasIncarnation();
   }
 
-  /** Another controller, which has read the store, tells which incarnation it held. */
-  void observeTold(StoreIncarnation told) {
-    if (isUnread() && (!hasIncarnation() || told.follows(incarnation))) {
+  /**
+   * Another controller, which has read the store, tells which incarnation it held.
+   *
+   * @return whether that one has followed another which was told before
+   */
+  boolean observeTold(StoreIncarnation told) {
+    boolean follows = isTold() && told.follows(incarnation);
+    if (follows || (isUnread() && !hasIncarnation())) {
       incarnation = told;
     }
+    return follows;
   }
 
   /** The highest revision seen of the incarnation that we know, which may be lost. */
--- a/src/main/java/io/embernotch/incarnation/ToldIncarnation.java
+++ b/src/main/java/io/embernotch/incarnation/ToldIncarnation.java
@@ -42,12 +42,15 @@
   }
 
   /**
-   * Another controller tells of the store. What was read here counts for more.
+   * Another controller tells of the store. What was read here counts for more. Revisions of an
+   * incarnation that was told before may be higher than any of the one that has followed it.
    *
    * @param revision the highest revision of that incarnation that it has seen
    */
   public void observe(StoreIncarnation incarnation, long revision) {
-    knowledge.observeTold(incarnation);
+    if (knowledge.observeTold(incarnation)) {
+      store.discardIncarnation();
+    }
     if (!knowledge.isLost() && knowledge.name().equals(incarnation.name())) {
       store.noteRevision(revision);
     }
--- a/src/test/java/io/embernotch/incarnation/UnreadStoreTest.java
+++ b/src/test/java/io/embernotch/incarnation/UnreadStoreTest.java
@@ -19,6 +19,9 @@
   private static final String DONE = "j-2";
   private static final String ACCEPTED = "j-3";
 
+  /** More than the store sees in the rest of a test. */
+  private static final int CHANGES_THAT_ARE_LOST = 1000;
+
   private final LossScenario scenario = new LossScenario();
   private final ControllerNode leader = scenario.leader;
   private final ControllerNode first = scenario.cluster.otherNode(leader);
@@ -213,6 +216,24 @@
     scenario.verifyAllToldHolds();
   }
 
+  /** Guards against a revision of lost contents that is taken for one of those that followed. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void aRevisionOfLostContentsIsNotExpectedOfThoseThatFollow(boolean silent) {
+    startWithoutStore(silent);
+    for (int change = 0; change < CHANGES_THAT_ARE_LOST; change++) {
+      scenario.cluster.store.put("mark", "{}");
+    }
+    scenario.cluster.advance(4);
+    scenario.cluster.store.restore(before, false);
+    scenario.cluster.awaitLeader(20);
+    storeAnswersAgain();
+    scenario.cluster.advance(5);
+    assertThat(lossesKnownTo(started)).isZero();
+    assertThat(lossesKnownTo(scenario.cluster.leader())).isOne();
+    scenario.verifyAllToldHolds();
+  }
+
   private int lossesKnownTo(ControllerNode node) {
     return Json.parseObject(scenario.cluster.await(node.controller.overview()).body())
         .get("losses")
