What the store told of lost contents is kept though it arrives after the loss was noticed

Cause: a list that is asked for before a loss and answered with the lost contents was dropped once the loss was noticed: its request belongs to contents that are gone, and the feed of the replica had moved on. That is right for anything that acts on present contents; for a restore it throws away what nobody else may know.

Why it works: a page whose revision is at least what was known when it was asked for is of the lost contents (what was put back shows a lower one), and true: it goes into the replica that a restore is made from, which goes on asking for what is known for a third of a worker's lease. The listing still fails, nothing else is read, and pages of a reading before the replica was begun anew are dropped as before.

--- a/src/main/java/io/embernotch/controller/Replication.java
+++ b/src/main/java/io/embernotch/controller/Replication.java
@@ -157,7 +157,7 @@
 
   /** Data is lost: what is held of it stays as it is. */
   void dataLost() {
-    feed.rest();
+    feed.contentsLost();
   }
 
   /** This node leads no more. */
--- a/src/main/java/io/embernotch/replication/ReplicaFeed.java
+++ b/src/main/java/io/embernotch/replication/ReplicaFeed.java
@@ -3,7 +3,9 @@
 import io.embernotch.codec.JobProgressCodec;
 import io.embernotch.context.ControllerContext;
 import io.embernotch.snapshot.BaseSnapshot;
+import io.embernotch.store.PageSink;
 import io.embernotch.store.StoreException;
+import io.embernotch.store.VersionedEntry;
 import io.embernotch.store.WatchEvents;
 import java.util.List;
 import org.slf4j.Logger;
@@ -112,6 +114,14 @@
     state = State.RESTING;
   }
 
+  /**
+   * The contents that were read are lost: nothing else is read, and what is held stays. What was
+   * asked for before and is still on its way is added.
+   */
+  public void contentsLost() {
+    state = State.RESTING;
+  }
+
   /** Reads nothing any more and forgets what is held: this controller leads. */
   public void clear() {
     rest();
@@ -119,8 +129,12 @@
     replica.reset(BaseSnapshot.EMPTY);
   }
 
+  private boolean isCurrent(int begun) {
+    return begun == generation && state != State.RESTING;
+  }
+
   private void fill(int begun) {
-    if (begun == generation) {
+    if (isCurrent(begun)) {
       read(begun, 0, Long.MAX_VALUE);
     }
   }
@@ -129,19 +143,13 @@
   private void read(int begun, int prefix, long firstRevision) {
     context
         .store()
-        .forEachPage(
-            PREFIXES.get(prefix),
-            page -> {
-              if (begun == generation) {
-                page.forEach(replica::put);
-              }
-            })
+        .forEachPage(PREFIXES.get(prefix), new ReplicaPages(begun))
         .onSuccess(revision -> prefixRead(begun, prefix, Math.min(firstRevision, revision)))
         .onFailure(failure -> context.timers().after(retryS, () -> fill(begun)));
   }
 
   private void prefixRead(int begun, int prefix, long firstRevision) {
-    if (begun != generation) {
+    if (!isCurrent(begun)) {
       return;
     }
     if (prefix + 1 < PREFIXES.size()) {
@@ -158,8 +166,32 @@
     follow(begun, firstRevision);
   }
 
+  /** Puts the pages of one reading into the replica. */
+  private final class ReplicaPages implements PageSink {
+    private final int begun;
+
+    ReplicaPages(int begun) {
+      this.begun = begun;
+    }
+
+    @Override
+    public void page(List<VersionedEntry> entries) {
+      if (isCurrent(begun)) {
+        entries.forEach(replica::put);
+      }
+    }
+
+    @Override
+    public void pageOfLostContents(List<VersionedEntry> entries) {
+      if (begun == generation) {
+        LOG.info("{} entries of the lost contents arrive after the loss", entries.size());
+        entries.forEach(replica::put);
+      }
+    }
+  }
+
   private void follow(int begun, long revision) {
-    if (begun != generation) {
+    if (!isCurrent(begun)) {
       return;
     }
     context
@@ -170,7 +202,7 @@
   }
 
   private void changed(int begun, long revision, WatchEvents changes) {
-    if (begun != generation) {
+    if (!isCurrent(begun)) {
       return;
     }
     LOG.debug("{} changes after revision {}", changes.events().size(), revision);
@@ -180,7 +212,7 @@
   }
 
   private void watchFailed(int begun, long revision, Throwable failure) {
-    if (begun != generation) {
+    if (!isCurrent(begun)) {
       return;
     }
     LOG.debug("following from revision {} failed: {}", revision, failure.getMessage());
--- a/src/main/java/io/embernotch/store/EntryReader.java
+++ b/src/main/java/io/embernotch/store/EntryReader.java
@@ -5,7 +5,6 @@
 import io.vertx.core.Future;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -84,28 +83,23 @@
    *
    * @return the revision of the first page
    */
-  Future<Long> forEachPage(
-      String prefix, RequestPriority priority, Consumer<List<VersionedEntry>> sink) {
+  Future<Long> forEachPage(String prefix, RequestPriority priority, PageSink sink) {
     return pagesAfter(prefix, null, priority, sink, NO_REVISION);
   }
 
   /** Reads the pages after the key {@code after}, or all if it is null. */
   private Future<Long> pagesAfter(
-      String prefix,
-      String after,
-      RequestPriority priority,
-      Consumer<List<VersionedEntry>> sink,
-      long firstRevision) {
+      String prefix, String after, RequestPriority priority, PageSink sink, long firstRevision) {
     return page(StoreProtocol.listPath(prefix, after, PAGE_SIZE), priority, TRIES_PER_PAGE)
         .compose(
             reply ->
                 reply.status() == StatusCodes.OK
-                    ? validator.read(reply, page -> page, StoreProtocol::readRevision)
+                    ? validator.readPage(reply, sink)
                     : reply.unexpected())
         .compose(
             page -> {
               List<VersionedEntry> entries = StoreProtocol.readPage(page);
-              sink.accept(entries);
+              sink.page(entries);
               long revision = firstRevision >= 0 ? firstRevision : StoreProtocol.readRevision(page);
               if (StoreProtocol.isTruncated(page) && !entries.isEmpty()) {
                 String last = entries.get(entries.size() - 1).key();
--- a/src/main/java/io/embernotch/store/IncarnationValidator.java
+++ b/src/main/java/io/embernotch/store/IncarnationValidator.java
@@ -52,6 +52,30 @@
         : revisionFell(reply.baseline().minRevision(), revision);
   }
 
+  /**
+   * Reads a page of a listing, which shows the present revision. One of contents that were found to
+   * be lost while it was on its way is passed on, and fails.
+   */
+  Future<ObjectNode> readPage(StoreReply reply, PageSink sink) {
+    Future<ObjectNode> page = read(reply, json -> json, StoreProtocol::readRevision);
+    if (!guard.isOf(reply.baseline())) {
+      passOnIfOfLostContents(reply, sink);
+    }
+    return page;
+  }
+
+  /** What shows a lower revision than was known of the lost contents is of those after them. */
+  private static void passOnIfOfLostContents(StoreReply reply, PageSink sink) {
+    try {
+      ObjectNode page = reply.json();
+      if (StoreProtocol.readRevision(page) >= reply.baseline().minRevision()) {
+        sink.pageOfLostContents(StoreProtocol.readPage(page));
+      }
+    } catch (MalformedInputException e) {
+      LOG.info("unreadable page of lost contents: {}", e.getMessage());
+    }
+  }
+
   /**
    * Reads an entry. Its modification revision is a lower bound of the present revision, so a low
    * one proves nothing.
--- a/src/main/java/io/embernotch/store/StoreClient.java
+++ b/src/main/java/io/embernotch/store/StoreClient.java
@@ -6,8 +6,6 @@
 import io.embernotch.settings.Settings;
 import io.embernotch.store.RateLimiter.RequestPriority;
 import io.vertx.core.Future;
-import java.util.List;
-import java.util.function.Consumer;
 
 /**
  * The store as the rest of the process sees it: reads, watches, transactions and leases, all within
@@ -136,7 +134,7 @@
    *
    * @return the revision of the first page: what has changed since may be missing
    */
-  public Future<Long> forEachPage(String prefix, Consumer<List<VersionedEntry>> sink) {
+  public Future<Long> forEachPage(String prefix, PageSink sink) {
     return entries.forEachPage(prefix, RequestPriority.BACKGROUND, sink);
   }
 
--- a/src/test/java/io/embernotch/testkit/ControllerNode.java
+++ b/src/test/java/io/embernotch/testkit/ControllerNode.java
@@ -26,6 +26,9 @@
   /** The store does not answer at all, rather than refuse; while {@link #storeUnavailable}. */
   public boolean storeUnresponsive;
 
+  /** Lists that the store sends it arrive so many seconds late. */
+  public double storeListDelayS;
+
   /** No frame to or from another controller arrives. */
   public boolean peersUnreachable;
 
--- a/src/test/java/io/embernotch/testkit/StoreConnection.java
+++ b/src/test/java/io/embernotch/testkit/StoreConnection.java
@@ -8,6 +8,7 @@
 /** Requests of controllers to the store, with the faults that may hit them. */
 final class StoreConnection {
   private static final String COMMIT = "/commit";
+  private static final String LIST = "/store?";
 
   private final FakeTime time;
   private final NetworkFaults faults;
@@ -44,9 +45,11 @@
       return deliverAsChosen(method, path, body);
     }
     if (path.equals(COMMIT) && faults.hits(faults.lateCommitResponseShare)) {
-      return lateResponse(method, path, body);
+      return lateResponse(method, path, body, faults.responseDelayS);
     }
-    return store.handle(method, path, body);
+    return from.storeListDelayS > 0 && path.startsWith(LIST)
+        ? lateResponse(method, path, body, from.storeListDelayS)
+        : store.handle(method, path, body);
   }
 
   private static Future<HttpReply> refusal() {
@@ -72,18 +75,18 @@
       case DELAYED -> buffer.delay(() -> store.handle(method, path, body));
       case RESPONSE_LOST -> store.handle(method, path, body);
       case RESPONSE_LATE -> {
-        return lateResponse(method, path, body);
+        return lateResponse(method, path, body, faults.responseDelayS);
       }
       default -> {}
     }
     return HttpNetwork.noReply();
   }
 
-  private Future<HttpReply> lateResponse(String method, String path, byte[] body) {
+  private Future<HttpReply> lateResponse(String method, String path, byte[] body, double delayS) {
     Promise<HttpReply> late = Promise.promise();
     store
         .handle(method, path, body)
-        .onSuccess(reply -> time.after(faults.responseDelayS, () -> late.complete(reply)));
+        .onSuccess(reply -> time.after(delayS, () -> late.complete(reply)));
     return late.future();
   }
 }
