Contents that were put back while all controllers were down are noticed by the workers

Callers: after all controllers had ended and the store was put back to a moment without a leader key, a job that was accepted got 404, naming it as a dependency 422, and a repeat of its submission ran beside the old tasks.

Cause: a loss is noticed by what a living controller has seen, or by a leader key whose lease is gone. Here there is neither, and what workers show was compared with nothing.

Change: a token of this term's epoch that this term has not sent to the worker, and a task of a job that the store does not hold, are signs of a loss. The term that finds it is never taken for the last one of the lost contents, so that the restore is incomplete: nothing is denied, nothing starts until no old task can run, epochs go above all that were seen. Until each machine that the cloud lists as running was heard, or for a worker's lease, a process that has just found an incarnation in the store denies no job.

Why it works: a token is issued by one term alone, and its epoch, a revision of the store, comes again only after contents were put back. Job keys are written before any start and never dropped. A token of a later epoch is no sign (DataLossTest, unchanged).

--- a/src/main/java/io/embernotch/agents/AgentReconciler.java
+++ b/src/main/java/io/embernotch/agents/AgentReconciler.java
@@ -39,6 +39,14 @@
     /** An agent has seen a fencing token of a later term. */
     void superseded(long token);
 
+    /**
+     * An agent has seen a fencing token of this term's epoch that this term has not issued to it.
+     */
+    void unissuedTokenSeen(Machine machine, long token);
+
+    /** The machine reports a task of this job, exited or not, of which no attempt is open there. */
+    void unexpectedTaskReported(Machine machine, String ref);
+
     /** Something changed that the scheduler may use. */
     void clusterChanged();
 
--- a/src/main/java/io/embernotch/agents/AttemptReconciler.java
+++ b/src/main/java/io/embernotch/agents/AttemptReconciler.java
@@ -42,6 +42,8 @@
       if (attempt != null && attempt.number == status.attempt()) {
         listed.add(key);
         reconcilePresent(attempt, machine, status, now);
+      } else {
+        listener.unexpectedTaskReported(machine, status.ref());
       }
     }
     for (Attempt attempt : List.copyOf(machine.openAttempts.values())) {
--- a/src/main/java/io/embernotch/agents/CommandSender.java
+++ b/src/main/java/io/embernotch/agents/CommandSender.java
@@ -134,6 +134,7 @@
   private void send(Machine machine, Batch batch) {
     long token = machine.token;
     machine.commandInFlight = true;
+    machine.highestIssuedToken = Math.max(machine.highestIssuedToken, token);
     byte[] body = WorkerCodec.directCommand(token, machine.agentEpoch, batch.commands);
     WorkerCalls.call(context, machine, "POST", COMMAND_PATH, body, callTimeoutS)
         .onComplete(
--- a/src/main/java/io/embernotch/agents/HeartbeatProcessor.java
+++ b/src/main/java/io/embernotch/agents/HeartbeatProcessor.java
@@ -124,15 +124,16 @@
   /**
    * Learns from a heartbeat, whichever way it came.
    *
-   * @return false if it shows a fencing token of a later term
+   * @return false if it shows a fencing token of a later term, or of one whose epoch came again
    */
   boolean reconcile(Heartbeat heartbeat, Machine machine) {
-    if (heartbeat.token() > machine.token) {
-      if (FencingTokens.epochOf(heartbeat.token()) > FencingTokens.epochOf(tokenBase)) {
-        listener.superseded(heartbeat.token());
-        return false;
-      }
-      machine.token = heartbeat.token();
+    if (FencingTokens.epochOf(heartbeat.token()) > FencingTokens.epochOf(tokenBase)) {
+      listener.superseded(heartbeat.token());
+      return false;
+    }
+    if (heartbeat.token() >= tokenBase && heartbeat.token() > machine.highestIssuedToken) {
+      listener.unissuedTokenSeen(machine, heartbeat.token());
+      return false;
     }
     boolean newer = isNewer(heartbeat, machine);
     if (newer && heartbeat.token() >= machine.highestReportedToken) {
--- a/src/main/java/io/embernotch/agents/ReachabilityTracker.java
+++ b/src/main/java/io/embernotch/agents/ReachabilityTracker.java
@@ -94,6 +94,7 @@
   /** A heartbeat is being answered with the machine's token. */
   void answering(Machine machine) {
     machine.lastAnsweredToken = machine.token;
+    machine.highestIssuedToken = Math.max(machine.highestIssuedToken, machine.token);
   }
 
   /** The machine has answered a call. */
--- a/src/main/java/io/embernotch/api/DependencyValidator.java
+++ b/src/main/java/io/embernotch/api/DependencyValidator.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 /**
@@ -24,14 +25,20 @@
 
   private final ControllerContext context;
   private final Supplier<BaseSnapshot> baseSnapshot;
+  private final BooleanSupplier mayDenyJobs;
 
   /** By id: accepted jobs, and whether they are services. */
   private final Map<String, Boolean> services = new LeastRecentlyUsed<>(MAX_CACHED_JOBS);
 
-  /** {@code baseSnapshot}: what the present store incarnation began with. */
-  DependencyValidator(ControllerContext context, Supplier<BaseSnapshot> baseSnapshot) {
+  /**
+   * @param baseSnapshot what the present store incarnation began with
+   * @param mayDenyJobs whether a job that the store does not hold was never accepted
+   */
+  DependencyValidator(
+      ControllerContext context, Supplier<BaseSnapshot> baseSnapshot, BooleanSupplier mayDenyJobs) {
     this.context = context;
     this.baseSnapshot = baseSnapshot;
+    this.mayDenyJobs = mayDenyJobs;
   }
 
   /** The job is in the store. */
@@ -75,7 +82,7 @@
     return PersistedJob.submission(context.store(), baseSnapshot.get(), ref)
         .map(
             entry -> {
-              if (!entry.present() && baseSnapshot.get().jobsMissing()) {
+              if (!entry.present() && !mayDenyJobs.getAsBoolean()) {
                 throw new IllegalStateException(ref + " may have been accepted before a loss");
               }
               if (!entry.present()) {
--- a/src/main/java/io/embernotch/api/SubmissionHandler.java
+++ b/src/main/java/io/embernotch/api/SubmissionHandler.java
@@ -52,6 +52,9 @@
     /** Whether the store is known to have lost nothing, so that what it lacks was not accepted. */
     boolean storeIsIntact();
 
+    /** Whether a job that the store does not hold was never accepted; false after some losses. */
+    boolean mayDenyJobs();
+
     /** The name of the present store incarnation. */
     String incarnationName();
 
@@ -104,7 +107,7 @@
             context,
             host,
             writer,
-            new DependencyValidator(context, host::base),
+            new DependencyValidator(context, host::base, host::mayDenyJobs),
             new RecentSubmissions(context, host, writer, patienceS),
             hedgeS,
             patienceS);
--- a/src/main/java/io/embernotch/controller/ControllerLeaderContext.java
+++ b/src/main/java/io/embernotch/controller/ControllerLeaderContext.java
@@ -67,6 +67,21 @@
     election.stepDown(why);
   }
 
+  @Override
+  public void contentsPutBack(String why) {
+    incarnations.lossSigns().contentsPutBack(why);
+  }
+
+  @Override
+  public boolean areContentsConfirmed() {
+    return incarnations.confirmation().isConfirmed();
+  }
+
+  @Override
+  public void contentsConfirmed() {
+    incarnations.confirmation().confirm();
+  }
+
   @Override
   public void observeEpoch(long epoch) {
     incarnations.observeEpoch(epoch);
--- a/src/main/java/io/embernotch/controller/IncarnationEvents.java
+++ b/src/main/java/io/embernotch/controller/IncarnationEvents.java
@@ -67,7 +67,7 @@
       machineTypes.store();
     }
     if (lacksKnown) {
-      incarnations.get().contentsLackKnown();
+      incarnations.get().lossSigns().contentsLackKnown();
     }
   }
 
--- a/src/main/java/io/embernotch/controller/JobQueries.java
+++ b/src/main/java/io/embernotch/controller/JobQueries.java
@@ -161,7 +161,7 @@
       return incarnations.answerPolicy().mayDenyJobs() ? notFound : contentsUnknown();
     }
     if (acceptedBefore) {
-      incarnations.acceptedJobMissing(ref);
+      incarnations.lossSigns().acceptedJobMissing(ref);
     }
     return contentsUnknown();
   }
--- a/src/main/java/io/embernotch/controller/RestoreSource.java
+++ b/src/main/java/io/embernotch/controller/RestoreSource.java
@@ -254,11 +254,12 @@
     incarnations.get().lossNews().lossIsOver();
   }
 
-  /** The last term that was led here, unless a later one is known. */
+  /** The last term that was led here, unless a later one is known or must have been. */
   private Optional<FormerTerm> notSuperseded() {
     return localLeader
         .former()
-        .filter(former -> former.leader().epoch() >= leaderObserver.highestEpoch());
+        .filter(former -> former.leader().epoch() >= leaderObserver.highestEpoch())
+        .filter(former -> !former.leader().hasLedPutBackContents());
   }
 
   private JoinedKnowledge.EndedTerm termOf(FormerTerm former) {
--- a/src/main/java/io/embernotch/controller/SubmissionContext.java
+++ b/src/main/java/io/embernotch/controller/SubmissionContext.java
@@ -46,6 +46,11 @@
     return incarnations.isIntact();
   }
 
+  @Override
+  public boolean mayDenyJobs() {
+    return incarnations.answerPolicy().mayDenyJobs();
+  }
+
   @Override
   public String incarnationName() {
     return incarnations.name();
--- a/src/main/java/io/embernotch/incarnation/IncarnationAdopter.java
+++ b/src/main/java/io/embernotch/incarnation/IncarnationAdopter.java
@@ -17,16 +17,19 @@
   private final IncarnationHost host;
   private final IncarnationKnowledge knowledge;
   private final PointerReader pointer;
+  private final ContentsConfirmation confirmation;
 
   IncarnationAdopter(
       StoreClient store,
       IncarnationHost host,
       IncarnationKnowledge knowledge,
-      PointerReader pointer) {
+      PointerReader pointer,
+      ContentsConfirmation confirmation) {
     this.store = store;
     this.host = host;
     this.knowledge = knowledge;
     this.pointer = pointer;
+    this.confirmation = confirmation;
   }
 
   /**
@@ -103,6 +106,7 @@
     if (incarnation != null) {
       store.setFence(IncarnationCodec.fence(incarnation), incarnation.modRevision());
     }
+    confirmation.contentsKnown(incarnation != null);
     if (knowledge.settle(incarnation, baseSnapshot)) {
       LOG.info("store incarnation {}, epochs from {}", knowledge.name(), knowledge.epochFloor());
       host.incarnationSettled(baseSnapshot);
--- a/src/main/java/io/embernotch/incarnation/IncarnationKnowledge.java
+++ b/src/main/java/io/embernotch/incarnation/IncarnationKnowledge.java
@@ -199,13 +199,15 @@
    *
    * @param namedBy the epoch by which another controller tells of the loss; 0 if it was noticed
    *     here, and gets a new one
+   * @param seen whether contents that this controller has seen itself are gone, by its own
+   *     observation
    */
-  boolean recordLoss(long namedBy) {
+  boolean recordLoss(long namedBy, boolean seen) {
     long reached = Math.max(reachedEpoch(), isLossOver() ? highestLeaderEpoch : 0);
     observeEpoch(reached);
     boolean isAnother = state != State.LOST || isLossOver();
     boolean first = state != State.LOST;
-    lossSeen = namedBy == 0;
+    lossSeen = seen;
     revisionBeforeLoss = store.highestRevisionSeen();
     store.discardIncarnation();
     losses++;
--- a/src/main/java/io/embernotch/incarnation/StoreAnswerPolicy.java
+++ b/src/main/java/io/embernotch/incarnation/StoreAnswerPolicy.java
@@ -9,6 +9,7 @@
   private final IncarnationHost host;
   private final StoreIncarnationTracker incarnations;
   private final IncarnationKnowledge knowledge;
+  private final ContentsConfirmation confirmation;
   private final StoreHeartbeatReader leaderHeartbeats;
   private final double startedAt;
   private final double silentS;
@@ -21,11 +22,13 @@
       IncarnationHost host,
       StoreIncarnationTracker incarnations,
       IncarnationKnowledge knowledge,
+      ContentsConfirmation confirmation,
       double silentS) {
     this.context = context;
     this.host = host;
     this.incarnations = incarnations;
     this.knowledge = knowledge;
+    this.confirmation = confirmation;
     this.leaderHeartbeats = new StoreHeartbeatReader(context);
     this.startedAt = context.clock().now();
     this.silentS = silentS;
@@ -58,9 +61,10 @@
 
   /**
    * Whether a job that neither the store nor the snapshot of its incarnation holds was never
-   * accepted. False if it may have been accepted before a loss of which nobody knew all.
+   * accepted. False if it may have been accepted before a loss of which nobody knew all, or nobody
+   * may know yet.
    */
   public boolean mayDenyJobs() {
-    return !knowledge.baseSnapshot().jobsMissing();
+    return !knowledge.baseSnapshot().jobsMissing() && confirmation.isConfirmed();
   }
 }
--- a/src/main/java/io/embernotch/incarnation/StoreIncarnationTracker.java
+++ b/src/main/java/io/embernotch/incarnation/StoreIncarnationTracker.java
@@ -41,7 +41,9 @@
   private final ClaimEligibility eligibility;
   private final StoreAnswerPolicy answerPolicy;
   private final LossNews lossNews;
+  private final LossSigns lossSigns;
   private final ToldIncarnation toldIncarnation;
+  private final ContentsConfirmation confirmation;
 
   /**
    * The snapshot that the present incarnation was begun with, if this node's next term is its first
@@ -79,13 +81,16 @@
             knowledge::isLost,
             this::pointerRead);
     this.restorer = new StoreRestorer(context, source, leaseTtlS, knowledge, pointer::answersForS);
-    this.adopter = new IncarnationAdopter(context.store(), host, knowledge, pointer);
+    this.confirmation = new ContentsConfirmation(context);
+    this.adopter = new IncarnationAdopter(context.store(), host, knowledge, pointer, confirmation);
     this.claimer = new IncarnationClaimer(knowledge, pointer, restorer, context.names());
     this.eligibility =
         new ClaimEligibility(
             context, knowledge, host::allPeersHeard, why -> dataLost(why, UNNAMED));
-    this.answerPolicy = new StoreAnswerPolicy(context, host, this, knowledge, 2 * leaseTtlS);
+    this.answerPolicy =
+        new StoreAnswerPolicy(context, host, this, knowledge, confirmation, 2 * leaseTtlS);
     this.lossNews = new LossNews(knowledge, this::dataLost, pointer::read);
+    this.lossSigns = new LossSigns(knowledge, (why, seen) -> dataLost(why, UNNAMED, seen));
     this.toldIncarnation = new ToldIncarnation(context.store(), knowledge);
     context.store().setLossListener(this);
   }
@@ -115,24 +120,19 @@
     return toldIncarnation;
   }
 
+  /** Whether the contents can have been put back just before this process read them. */
+  public ContentsConfirmation confirmation() {
+    return confirmation;
+  }
+
   /** What may be told from the store alone. */
   public StoreAnswerPolicy answerPolicy() {
     return answerPolicy;
   }
 
-  /** A job that is known to have been accepted is not there. */
-  public void acceptedJobMissing(String ref) {
-    if (knowledge.isIntact()) {
-      dataLost("job " + ref + ", which was accepted, is not there", UNNAMED);
-    }
-  }
-
-  /**
-   * The present incarnation began without something that users were told: it is taken for lost too,
-   * so that the next one begins with all that is known.
-   */
-  public void contentsLackKnown() {
-    dataLost("it began without what was told here", UNNAMED);
+  /** Receives signs of a loss that other parts of the controller come upon. */
+  public LossSigns lossSigns() {
+    return lossSigns;
   }
 
   /** How often data was seen to be lost by this process. */
@@ -218,8 +218,13 @@
 
   /** {@code namedBy}: the epoch by which another controller tells of the loss, or unnamed. */
   private void dataLost(String why, long namedBy) {
+    dataLost(why, namedBy, namedBy == UNNAMED);
+  }
+
+  /** {@code seen}: whether contents that this controller has seen itself are gone. */
+  private void dataLost(String why, long namedBy, boolean seen) {
     double noticedAt = context.clock().now();
-    boolean first = knowledge.recordLoss(namedBy);
+    boolean first = knowledge.recordLoss(namedBy, seen);
     claimer.discard();
     if (first) {
       LOG.warn("the store has lost data: {}", why);
--- a/src/main/java/io/embernotch/leader/AgentEventHandler.java
+++ b/src/main/java/io/embernotch/leader/AgentEventHandler.java
@@ -35,6 +35,20 @@
     components.leaderContext.superseded("a worker has seen fencing token " + token);
   }
 
+  @Override
+  public void unissuedTokenSeen(Machine machine, long token) {
+    components.contentsPutBack(
+        machine.name + " has seen fencing token " + token + ", which this term has not issued");
+  }
+
+  @Override
+  public void unexpectedTaskReported(Machine machine, String ref) {
+    // Where a loss has left jobs unknown, tasks of such jobs are to be expected.
+    if (components.lifecycle.isLoaded() && !components.term.baseSnapshot().jobsMissing()) {
+      components.contentsCheck.unexpectedTaskReported(machine, ref);
+    }
+  }
+
   @Override
   public void clusterChanged() {
     components.schedulingLoop.scheduleSoon();
--- a/src/main/java/io/embernotch/leader/JobEventHandler.java
+++ b/src/main/java/io/embernotch/leader/JobEventHandler.java
@@ -110,7 +110,18 @@
 
   @Override
   public boolean mayDenyJobs() {
-    return !components.term.baseSnapshot().jobsMissing();
+    return !components.term.baseSnapshot().jobsMissing() && areContentsConfirmed();
+  }
+
+  private boolean areContentsConfirmed() {
+    LeaderContext leaderContext = components.leaderContext;
+    boolean machinesListed = components.fleetManager.listedOnce();
+    if (!leaderContext.areContentsConfirmed()
+        && components.lifecycle.isLoaded()
+        && components.contentsCheck.isPassed(machinesListed)) {
+      leaderContext.contentsConfirmed();
+    }
+    return leaderContext.areContentsConfirmed();
   }
 
   @Override
--- a/src/main/java/io/embernotch/leader/Leader.java
+++ b/src/main/java/io/embernotch/leader/Leader.java
@@ -154,6 +154,14 @@
     return lifecycle.isLoaded();
   }
 
+  /**
+   * Whether the term was found to have been led on contents that were put back before it: others
+   * may have led after what it knows.
+   */
+  public boolean hasLedPutBackContents() {
+    return lifecycle.isContentsPutBack();
+  }
+
   /** Modification revision of the leader key in this term. */
   public long modRevision() {
     return term.modRevision();
--- a/src/main/java/io/embernotch/leader/LeaderComponents.java
+++ b/src/main/java/io/embernotch/leader/LeaderComponents.java
@@ -65,6 +65,7 @@
   final ImageInventoryPublisher imagePublisher;
   final StatusLogger statusLogger;
   final FailoverRecovery failoverRecovery;
+  final ContentsCheck contentsCheck;
   final JobEventHandler jobEvents = new JobEventHandler(this);
 
   private final double acquiredAt;
@@ -92,6 +93,7 @@
     Settings settings = context.settings();
     machineTypes.forEach(type -> state.types.put(type.name(), type));
     demandForecast = new DemandForecast(spec -> Scheduler.mayWaitForCapacity(settings, spec));
+    contentsCheck = new ContentsCheck(context, state, this::contentsPutBack);
     shardLayout = createShardLayout();
     stateWriter = createStateWriter();
     dependencyGraph = new DependencyGraph(context, state, jobEvents);
@@ -211,6 +213,14 @@
         term.baseSnapshot());
   }
 
+  /** The store had been put back to an earlier moment before this term began. */
+  void contentsPutBack(String why) {
+    if (!lifecycle.isStopped()) {
+      lifecycle.markContentsPutBack();
+      leaderContext.contentsPutBack(why);
+    }
+  }
+
   /** True while this leader may start anything: its term lasts, and its lease is proven. */
   boolean isLeading() {
     return !lifecycle.isStopped() && leaderContext.isLeaseValid();
--- a/src/main/java/io/embernotch/leader/LeaderContext.java
+++ b/src/main/java/io/embernotch/leader/LeaderContext.java
@@ -24,6 +24,19 @@
    */
   void superseded(String why);
 
+  /**
+   * The store had been put back to an earlier moment before this term began.
+   *
+   * @param why what shows it, for the log
+   */
+  void contentsPutBack(String why);
+
+  /** Whether the store can't have been put back just before this process read it. */
+  boolean areContentsConfirmed();
+
+  /** The workers of all machines were heard, and none contradicts the store's contents. */
+  void contentsConfirmed();
+
   /** A fencing token of this epoch has been seen. */
   void observeEpoch(long epoch);
 
--- a/src/main/java/io/embernotch/leader/LeaderLifecycle.java
+++ b/src/main/java/io/embernotch/leader/LeaderLifecycle.java
@@ -8,6 +8,7 @@
   private boolean loaded;
   private double loadedAt;
   private boolean stopped;
+  private boolean contentsPutBack;
 
   /** The store has been read, at this time of the steady clock. */
   void markLoaded(double now) {
@@ -20,6 +21,16 @@
     stopped = true;
   }
 
+  /** The store had been put back to an earlier moment before the term began. */
+  void markContentsPutBack() {
+    contentsPutBack = true;
+  }
+
+  /** True if the term was found to have been led on contents that were put back before it. */
+  boolean isContentsPutBack() {
+    return contentsPutBack;
+  }
+
   /** True once the cluster state is known. */
   boolean isLoaded() {
     return loaded;
--- a/src/main/java/io/embernotch/model/Machine.java
+++ b/src/main/java/io/embernotch/model/Machine.java
@@ -68,6 +68,9 @@
   /** Highest fencing token under which a direct start command was sent to it. */
   public long highestSentToken;
 
+  /** Highest fencing token that this term has sent it in any message; 0 if none was sent. */
+  public long highestIssuedToken;
+
   /** Fencing token that its last heartbeat was answered with; 0 if none was. */
   public long lastAnsweredToken;
 
--- a/src/test/java/io/embernotch/agents/AgentReconcilerTest.java
+++ b/src/test/java/io/embernotch/agents/AgentReconcilerTest.java
@@ -171,6 +171,12 @@
   @Override
   public void superseded(long token) {}
 
+  @Override
+  public void unissuedTokenSeen(Machine machine, long token) {}
+
+  @Override
+  public void unexpectedTaskReported(Machine machine, String ref) {}
+
   @Override
   public void clusterChanged() {}
 
