Names and a log line say what they mean: late pages, pending look-ups, confirmed contents

ContentsCheck had a set and a method of one name; LeaderContext's second method of nearly the same name is confirmContents now. Behaviour and tests are as they were.

--- a/src/main/java/io/embernotch/controller/ControllerLeaderContext.java
+++ b/src/main/java/io/embernotch/controller/ControllerLeaderContext.java
@@ -78,7 +78,7 @@
   }
 
   @Override
-  public void contentsConfirmed() {
+  public void confirmContents() {
     incarnations.confirmation().confirm();
   }
 
--- a/src/main/java/io/embernotch/leader/ContentsCheck.java
+++ b/src/main/java/io/embernotch/leader/ContentsCheck.java
@@ -21,7 +21,7 @@
   private final Consumer<String> contentsPutBack;
 
   /** Jobs that are being looked up, since a worker reports tasks of them. */
-  private final Set<String> lookedUp = new HashSet<>();
+  private final Set<String> pendingLookups = new HashSet<>();
 
   /**
    * A check that nothing has contradicted yet.
@@ -42,7 +42,7 @@
    */
   boolean isPassed(boolean machinesListed) {
     return machinesListed
-        && lookedUp.isEmpty()
+        && pendingLookups.isEmpty()
         && state.machines.values().stream().noneMatch(ContentsCheck::isRunningUnheard);
   }
 
@@ -52,17 +52,17 @@
 
   /** A machine reports a task that this leader has no open attempt of. */
   void unexpectedTaskReported(Machine machine, String ref) {
-    if (state.knowledgeOf(ref) == JobKnowledge.NOT_SEEN && lookedUp.add(ref)) {
+    if (state.knowledgeOf(ref) == JobKnowledge.NOT_SEEN && pendingLookups.add(ref)) {
       context
           .store()
           .getConfirmed(JobProgressCodec.JOB + ref)
-          .onSuccess(entry -> lookedUp(machine, ref, entry))
-          .onFailure(failure -> lookedUp.remove(ref));
+          .onSuccess(entry -> submissionRead(machine, ref, entry))
+          .onFailure(failure -> pendingLookups.remove(ref));
     }
   }
 
-  private void lookedUp(Machine machine, String ref, VersionedEntry entry) {
-    lookedUp.remove(ref);
+  private void submissionRead(Machine machine, String ref, VersionedEntry entry) {
+    pendingLookups.remove(ref);
     if (!entry.present()) {
       contentsPutBack.accept(
           machine.name + " has a task of " + ref + ", which the store does not hold");
--- a/src/main/java/io/embernotch/leader/JobEventHandler.java
+++ b/src/main/java/io/embernotch/leader/JobEventHandler.java
@@ -119,7 +119,7 @@
     if (!leaderContext.areContentsConfirmed()
         && components.lifecycle.isLoaded()
         && components.contentsCheck.isPassed(machinesListed)) {
-      leaderContext.contentsConfirmed();
+      leaderContext.confirmContents();
     }
     return leaderContext.areContentsConfirmed();
   }
--- a/src/main/java/io/embernotch/leader/LeaderContext.java
+++ b/src/main/java/io/embernotch/leader/LeaderContext.java
@@ -35,7 +35,7 @@
   boolean areContentsConfirmed();
 
   /** The workers of all machines were heard, and none contradicts the store's contents. */
-  void contentsConfirmed();
+  void confirmContents();
 
   /** A fencing token of this epoch has been seen. */
   void observeEpoch(long epoch);
--- a/src/main/java/io/embernotch/replication/ReplicaFeed.java
+++ b/src/main/java/io/embernotch/replication/ReplicaFeed.java
@@ -182,9 +182,9 @@
     }
 
     @Override
-    public void pageOfLostContents(List<VersionedEntry> entries) {
+    public void pageAskedForBeforeLoss(List<VersionedEntry> entries) {
       if (begun == generation) {
-        LOG.info("{} entries of the lost contents arrive after the loss", entries.size());
+        LOG.info("{} entries that were asked for before the loss arrive after it", entries.size());
         entries.forEach(replica::put);
       }
     }
--- a/src/main/java/io/embernotch/store/IncarnationValidator.java
+++ b/src/main/java/io/embernotch/store/IncarnationValidator.java
@@ -69,7 +69,7 @@
     try {
       ObjectNode page = reply.json();
       if (StoreProtocol.readRevision(page) >= reply.baseline().minRevision()) {
-        sink.pageOfLostContents(StoreProtocol.readPage(page));
+        sink.pageAskedForBeforeLoss(StoreProtocol.readPage(page));
       }
     } catch (MalformedInputException e) {
       LOG.info("unreadable page of lost contents: {}", e.getMessage());
--- a/src/main/java/io/embernotch/store/PageSink.java
+++ b/src/main/java/io/embernotch/store/PageSink.java
@@ -9,8 +9,9 @@
   void page(List<VersionedEntry> entries);
 
   /**
-   * Entries that arrive after the contents which were listed were found to be lost. The store held
-   * them, and perhaps nobody else knows of them. The listing fails after this.
+   * Entries that were asked for before the contents were found to be lost, and arrive after that.
+   * The store held them before the loss, or holds them still; perhaps nobody else knows of them.
+   * The listing fails after this.
    */
-  default void pageOfLostContents(List<VersionedEntry> entries) {}
+  default void pageAskedForBeforeLoss(List<VersionedEntry> entries) {}
 }
