--- a/review/standins/Web.java
+++ b/review/standins/Web.java
@@ -13,6 +13,9 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.HashSet;
+import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 
@@ -30,6 +33,8 @@
             thread.setDaemon(true);
             return thread;
           });
+  private static final Random PORTS = new Random();
+  private static final Set<Integer> GIVEN = new HashSet<>();
   private static final HttpClient CLIENT =
       HttpClient.newBuilder()
           .version(HttpClient.Version.HTTP_1_1)
@@ -74,11 +79,17 @@
     return new Reply(status, bytes(body));
   }
 
-  static int freePort() {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      return socket.getLocalPort();
-    } catch (IOException e) {
-      throw new IllegalStateException(e);
+  /** A port of 127.0.0.1 that nobody listens on, below those that outgoing connections get. */
+  static synchronized int freePort() {
+    while (true) {
+      int port = 10_000 + PORTS.nextInt(20_000);
+      if (GIVEN.add(port)) {
+        try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+          return port;
+        } catch (IOException e) {
+          // Taken: try another one.
+        }
+      }
     }
   }
 
