--- a/review/standins/Worker.java
+++ b/review/standins/Worker.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.SplittableRandom;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -70,6 +71,7 @@
   private volatile boolean changed;
   private int controller;
   private double recallAt = -1;
+  private int incarnation;
 
   /** The next direct command is held up on its way for so many seconds; 0: none is. */
   volatile double holdCommandS;
@@ -80,6 +82,9 @@
   /** Of this share of all messages to machines each is held up on its way, by chance. */
   static volatile double heldShare;
 
+  /** The last direct commands that it carried out, by a task that they start. */
+  final Map<String, byte[]> carriedOut = new ConcurrentHashMap<>();
+
   /** When it sent its last report. */
   volatile double reportedAt;
 
@@ -139,6 +144,28 @@
     TIMERS.schedule(() -> fleet.take(this), (long) (noticeS * 1000), TimeUnit.MILLISECONDS);
   }
 
+  /**
+   * It is back at once without what it held: tasks, images, session and token. A request that it
+   * had carried out before follows once more.
+   */
+  synchronized void backWithoutState(byte[] repeated) throws Exception {
+    Record.say("%s stops, and is back without tasks, images, session and token", name);
+    tasks.forEach((task, state) -> end(task, state, "machine restarted"));
+    tasks.clear();
+    images.clear();
+    tenure = 1;
+    tick = 0;
+    baton = 0;
+    leaseFrom = Record.now();
+    incarnation++;
+    changed = true;
+    if (repeated != null) {
+      Record.say("%s gets once more: %s", name, new String(repeated));
+      Web.Reply reply = handle(false, repeated);
+      Record.say("%s answers %d", name, reply.status());
+    }
+  }
+
   /** A task completes now. */
   synchronized void complete(String task) {
     Task state = tasks.get(task);
@@ -167,11 +194,13 @@
     while (!removed) {
       byte[] report;
       long session;
+      int since;
       double sentAt = Record.now();
       synchronized (this) {
         checkLease(sentAt);
         report = report();
         session = tenure;
+        since = incarnation;
         changed = false;
       }
       reportedAt = sentAt;
@@ -204,7 +233,7 @@
           continue;
         }
         synchronized (this) {
-          if (session == tenure) {
+          if (session == tenure && since == incarnation) {
             accept(reply.json(), sentAt);
           }
         }
@@ -359,6 +388,11 @@
         return new Web.Reply(409, report());
       }
       baton = command.get("baton").asLong();
+      for (JsonNode order : command.path("orders")) {
+        if (order.get("verb").asText().equals("run")) {
+          carriedOut.put(order.get("shard").asText() + "#" + order.get("try").asLong(), body);
+        }
+      }
       execute(command.path("orders"));
       return new Web.Reply(200, report());
     }
