Read the jobs of the store range by range, so that ended jobs do not exhaust the heap

Cause: the load kept all job/ and run/ entries as parsed JSON trees until the last page had come, built a job of each, and reduced the ended ones to their end only after that. The same held for a follower that fills its replica (both entries of every job until the listing ended), and for the submission watch after a 410.

Change: JobEntryScan reads a page of submissions and then the shards of these jobs. StoredJobReader and StoreReplica reduce a job that has ended as soon as its shards are complete. A refined shard cannot change such a job: after its end no attempt is opened, and a job that was refined before has its end in a refined shard. A submission is still read before its job is complete.

JobEntryScanTest checks that no job counts as complete before its last shard.

Test kit: the fake store's lists have pages, as the protocol says, and the soak's controllers are started with the command of the deploy file.

--- a/src/main/java/io/embernotch/jobs/FailoverRecovery.java
+++ b/src/main/java/io/embernotch/jobs/FailoverRecovery.java
@@ -11,10 +11,13 @@
 import io.embernotch.snapshot.BaseSnapshot;
 import io.embernotch.state.ClusterState;
 import io.embernotch.state.DemandForecast;
+import io.embernotch.store.VersionedEntry;
 import io.embernotch.store.WatchEvents;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.Map;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.function.Predicate;
 import java.util.stream.Stream;
 
 /**
@@ -22,7 +25,7 @@
  * are restored as open, and are unconfirmed until a worker sends a heartbeat under one of this
  * leader's fencing tokens. Owned by the leader's event loop.
  */
-public final class FailoverRecovery {
+public final class FailoverRecovery implements StoredJobReader.Listener {
   private static final double MS_PER_S = 1000.0;
 
   /**
@@ -31,6 +34,9 @@
    */
   private static final double RECENT_LOSS_LEASES = 2;
 
+  /** The latest submissions among ended jobs that are kept for the demand forecast. */
+  private static final int MAX_RECENTLY_ENDED = 2048;
+
   private final ControllerContext context;
   private final ClusterState state;
   private final StateWriter stateWriter;
@@ -41,6 +47,13 @@
   private final double acquiredAt;
   private final BaseSnapshot baseSnapshot;
 
+  /** Ended jobs with the latest submissions, the earliest first. */
+  private final PriorityQueue<Job> recentlyEnded =
+      new PriorityQueue<>(Comparator.comparingLong(job -> job.submittedMs));
+
+  /** Reads the entries of the store; null if none are being received. */
+  private StoredJobReader jobReader;
+
   /**
    * @param tokenBase the lowest fencing token of this leader; those of earlier leaders are below it
    * @param acquiredAt when leadership was acquired, in seconds of the steady clock
@@ -67,62 +80,78 @@
     this.baseSnapshot = baseSnapshot;
   }
 
+  /** Starts to receive the entries of the store, and discards those received before. */
+  public void begin() {
+    state.endedJobs.clear();
+    state.endedJobs.putAll(baseSnapshot.endedJobs());
+    state.unreadable.clear();
+    recentlyEnded.clear();
+    jobReader =
+        new StoredJobReader(
+            state, shardLayout, this, baseSnapshot.sinceRevision(), unknownTasksEndAt());
+  }
+
+  /** Receives submissions, before the shards of these jobs. */
+  public void readSubmissions(List<VersionedEntry> submissions) {
+    jobReader.readSubmissions(submissions);
+  }
+
+  /** Receives {@code run/} entries. */
+  public void readShards(List<VersionedEntry> shards) {
+    jobReader.readShards(shards);
+  }
+
+  /** Called when all shards of the jobs for which {@code isComplete} holds have been received. */
+  public void completeJobs(Predicate<String> isComplete) {
+    jobReader.completeJobs(isComplete);
+  }
+
   /**
-   * Replaces the cluster state's jobs and machines with those that the store holds.
+   * Replaces the cluster state's jobs and machines with those that have been received.
    *
-   * @param submissions all {@code job/} entries
-   * @param shards all {@code run/} entries
    * @param refinedShards all {@code part/} entries
    */
-  public void load(WatchEvents submissions, WatchEvents shards, WatchEvents refinedShards) {
-    clearState();
-    Map<String, StoredSubmission> recovered =
-        new StoredJobReader(state, shardLayout, baseSnapshot.sinceRevision(), unknownTasksEndAt())
-            .read(submissions, shards, refinedShards);
+  public void complete(WatchEvents refinedShards) {
+    Collection<StoredSubmission> recovered = jobReader.readRefinedShards(refinedShards).values();
+    jobReader = null;
+    state.jobs.clear();
+    state.machines.clear();
     if (shardLayout.hasRefinedJobs()) {
       stateWriter.recordLimitsLowered();
     }
-    recordModRevisions(shards, refinedShards, recovered);
-    recovered.values().stream()
+    recovered.stream()
         .sorted(Comparator.comparingLong(entry -> entry.job().submittedMs))
         .forEach(this::restore);
     dependencyGraph.rebuild();
-    forecastDemand(recovered.values());
+    forecastDemand(recovered);
   }
 
-  private void clearState() {
-    state.jobs.clear();
-    state.endedJobs.clear();
-    state.machines.clear();
-    state.endedJobs.putAll(baseSnapshot.endedJobs());
-    state.unreadable.clear();
+  @Override
+  public void endedJobRead(Job job) {
+    state.endedJobs.put(job.spec.ref(), ClusterState.EndedJob.of(job));
+    recentlyEnded.add(job);
+    if (recentlyEnded.size() > MAX_RECENTLY_ENDED) {
+      recentlyEnded.remove();
+    }
   }
 
-  private void recordModRevisions(
-      WatchEvents shards, WatchEvents refinedShards, Map<String, StoredSubmission> recovered) {
-    Stream.concat(shards.events().stream(), refinedShards.events().stream())
-        .filter(entry -> mayStillBeWritten(recovered.get(StoredJobReader.refOf(entry))))
-        .forEach(entry -> stateWriter.recordModRevision(entry.key(), entry.modRevision()));
+  @Override
+  public void shardRead(String key, long modRevision) {
+    stateWriter.recordModRevision(key, modRevision);
   }
 
   private void forecastDemand(Collection<StoredSubmission> recovered) {
-    recovered.stream()
-        .map(StoredSubmission::job)
+    Stream.concat(recovered.stream().map(StoredSubmission::job), recentlyEnded.stream())
         .filter(job -> !job.blocked())
         .sorted(Comparator.comparingLong(job -> job.eligibleSinceMs))
         .forEach(job -> demandForecast.recordArrival(job.spec, acquiredAt - eligibleForS(job)));
+    recentlyEnded.clear();
   }
 
   private double eligibleForS(Job job) {
     return Math.max(0, context.clock().wallMs() - job.eligibleSinceMs) / MS_PER_S;
   }
 
-  /** Whether entries of the job may still be written, so that their revisions are needed. */
-  private static boolean mayStillBeWritten(StoredSubmission recovered) {
-    return recovered != null
-        && (recovered.job().finalPhase == null || !recovered.job().openAttempts.isEmpty());
-  }
-
   /**
    * Delays a job if this leader may not know all its running tasks. After a loss of data of which
    * no leader's snapshot is left, tasks that were started before the loss may run without any
@@ -163,10 +192,6 @@
   private void restore(StoredSubmission recovered) {
     Job job = recovered.job();
     String ref = job.spec.ref();
-    if (job.finalPhase != null && job.openAttempts.isEmpty()) {
-      state.endedJobs.put(ref, ClusterState.EndedJob.of(job));
-      return;
-    }
     shardLayout.recordShardSize(ref, recovered.shardSize());
     // An attempt number is never reused, even one that an earlier leader did not persist.
     job.nextAttempt = Math.max(job.nextAttempt, tokenBase);
--- a/src/main/java/io/embernotch/leader/Leader.java
+++ b/src/main/java/io/embernotch/leader/Leader.java
@@ -3,6 +3,7 @@
 import io.embernotch.actor.Actor;
 import io.embernotch.agents.RenewalDelegations;
 import io.embernotch.context.ControllerContext;
+import io.embernotch.jobs.FailoverRecovery;
 import io.embernotch.jobs.StoreLoader;
 import io.embernotch.model.MachineType;
 import io.embernotch.peer.Frame;
@@ -10,9 +11,13 @@
 import io.embernotch.snapshot.StateSnapshot;
 import io.embernotch.snapshot.proto.SnapshotProto.ClusterSnapshot;
 import io.embernotch.state.ClusterState;
+import io.embernotch.store.VersionedEntry;
+import io.embernotch.store.WatchEvents;
 import java.util.Collection;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -80,17 +85,43 @@
 
   /** Starts to load the store. To be called once. */
   public void start() {
-    new StoreLoader(context, term.baseSnapshot(), lifecycle::isStopped)
-        .read(
-            (jobs, runs, shards, shared) -> {
-              components.sharedState.load(shared);
-              components.failoverRecovery.load(jobs, runs, shards);
-              components.attemptOutcomes.resume();
-              startServing(jobs.revision());
-            });
+    new StoreLoader(context, term.baseSnapshot(), lifecycle::isStopped).read(new LoadedEntries());
     scheduleTick();
   }
 
+  /** Restores the cluster state from the store's entries, and then starts to serve. */
+  private final class LoadedEntries implements StoreLoader.Sink {
+    private final FailoverRecovery failoverRecovery = components.failoverRecovery;
+
+    @Override
+    public void begin() {
+      failoverRecovery.begin();
+    }
+
+    @Override
+    public void submissions(List<VersionedEntry> entries) {
+      failoverRecovery.readSubmissions(entries);
+    }
+
+    @Override
+    public void shards(List<VersionedEntry> entries) {
+      failoverRecovery.readShards(entries);
+    }
+
+    @Override
+    public void jobsComplete(Predicate<String> isComplete) {
+      failoverRecovery.completeJobs(isComplete);
+    }
+
+    @Override
+    public void complete(long revision, WatchEvents refinedShards, List<VersionedEntry> shared) {
+      components.sharedState.load(shared);
+      failoverRecovery.complete(refinedShards);
+      components.attemptOutcomes.resume();
+      startServing(revision);
+    }
+  }
+
   /** Ends the term: nothing is written or sent any more, and pending messages are refused. */
   public void stop() {
     allRunningTasksKnown = components.failoverRecovery.allRunningTasksKnown();
--- a/src/main/java/io/embernotch/persistence/SubmissionWatcher.java
+++ b/src/main/java/io/embernotch/persistence/SubmissionWatcher.java
@@ -75,12 +75,8 @@
     }
     context
         .store()
-        .list(JobProgressCodec.JOB_PREFIX)
-        .onSuccess(
-            jobs -> {
-              jobs.events().forEach(this::deliver);
-              watchFrom(jobs.revision());
-            })
+        .forEachPage(JobProgressCodec.JOB_PREFIX, page -> page.forEach(this::deliver))
+        .onSuccess(this::watchFrom)
         .onFailure(failure -> context.timers().after(heartbeatIntervalS, this::readAll));
   }
 
--- a/src/main/java/io/embernotch/replication/ReplicaFeed.java
+++ b/src/main/java/io/embernotch/replication/ReplicaFeed.java
@@ -2,12 +2,15 @@
 
 import io.embernotch.codec.JobProgressCodec;
 import io.embernotch.context.ControllerContext;
+import io.embernotch.persistence.JobEntryScan;
 import io.embernotch.snapshot.BaseSnapshot;
 import io.embernotch.store.PageSink;
+import io.embernotch.store.RateLimiter.RequestPriority;
 import io.embernotch.store.StoreException;
 import io.embernotch.store.VersionedEntry;
 import io.embernotch.store.WatchEvents;
 import java.util.List;
+import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -24,12 +27,9 @@
   /** Prefix of all keys: a single watch costs less than one for each prefix. */
   private static final String ALL_KEYS = "";
 
-  private static final List<String> REPLICATED_PREFIXES =
-      List.of(
-          JobProgressCodec.JOB_PREFIX,
-          JobProgressCodec.SHARD,
-          JobProgressCodec.REFINED_SHARD,
-          JobProgressCodec.SHARED_STATE_PREFIX);
+  /** Prefixes that are read after the submissions and the progress shards. */
+  private static final List<String> FURTHER_PREFIXES =
+      List.of(JobProgressCodec.REFINED_SHARD, JobProgressCodec.SHARED_STATE_PREFIX);
 
   /** Share of the store's request rate that the watches of all controllers together may use. */
   private static final double WATCH_REQUEST_SHARE = 0.03;
@@ -145,34 +145,44 @@
   }
 
   private void fill(int requestGeneration) {
-    if (isCurrent(requestGeneration)) {
-      readPrefixes(requestGeneration, 0, Long.MAX_VALUE);
+    if (!isCurrent(requestGeneration)) {
+      return;
     }
+    ReplicaPages pages = new ReplicaPages(requestGeneration);
+    new JobEntryScan(
+            context.store(), RequestPriority.BACKGROUND, () -> !isCurrent(requestGeneration), pages)
+        .run()
+        .onSuccess(revision -> readFurtherPrefixes(pages, 0, revision))
+        .onFailure(failure -> fillAgainLater(requestGeneration));
+  }
+
+  private void fillAgainLater(int requestGeneration) {
+    context.timers().after(retryDelayS, () -> fill(requestGeneration));
   }
 
   /**
-   * Reads the prefixes from an index on, and then watches changes.
+   * Reads the further prefixes from an index on, and then watches changes.
    *
    * @param firstRevision lowest revision of the listings so far, from which to watch changes
    */
-  private void readPrefixes(int requestGeneration, int prefixIndex, long firstRevision) {
+  private void readFurtherPrefixes(ReplicaPages pages, int prefixIndex, long firstRevision) {
+    if (!isCurrent(pages.requestGeneration)) {
+      return;
+    }
+    if (prefixIndex == FURTHER_PREFIXES.size()) {
+      filled(pages.requestGeneration, firstRevision);
+      return;
+    }
     context
         .store()
-        .forEachPage(REPLICATED_PREFIXES.get(prefixIndex), new ReplicaPages(requestGeneration))
+        .forEachPage(FURTHER_PREFIXES.get(prefixIndex), pages)
         .onSuccess(
             revision ->
-                handlePrefixRead(requestGeneration, prefixIndex, Math.min(firstRevision, revision)))
-        .onFailure(failure -> context.timers().after(retryDelayS, () -> fill(requestGeneration)));
+                readFurtherPrefixes(pages, prefixIndex + 1, Math.min(firstRevision, revision)))
+        .onFailure(failure -> fillAgainLater(pages.requestGeneration));
   }
 
-  private void handlePrefixRead(int requestGeneration, int prefixIndex, long firstRevision) {
-    if (!isCurrent(requestGeneration)) {
-      return;
-    }
-    if (prefixIndex + 1 < REPLICATED_PREFIXES.size()) {
-      readPrefixes(requestGeneration, prefixIndex + 1, firstRevision);
-      return;
-    }
+  private void filled(int requestGeneration, long firstRevision) {
     state = State.FOLLOWING;
     filled = true;
     replica.finishFilling();
@@ -183,14 +193,31 @@
     follow(requestGeneration, firstRevision);
   }
 
-  /** Adds the pages of one listing to the replica. */
-  private final class ReplicaPages implements PageSink {
+  /** Adds the entries that are read while the replica is filled. */
+  private final class ReplicaPages implements JobEntryScan.Sink, PageSink {
     private final int requestGeneration;
 
     ReplicaPages(int requestGeneration) {
       this.requestGeneration = requestGeneration;
     }
 
+    @Override
+    public void submissions(List<VersionedEntry> entries) {
+      page(entries);
+    }
+
+    @Override
+    public void shards(List<VersionedEntry> entries) {
+      page(entries);
+    }
+
+    @Override
+    public void rangeRead(Predicate<String> isComplete) {
+      if (isCurrent(requestGeneration)) {
+        replica.compactEndedJobs(isComplete);
+      }
+    }
+
     @Override
     public void page(List<VersionedEntry> entries) {
       if (isCurrent(requestGeneration)) {
--- a/src/main/java/io/embernotch/replication/StoreReplica.java
+++ b/src/main/java/io/embernotch/replication/StoreReplica.java
@@ -7,6 +7,8 @@
 import io.embernotch.snapshot.BaseSnapshot;
 import io.embernotch.snapshot.StateSnapshot;
 import io.embernotch.snapshot.proto.SnapshotProto.ClusterSnapshot;
+import io.embernotch.snapshot.proto.SnapshotProto.EndedJobSnapshot;
+import io.embernotch.snapshot.proto.SnapshotProto.JobSnapshot;
 import io.embernotch.state.ClusterState.EndedJob;
 import io.embernotch.store.VersionedEntry;
 import io.embernotch.store.WatchEvents;
@@ -18,6 +20,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -110,13 +113,21 @@
   }
 
   /**
-   * Called after all entries of the store were put. Jobs are reduced to their ends only from then
-   * on: before, a shard with an open attempt may not have been read yet.
+   * Reduces jobs to their ends while the replica is being filled. A job whose shards were not all
+   * put yet may have an open attempt in one of them.
+   *
+   * @param isComplete whether all shards of the job with the given id were put
    */
+  public void compactEndedJobs(Predicate<String> isComplete) {
+    List<String> complete = endedJobsWithEntries.stream().filter(isComplete).toList();
+    complete.forEach(this::compactIfEnded);
+  }
+
+  /** Called after all entries of the store were put. */
   public void finishFilling() {
     fillComplete = true;
     provisionalBase = null;
-    List.copyOf(endedJobsWithEntries).forEach(this::compactIfEnded);
+    compactEndedJobs(ref -> true);
   }
 
   /** Approximate memory of the entries, in bytes. */
@@ -268,10 +279,24 @@
             eventsWithPrefix(JobProgressCodec.REFINED_SHARD, jobEntries),
             new WatchEvents(0, sharedEntries))
             .toBuilder();
+    if (provisionalBase != null) {
+      removeEndedJobs(snapshot);
+    }
     endedJobs.forEach((ref, end) -> snapshot.addEnded(StateSnapshot.endedJob(ref, end)));
     return snapshot.build();
   }
 
+  /** Removes jobs of the provisional base of which the replica holds the end. */
+  private void removeEndedJobs(ClusterSnapshot.Builder snapshot) {
+    List<JobSnapshot> jobsLeft =
+        snapshot.getJobList().stream().filter(job -> !endedJobs.containsKey(job.getRef())).toList();
+    List<EndedJobSnapshot> endsLeft =
+        snapshot.getEndedList().stream()
+            .filter(job -> !endedJobs.containsKey(job.getRef()))
+            .toList();
+    snapshot.clearJob().addAllJob(jobsLeft).clearEnded().addAllEnded(endsLeft);
+  }
+
   private static WatchEvents eventsWithPrefix(String prefix, List<VersionedEntry> entries) {
     return new WatchEvents(0, withPrefix(prefix, entries));
   }
--- a/src/main/java/io/embernotch/store/EntryReader.java
+++ b/src/main/java/io/embernotch/store/EntryReader.java
@@ -90,33 +90,42 @@
   /** Reads the pages after the key {@code after}, or all pages if it is null. */
   private Future<Long> readPagesAfter(
       String prefix, String after, RequestPriority priority, PageSink sink, long firstRevision) {
-    return readPage(StoreProtocol.listPath(prefix, after, PAGE_SIZE), priority, MAX_PAGE_ATTEMPTS)
+    return readPage(prefix, after, priority, sink)
+        .compose(
+            page -> {
+              sink.page(page.entries());
+              long revision = firstRevision >= 0 ? firstRevision : page.revision();
+              return page.last()
+                  ? Future.succeededFuture(revision)
+                  : readPagesAfter(prefix, page.lastKey(), priority, sink, revision);
+            });
+  }
+
+  /**
+   * Reads the page after the key {@code after}, or the first page if it is null.
+   *
+   * @param sink receives the entries only if they were requested before a loss of data
+   */
+  Future<EntryPage> readPage(String prefix, String after, RequestPriority priority, PageSink sink) {
+    return sendPageRequest(
+            StoreProtocol.listPath(prefix, after, PAGE_SIZE), priority, MAX_PAGE_ATTEMPTS)
         .compose(
             reply ->
                 reply.status() == StatusCodes.OK
                     ? validator.readPage(reply, sink)
                     : reply.unexpected())
-        .compose(
-            page -> {
-              List<VersionedEntry> entries = StoreProtocol.readPage(page);
-              sink.page(entries);
-              long revision = firstRevision >= 0 ? firstRevision : StoreProtocol.readRevision(page);
-              if (StoreProtocol.isTruncated(page) && !entries.isEmpty()) {
-                String last = entries.get(entries.size() - 1).key();
-                return readPagesAfter(prefix, last, priority, sink, revision);
-              }
-              return Future.succeededFuture(revision);
-            });
+        .map(StoreProtocol::readEntryPage);
   }
 
   /** Reads one page and retries it on failure, so that the listing need not start again. */
-  private Future<StoreReply> readPage(String path, RequestPriority priority, int attemptsLeft) {
+  private Future<StoreReply> sendPageRequest(
+      String path, RequestPriority priority, int attemptsLeft) {
     return transport
         .send(StoreRequest.get(path, priority), timeoutS * PAGE_TIMEOUT_FACTOR)
         .recover(
             failure ->
                 attemptsLeft > 1
-                    ? readPage(path, priority, attemptsLeft - 1)
+                    ? sendPageRequest(path, priority, attemptsLeft - 1)
                     : Future.failedFuture(failure));
   }
 }
--- a/src/main/java/io/embernotch/store/StoreClient.java
+++ b/src/main/java/io/embernotch/store/StoreClient.java
@@ -141,6 +141,17 @@
     return entries.forEachPage(prefix, RequestPriority.BACKGROUND, sink);
   }
 
+  /**
+   * Reads one page of the entries under a prefix.
+   *
+   * @param after the key that the page begins after; null for the first page
+   * @param sink receives the entries only if they were requested before a loss of data
+   */
+  public Future<EntryPage> readPage(
+      String prefix, String after, RequestPriority priority, PageSink sink) {
+    return entries.readPage(prefix, after, priority, sink);
+  }
+
   /** Commits a transaction at normal priority. */
   public Future<TransactionResult> commit(Transaction transaction) {
     return commit(transaction, RequestPriority.NORMAL);
--- a/src/main/java/io/embernotch/store/StoreProtocol.java
+++ b/src/main/java/io/embernotch/store/StoreProtocol.java
@@ -137,9 +137,10 @@
     return entries;
   }
 
-  /** Whether more pages follow this one. */
-  static boolean isTruncated(ObjectNode page) {
-    return Json.boolOr(page, TRUNCATED, false);
+  static EntryPage readEntryPage(ObjectNode page) {
+    List<VersionedEntry> entries = readPage(page);
+    boolean truncated = Json.boolOr(page, TRUNCATED, false);
+    return new EntryPage(entries, !truncated || entries.isEmpty(), readRevision(page));
   }
 
   static TransactionResult readApplied(ObjectNode answer) {
--- a/src/test/java/io/embernotch/soak/ControllerProcess.java
+++ b/src/test/java/io/embernotch/soak/ControllerProcess.java
@@ -9,7 +9,8 @@
 
 /** One controller as a process of its own, which is started anew after each end. */
 final class ControllerProcess implements AutoCloseable {
-  private static final Path JAR = Path.of("target", "embernotch.jar");
+  private static final Path DEPLOY_FILE = Path.of("deploy", "service.toml");
+  private static final String RUN_COMMAND = "run = \"";
   private static final String LOG_SUFFIX = ".log";
 
   final int index;
@@ -40,18 +41,9 @@
     if (isRunning()) {
       return;
     }
-    List<String> command =
-        List.of(
-            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-Xmx144m",
-            "-XX:+UseSerialGC",
-            "-XX:TieredStopAtLevel=1",
-            "-Xshare:auto",
-            "-jar",
-            JAR.toString(),
-            "serve",
-            "--config",
-            settingsFile.toString());
+    List<String> command = deployCommand();
+    command.set(0, Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.add(settingsFile.toString());
     ProcessBuilder builder = new ProcessBuilder(command);
     builder.environment().put("LOG_LEVEL", "debug");
     builder.redirectErrorStream(true);
@@ -64,6 +56,21 @@
     }
   }
 
+  /** The command of the deploy file, with its memory limits; the settings file is added to it. */
+  private static List<String> deployCommand() {
+    try {
+      String run =
+          Files.readAllLines(DEPLOY_FILE).stream()
+              .filter(line -> line.startsWith(RUN_COMMAND))
+              .findFirst()
+              .orElseThrow();
+      String command = run.substring(RUN_COMMAND.length(), run.lastIndexOf('"'));
+      return new ArrayList<>(List.of(command.split(" ", -1)));
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   /** Ends the process without notice, paused or not. */
   void kill() {
     if (process != null) {
--- a/src/test/java/io/embernotch/testkit/FakeStore.java
+++ b/src/test/java/io/embernotch/testkit/FakeStore.java
@@ -50,6 +50,9 @@
    */
   public String ignoredConditionPrefix;
 
+  /** The most entries of a list in one response. */
+  public int maxPageItems = 1000;
+
   /** Transactions with changes, whether they were carried out or not. */
   public int commitCount;
 
@@ -195,7 +198,8 @@
     if (path.startsWith("/store?")) {
       return listsUnanswered
           ? Promise.<HttpReply>promise().future()
-          : list(query(path, "starts"), query(path, "after"));
+          : list(
+              query(path, "starts"), query(path, "after"), Integer.parseInt(query(path, "page")));
     }
     if (path.startsWith("/changes")) {
       long afterRevision = Long.parseLong(query(path, "after"));
@@ -232,10 +236,14 @@
     return reply(200, describe(Json.object(), key, entry));
   }
 
-  private Future<HttpReply> list(String prefix, String after) {
-    ObjectNode body = revisionBody().put("truncated", false);
+  private Future<HttpReply> list(String prefix, String after, int requestedItems) {
+    int limit = Math.min(maxPageItems, requestedItems);
+    Map<String, Entry> found = data.list(prefix, after, limit + 1);
+    ObjectNode body = revisionBody().put("truncated", found.size() > limit);
     ArrayNode pairs = body.putArray("pairs");
-    data.list(prefix, after).forEach((key, entry) -> describe(pairs.addObject(), key, entry));
+    found.entrySet().stream()
+        .limit(limit)
+        .forEach(entry -> describe(pairs.addObject(), entry.getKey(), entry.getValue()));
     return reply(200, body);
   }
 
--- a/src/test/java/io/embernotch/testkit/IncarnationEnds.java
+++ b/src/test/java/io/embernotch/testkit/IncarnationEnds.java
@@ -50,7 +50,10 @@
   }
 
   private static List<VersionedEntry> blocks(StoreData data, String snapshotName) {
-    return data.list(IncarnationCodec.blockKeyPrefix(snapshotName), null).entrySet().stream()
+    return data
+        .list(IncarnationCodec.blockKeyPrefix(snapshotName), null, Integer.MAX_VALUE)
+        .entrySet()
+        .stream()
         .map(
             block ->
                 new VersionedEntry(
--- a/src/test/java/io/embernotch/testkit/StoreData.java
+++ b/src/test/java/io/embernotch/testkit/StoreData.java
@@ -7,6 +7,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -50,11 +51,19 @@
     return entries.keySet().stream().filter(key -> key.startsWith(prefix)).toList();
   }
 
-  /** The entries under a prefix whose keys come after {@code after}; null: all of them. */
-  Map<String, Entry> list(String prefix, String after) {
-    TreeMap<String, Entry> found = new TreeMap<>(entries.tailMap(prefix));
-    found.keySet().removeIf(key -> !key.startsWith(prefix));
-    found.keySet().removeIf(key -> after != null && key.compareTo(after) <= 0);
+  /**
+   * The first entries under a prefix whose keys come after {@code after}; null: from the first on.
+   */
+  Map<String, Entry> list(String prefix, String after, int limit) {
+    boolean fromStart = after == null || after.compareTo(prefix) < 0;
+    Map<String, Entry> found = new LinkedHashMap<>();
+    for (Map.Entry<String, Entry> entry :
+        entries.tailMap(fromStart ? prefix : after, fromStart).entrySet()) {
+      if (found.size() == limit || !entry.getKey().startsWith(prefix)) {
+        break;
+      }
+      found.put(entry.getKey(), entry.getValue());
+    }
     return found;
   }
 
