Do not take a call's response as proof that a held heartbeat response was dropped

Cause: a start that went with the response to a heartbeat was taken for dropped as soon as any newer heartbeat of the machine lacked its task. The body of an answer to a direct command or a status request is such a heartbeat, and a worker may make it while the response is still on its way: it accepts that for 4 s.

Why it works: a worker has one heartbeat of its own in flight, so a later one that it sends by itself proves that the response was executed or dropped. So do a later agent epoch and a higher token than the response carried. All ways on which heartbeats come (/hello, forwarded by other controllers, handed to a new leader; /do, /status) pass HeartbeatProcessor, which is told the origin; stops after a cancellation, a drain or a preemption, and gangs, close attempts only through AttemptReconciler. A new leader takes such an attempt as unconfirmed, until the worker shows a token of its term.

Test kit: responses to a worker's heartbeats can be held up; until then it sends none.

--- a/src/main/java/io/embernotch/agents/AgentReconciler.java
+++ b/src/main/java/io/embernotch/agents/AgentReconciler.java
@@ -92,7 +92,8 @@
         new CallConcurrencyLimiter(context.settings().quota().directCalls());
     ReachabilityTracker reachability = new ReachabilityTracker(tokenBase, heartbeatIntervalS);
     this.prober =
-        new StatusProber(context, callLimiter, reachability, callTimeoutS, this::reconcile);
+        new StatusProber(
+            context, callLimiter, reachability, callTimeoutS, this::reconcileCallResponse);
     AttemptReconciler attempts = new AttemptReconciler(tokenBase, listener, new ImageCache(state));
     this.heartbeats =
         new HeartbeatProcessor(
@@ -112,12 +113,12 @@
             callLimiter,
             reachability,
             attempts,
-            this::reconcile,
+            this::reconcileCallResponse,
             callTimeoutS);
   }
 
-  private boolean reconcile(Heartbeat heartbeat, Machine machine) {
-    return heartbeats.reconcile(heartbeat, machine);
+  private boolean reconcileCallResponse(Heartbeat heartbeat, Machine machine) {
+    return heartbeats.reconcile(heartbeat, HeartbeatOrigin.CALL_RESPONSE, machine);
   }
 
   /** The lowest fencing token of this term. */
--- a/src/main/java/io/embernotch/agents/AttemptReconciler.java
+++ b/src/main/java/io/embernotch/agents/AttemptReconciler.java
@@ -30,11 +30,17 @@
   /**
    * Reconciles all open attempts of a machine with its newest heartbeat.
    *
+   * @param origin how the heartbeat came about
    * @param newAgentEpoch whether the agent has begun a new epoch since its previous heartbeat, so
    *     that everything it ran before has ended
    * @param now seconds of the steady clock
    */
-  void reconcile(Heartbeat heartbeat, Machine machine, boolean newAgentEpoch, double now) {
+  void reconcile(
+      Heartbeat heartbeat,
+      HeartbeatOrigin origin,
+      Machine machine,
+      boolean newAgentEpoch,
+      double now) {
     Set<String> listed = new HashSet<>();
     for (TaskStatus status : heartbeat.tasks()) {
       String key = Machine.taskKey(status.ref(), status.task());
@@ -48,7 +54,7 @@
     }
     for (Attempt attempt : List.copyOf(machine.openAttempts.values())) {
       if (!listed.contains(Machine.taskKey(attempt.job.spec.ref(), attempt.task))) {
-        reconcileAbsent(attempt, machine, heartbeat, newAgentEpoch);
+        reconcileAbsent(attempt, machine, heartbeat, origin, newAgentEpoch);
       }
     }
   }
@@ -78,7 +84,11 @@
   }
 
   private void reconcileAbsent(
-      Attempt attempt, Machine machine, Heartbeat heartbeat, boolean newAgentEpoch) {
+      Attempt attempt,
+      Machine machine,
+      Heartbeat heartbeat,
+      HeartbeatOrigin origin,
+      boolean newAgentEpoch) {
     switch (attempt.launchState) {
       case CONFIRMED -> {
         if (newAgentEpoch || heartbeat.token() > attempt.startToken) {
@@ -91,9 +101,17 @@
           fenceOff(machine, attempt.startToken);
         }
       }
-        // An agent executes a heartbeat response before its next heartbeat or not at all, so this
-        // start was not executed.
-      case IN_HEARTBEAT_RESPONSE -> startNotExecuted(attempt, machine);
+      case IN_HEARTBEAT_RESPONSE -> {
+        // The agent drops a response to a heartbeat of a former epoch, or with a lower token than
+        // it
+        // has seen. It has executed or dropped it before it sends its next heartbeat. The response
+        // to a call proves neither: the agent may make it while the other response is in flight.
+        if (origin == HeartbeatOrigin.SENT_BY_AGENT
+            || newAgentEpoch
+            || heartbeat.token() > attempt.startToken) {
+          startNotExecuted(attempt, machine);
+        }
+      }
       case UNCONFIRMED -> {
         // A delayed start command carries at most startToken, so an agent that has seen a higher
         // token refuses it. So does an agent in a later epoch than the command names, which is
--- a/src/main/java/io/embernotch/agents/HeartbeatProcessor.java
+++ b/src/main/java/io/embernotch/agents/HeartbeatProcessor.java
@@ -114,7 +114,8 @@
    * @return false if the heartbeat proves that this leader is superseded
    */
   private boolean reconcileCurrentIncarnation(Heartbeat heartbeat, Machine machine) {
-    return mayBeFromFormerIncarnation(heartbeat, machine) || reconcile(heartbeat, machine);
+    return mayBeFromFormerIncarnation(heartbeat, machine)
+        || reconcile(heartbeat, HeartbeatOrigin.SENT_BY_AGENT, machine);
   }
 
   private static boolean mayBeFromFormerIncarnation(Heartbeat heartbeat, Machine machine) {
@@ -126,12 +127,12 @@
   }
 
   /**
-   * Reconciles with a heartbeat, whether an agent sent it on its own or in response to a call.
+   * Reconciles with a heartbeat.
    *
    * @return false if the agent has seen a fencing token of a later term, or of another term with
    *     this term's epoch
    */
-  boolean reconcile(Heartbeat heartbeat, Machine machine) {
+  boolean reconcile(Heartbeat heartbeat, HeartbeatOrigin origin, Machine machine) {
     if (FencingTokens.epochOf(heartbeat.token()) > FencingTokens.epochOf(tokenBase)) {
       listener.superseded(heartbeat.token());
       return false;
@@ -142,7 +143,7 @@
     }
     boolean newer = isNewer(heartbeat, machine);
     if (newer && heartbeat.token() >= machine.highestReportedToken) {
-      reconcileNewer(heartbeat, machine);
+      reconcileNewer(heartbeat, origin, machine);
     } else if (newer || heartbeat.token() != machine.highestReportedToken) {
       // The highest token that an agent has seen never falls. If it contradicts the sequence
       // number, the heartbeat is late, or another incarnation has restarted its sequence numbers.
@@ -152,7 +153,7 @@
     return true;
   }
 
-  private void reconcileNewer(Heartbeat heartbeat, Machine machine) {
+  private void reconcileNewer(Heartbeat heartbeat, HeartbeatOrigin origin, Machine machine) {
     double now = context.clock().now();
     boolean firstHeartbeat = !machine.up();
     if (firstHeartbeat) {
@@ -173,7 +174,7 @@
     recordReclaimNotice(heartbeat, machine, now);
     machine.agentEpoch = heartbeat.agentEpoch();
     machine.heartbeatSeq = heartbeat.seq();
-    attempts.reconcile(heartbeat, machine, agentRestarted, now);
+    attempts.reconcile(heartbeat, origin, machine, agentRestarted, now);
     if (firstHeartbeat || newAgentEpoch) {
       listener.clusterChanged();
     }
--- a/src/test/java/io/embernotch/agents/AgentReconcilerTest.java
+++ b/src/test/java/io/embernotch/agents/AgentReconcilerTest.java
@@ -5,6 +5,7 @@
 import io.embernotch.actor.EventLoopProfile;
 import io.embernotch.codec.JobCodec;
 import io.embernotch.codec.Json;
+import io.embernotch.codec.WorkerCodec;
 import io.embernotch.context.ControllerContext;
 import io.embernotch.http.CallFailedException;
 import io.embernotch.http.HttpCaller;
@@ -19,6 +20,7 @@
 import io.embernotch.settings.SettingsReader;
 import io.embernotch.state.ClusterState;
 import io.embernotch.testkit.FakeTime;
+import io.embernotch.testkit.FakeWorker;
 import io.embernotch.testkit.SimulatedCluster;
 import io.embernotch.testkit.TestJobs;
 import io.vertx.core.Promise;
@@ -38,11 +40,13 @@
           SimulatedCluster.settingsToml(0)
               .replace("max_connections = 1000", "max_connections = 40"));
   private final List<String> calls = new ArrayList<>();
+  private final List<byte[]> bodies = new ArrayList<>();
   private final List<Promise<HttpReply>> replies = new ArrayList<>();
   private final HttpCaller caller =
       (method, to, path, body, timeoutS) -> {
         Promise<HttpReply> reply = Promise.promise();
         calls.add(to.host() + path);
+        bodies.add(body);
         replies.add(reply);
         return reply.future();
       };
@@ -158,6 +162,56 @@
     assertThat(endedAttempts).containsExactly(attempt);
   }
 
+  /** An agent whose heartbeat is answered with the start of the machine's attempt. */
+  private FakeWorker agentWithStartInHeartbeatResponse(Machine machine) {
+    FakeWorker agent = new FakeWorker(machine.name, "g8", "z1", false, machine.address, time.now());
+    agent.sequence = machine.heartbeatSeq;
+    machine.commandFailedAt = time.now();
+    assertThat(text(agents.processHeartbeat(WorkerCodec.read(agent.heartbeat()), true, 0)))
+        .contains("\"run\"");
+    time.advance(3);
+    return agent;
+  }
+
+  private static String text(byte[] body) {
+    return new String(body, StandardCharsets.UTF_8);
+  }
+
+  /**
+   * Guards against a task that runs twice, or after its cancellation: the response to a direct stop
+   * was taken for proof that a start was never executed, while the heartbeat response with the
+   * start was still in flight.
+   */
+  @Test
+  void callResponseDoesNotProveThatAStartInAHeldHeartbeatResponseWasDropped() {
+    Machine machine = machineWithDueStart(1);
+    Attempt attempt = machine.openAttempts.values().iterator().next();
+    FakeWorker agent = agentWithStartInHeartbeatResponse(machine);
+    attempt.stopping = true;
+    agents.sendDueCommands(machine);
+    replies.get(0).complete(agent.executeCommands(bodies.get(0)));
+    agents.probe(machine);
+    replies.get(1).complete(new HttpReply(200, agent.heartbeat()));
+    assertThat(calls).containsExactly("10.0.1.1/do", "10.0.1.1/status");
+    assertThat(endedAttempts).isEmpty();
+    // The agent has executed or dropped the response before it sends another heartbeat.
+    agents.processHeartbeat(WorkerCodec.read(agent.heartbeat()), true, 0);
+    assertThat(endedAttempts).containsExactly(attempt);
+  }
+
+  /** The agent drops a response with a lower token than it has seen. */
+  @Test
+  void callResponseUnderAHigherTokenProvesThatAStartWasDropped() {
+    Machine machine = machineWithDueStart(1);
+    Attempt attempt = machine.openAttempts.values().iterator().next();
+    FakeWorker agent = agentWithStartInHeartbeatResponse(machine);
+    attempt.stopping = true;
+    machine.token++;
+    agents.sendDueCommands(machine);
+    replies.get(0).complete(agent.executeCommands(bodies.get(0)));
+    assertThat(endedAttempts).containsExactly(attempt);
+  }
+
   @Override
   public void taskRunning(Attempt attempt, Machine machine) {}
 
--- a/src/test/java/io/embernotch/testkit/FakeWorker.java
+++ b/src/test/java/io/embernotch/testkit/FakeWorker.java
@@ -84,6 +84,12 @@
    */
   public boolean inboundPartitioned;
 
+  /**
+   * Responses to its heartbeats arrive so many seconds after the heartbeat; until then it sends no
+   * other.
+   */
+  public double heartbeatResponseDelayS;
+
   /** It reaches no controller; direct commands reach it. */
   public boolean outboundPartitioned;
 
--- a/src/test/java/io/embernotch/testkit/WorkerAgents.java
+++ b/src/test/java/io/embernotch/testkit/WorkerAgents.java
@@ -3,6 +3,7 @@
 import io.embernotch.codec.Json;
 import io.embernotch.codec.WorkerCodec;
 import io.embernotch.http.HttpResponse;
+import io.vertx.core.Future;
 import java.util.List;
 import java.util.Map;
 
@@ -104,10 +105,16 @@
       goToNextController(worker);
       worker.nextHeartbeatAt = time.now() + RETRY_DELAY_S;
     }
-    receiver
-        .controller
-        .handleHeartbeat(WorkerCodec.read(heartbeat))
-        .onSuccess(response -> receive(sent, response));
+    Future<HttpResponse> response =
+        receiver.controller.handleHeartbeat(WorkerCodec.read(heartbeat));
+    double delayS = worker.heartbeatResponseDelayS;
+    if (delayS == 0) {
+      response.onSuccess(arrived -> receive(sent, arrived));
+      return;
+    }
+    worker.nextHeartbeatAt = time.now() + delayS;
+    response.onSuccess(
+        held -> time.after(sent.sentAt + delayS - time.now(), () -> receive(sent, held)));
   }
 
   private void goToNextController(FakeWorker worker) {
