Send starts with responses to heartbeats alone, which the network cannot repeat

A machine was back within a second without its state, and a copy of a start that it had executed and answered reached it once more.

Cause: a worker executes any direct command whose token is not lower than the highest it has seen and whose epoch matches, however often it arrives. A worker without its state has seen no token and is in its first epoch again. Nothing that a controller sends after its return can come before the copy, so only what was sent before decides.

Change: a direct command never carries a start. While a start is due the leader sends a direct command without effect, under a raised token where the worker has not reported one for half a lease: it sends its heartbeat at once then, and the response carries the start. An unanswered one still is a sign that a machine is unreachable. With that the launch state SENDING and the tokens kept for copies of direct starts go.

--- a/src/main/java/io/embernotch/agents/AgentReconciler.java
+++ b/src/main/java/io/embernotch/agents/AgentReconciler.java
@@ -102,7 +102,7 @@
             tokenBase,
             listener,
             attempts,
-            new HeartbeatResponder(context, callLimiter, tokenBase, listener),
+            new HeartbeatResponder(context, tokenBase, listener),
             reachability,
             prober);
     this.commands =
@@ -112,7 +112,6 @@
             listener,
             callLimiter,
             reachability,
-            attempts,
             this::reconcileCallResponse,
             callTimeoutS);
   }
@@ -164,8 +163,8 @@
   }
 
   /**
-   * Sends due commands directly to the machine, unless a command to it is in flight or has just
-   * failed.
+   * Sends due stops directly to the machine, and requests a heartbeat from it if a start is due,
+   * unless a command to it is in flight or has just failed.
    */
   public void sendDueCommands(Machine machine) {
     commands.sendDue(machine);
--- a/src/main/java/io/embernotch/agents/AttemptReconciler.java
+++ b/src/main/java/io/embernotch/agents/AttemptReconciler.java
@@ -121,8 +121,8 @@
           listener.attemptLost(attempt, machine, "never started");
         }
       }
-      case UNCOMMITTED, READY, SENDING -> {
-        // Nothing has been sent, or the response to the direct command will decide.
+      case UNCOMMITTED, READY -> {
+        // Nothing has been sent.
       }
     }
   }
@@ -132,7 +132,7 @@
    * can be sent again. An attempt that is to be stopped has thereby ended. If it stayed open, it
    * would never be closed, and its gang could not start again.
    */
-  void startNotExecuted(Attempt attempt, Machine machine) {
+  private void startNotExecuted(Attempt attempt, Machine machine) {
     attempt.launchState = LaunchState.READY;
     if (attempt.stopping) {
       listener.attemptLost(attempt, machine, "never started");
@@ -143,7 +143,7 @@
    * Raises the machine's token above that of a command which may still arrive, even minutes late.
    * Once the agent has seen the higher token, it refuses the command.
    */
-  static void fenceOff(Machine machine, long token) {
+  private static void fenceOff(Machine machine, long token) {
     machine.unconfirmedToken = Math.max(machine.unconfirmedToken, token);
     machine.token = Math.max(machine.token, token + 1);
   }
--- a/src/main/java/io/embernotch/agents/CallConcurrencyLimiter.java
+++ b/src/main/java/io/embernotch/agents/CallConcurrencyLimiter.java
@@ -20,7 +20,7 @@
    * in flight are fewer than its class's share of the limit, and whenever none is in flight.
    */
   enum CallClass {
-    /** Commands that start production services. */
+    /** Requests for the heartbeats whose responses start production services. */
     PRODUCTION(1),
     /** All other commands to responsive machines. */
     NORMAL(0.5),
@@ -92,12 +92,6 @@
     }
   }
 
-  /** Returns whether a command is queued for the machine while it counts as responsive. */
-  boolean isCommandQueued(Machine machine) {
-    return queues.get(CallClass.PRODUCTION).containsKey(machine)
-        || queues.get(CallClass.NORMAL).containsKey(machine);
-  }
-
   private boolean hasCapacity(CallClass callClass) {
     return inFlight < Math.max(1, callClass.share * maxInFlight);
   }
--- a/src/main/java/io/embernotch/agents/CommandSender.java
+++ b/src/main/java/io/embernotch/agents/CommandSender.java
@@ -12,17 +12,22 @@
 import io.embernotch.model.Heartbeat;
 import io.embernotch.model.Machine;
 import io.embernotch.model.Priority;
+import io.embernotch.settings.Settings;
 import io.embernotch.state.ClusterState;
 import io.vertx.core.AsyncResult;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BiPredicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Sends start and stop commands directly to agents, with at most one call in flight to each
- * machine. Derives the launch state of each start from the response, or from its absence.
+ * Sends stop commands directly to agents, and requests a heartbeat from an agent while a start is
+ * due, with at most one call in flight to each machine.
+ *
+ * <p>Starts are never sent directly. An agent executes any direct command whose token and epoch
+ * match, however late it arrives and even if it was executed before, and an agent that has lost its
+ * state accepts every token in its first epoch. The response to a heartbeat is executed at most
+ * once, and only while the agent waits for it ({@link HeartbeatResponder}).
  */
 final class CommandSender {
   private static final Logger LOG = LoggerFactory.getLogger(CommandSender.class);
@@ -32,22 +37,17 @@
   /** Intervals without a heartbeat after which a machine counts as unresponsive. */
   private static final int UNRESPONSIVE_INTERVALS = 2;
 
+  /** An agent sends a heartbeat because of a higher token at most once in this share of a lease. */
+  private static final double TOKEN_REPORT_LEASE_SHARE = 0.5 * (1 + 2 * Settings.DRIFT);
+
   /** The agent's path for direct commands. */
   private static final String COMMAND_PATH = "/do";
 
-  /** The commands of one call, and the attempts that they start and stop. */
-  private static final class Batch {
-    final List<AgentCommand> commands = new ArrayList<>();
-    final List<Attempt> starting = new ArrayList<>();
-    final List<Attempt> stopping = new ArrayList<>();
-  }
-
   private final ControllerContext context;
   private final ClusterState state;
   private final AgentReconciler.Listener listener;
   private final CallConcurrencyLimiter callLimiter;
   private final ReachabilityTracker reachability;
-  private final AttemptReconciler attempts;
   private final BiPredicate<Heartbeat, Machine> reconcile;
   private final double callTimeoutS;
   private final double heartbeatIntervalS;
@@ -65,7 +65,6 @@
       AgentReconciler.Listener listener,
       CallConcurrencyLimiter callLimiter,
       ReachabilityTracker reachability,
-      AttemptReconciler attempts,
       BiPredicate<Heartbeat, Machine> reconcile,
       double callTimeoutS) {
     this.context = context;
@@ -73,15 +72,15 @@
     this.listener = listener;
     this.callLimiter = callLimiter;
     this.reachability = reachability;
-    this.attempts = attempts;
     this.reconcile = reconcile;
     this.callTimeoutS = callTimeoutS;
     this.heartbeatIntervalS = context.settings().workers().heartbeatIntervalS();
   }
 
   /**
-   * Sends due commands to the machine, unless a call to it is in flight or has just failed. If the
-   * call limit is reached, retries once there is capacity.
+   * Sends due stops to the machine, or a command without effect if a start is due, unless a call to
+   * it is in flight or has just failed. If the call limit is reached, retries once there is
+   * capacity.
    */
   void sendDue(Machine machine) {
     double now = context.clock().now();
@@ -91,36 +90,49 @@
         || now - machine.commandFailedAt < callTimeoutS) {
       return;
     }
-    Batch batch = dueCommands(machine, now);
-    if (batch.commands.isEmpty()
+    List<Attempt> stopping = dueStops(machine, now);
+    List<Attempt> starting = startsToRequestHeartbeatFor(machine, now);
+    if ((stopping.isEmpty() && starting.isEmpty())
         || !callLimiter.tryAcquire(
-            machine, callClass(machine, batch.starting, now), () -> sendDue(machine))) {
+            machine, callClass(machine, starting, now), () -> sendDue(machine))) {
       return;
     }
-    for (Attempt attempt : batch.starting) {
-      attempt.launchState = LaunchState.SENDING;
-      attempt.startToken = machine.token;
-      machine.highestStartToken = machine.token;
+    stopping.forEach(attempt -> attempt.stopSentAt = now);
+    if (!starting.isEmpty()) {
+      machine.heartbeatRequestedAt = now;
+      raiseTokenIfReported(machine, now);
     }
-    batch.stopping.forEach(attempt -> attempt.stopSentAt = now);
-    send(machine, batch);
+    send(machine, stopping.stream().map(AttemptCommands::stopCommand).toList());
+  }
+
+  private List<Attempt> dueStops(Machine machine, double now) {
+    return machine.openAttempts.values().stream()
+        .filter(AttemptCommands::isStopDue)
+        .filter(attempt -> now - attempt.stopSentAt > heartbeatIntervalS)
+        .toList();
   }
 
-  private Batch dueCommands(Machine machine, double now) {
-    Batch batch = new Batch();
+  /** Returns the attempts whose start is due; none if a heartbeat was requested recently. */
+  private List<Attempt> startsToRequestHeartbeatFor(Machine machine, double now) {
     // Leadership may have been lost while this call was queued or waited for a previous response.
-    boolean mayStart = listener.isLeading();
-    for (Attempt attempt : machine.openAttempts.values()) {
-      if (AttemptCommands.isStartDue(attempt) && mayStart) {
-        batch.commands.add(AttemptCommands.startCommand(attempt));
-        batch.starting.add(attempt);
-      } else if (AttemptCommands.isStopDue(attempt)
-          && now - attempt.stopSentAt > heartbeatIntervalS) {
-        batch.commands.add(AttemptCommands.stopCommand(attempt));
-        batch.stopping.add(attempt);
-      }
+    if (now - machine.heartbeatRequestedAt <= heartbeatIntervalS || !listener.isLeading()) {
+      return List.of();
+    }
+    return machine.openAttempts.values().stream().filter(AttemptCommands::isStartDue).toList();
+  }
+
+  /**
+   * Raises the machine's token if its agent reports the higher token at once. Not while a response
+   * with starts may be in flight, which the agent would drop because of its lower token.
+   */
+  private void raiseTokenIfReported(Machine machine, double now) {
+    boolean startInFlight =
+        machine.openAttempts.values().stream()
+            .anyMatch(attempt -> attempt.launchState == LaunchState.IN_HEARTBEAT_RESPONSE);
+    double reportIntervalS = TOKEN_REPORT_LEASE_SHARE * context.settings().workers().leaseS();
+    if (!startInFlight && now - machine.tokenRaisedAt > reportIntervalS) {
+      machine.token = Math.max(machine.token, machine.highestReportedToken + 1);
     }
-    return batch;
   }
 
   private CallClass callClass(Machine machine, List<Attempt> starting, double now) {
@@ -132,34 +144,28 @@
     return production ? CallClass.PRODUCTION : CallClass.NORMAL;
   }
 
-  private void send(Machine machine, Batch batch) {
-    long token = machine.token;
+  private void send(Machine machine, List<AgentCommand> commands) {
     machine.commandInFlight = true;
-    machine.highestIssuedToken = Math.max(machine.highestIssuedToken, token);
-    byte[] body = WorkerCodec.directCommand(token, machine.agentEpoch, batch.commands);
+    machine.highestIssuedToken = Math.max(machine.highestIssuedToken, machine.token);
+    byte[] body = WorkerCodec.directCommand(machine.token, machine.agentEpoch, commands);
     WorkerCalls.call(context, machine, "POST", COMMAND_PATH, body, callTimeoutS)
         .onComplete(
-            result ->
-                context
-                    .profile()
-                    .run("command", () -> commandEnded(machine, token, batch.starting, result)));
+            result -> context.profile().run("command", () -> commandEnded(machine, result)));
   }
 
-  private void commandEnded(
-      Machine machine, long token, List<Attempt> starting, AsyncResult<HttpReply> result) {
+  private void commandEnded(Machine machine, AsyncResult<HttpReply> result) {
     try {
       if (result.succeeded()) {
-        commandAnswered(machine, token, starting, result.result());
+        commandAnswered(machine, result.result());
       } else {
-        commandFailed(machine, token, starting, result.cause());
+        commandFailed(machine, result.cause());
       }
     } finally {
       callLimiter.release();
     }
   }
 
-  private void commandAnswered(
-      Machine machine, long token, List<Attempt> starting, HttpReply reply) {
+  private void commandAnswered(Machine machine, HttpReply reply) {
     machine.commandInFlight = false;
     if (state.machines.get(machine.name) != machine) {
       return;
@@ -175,18 +181,16 @@
           reply.status(),
           machine.name,
           e.getMessage());
-      commandFailed(machine, token, starting, new CallFailedException(executed, e.getMessage()));
+      commandFailed(machine, new CallFailedException(executed, e.getMessage()));
       return;
     }
-    updateLaunchStates(machine, starting, executed);
     if (!executed) {
       machine.commandFailedAt = context.clock().now();
     }
     if (executed
         && !heartbeat.isNewerThan(machine.agentEpoch, machine.heartbeatSeq)
         && heartbeat.agentEpoch() == machine.agentEpoch) {
-      // A newer heartbeat overtook this response. It was reconciled while these starts still
-      // counted as in flight.
+      // A newer heartbeat overtook this response.
       return;
     }
     if (reconcile.test(heartbeat, machine) && executed) {
@@ -194,21 +198,7 @@
     }
   }
 
-  private void updateLaunchStates(Machine machine, List<Attempt> starting, boolean executed) {
-    for (Attempt attempt : starting) {
-      if (attempt.launchState == LaunchState.SENDING) {
-        // If the agent executed the call, it has started the task, which may have ended since. If
-        // it refused the call, no copy of the start command is left.
-        if (executed) {
-          attempt.launchState = LaunchState.CONFIRMED;
-        } else {
-          attempts.startNotExecuted(attempt, machine);
-        }
-      }
-    }
-  }
-
-  private void commandFailed(Machine machine, long token, List<Attempt> starting, Throwable cause) {
+  private void commandFailed(Machine machine, Throwable cause) {
     machine.commandInFlight = false;
     machine.commandFailedAt = context.clock().now();
     boolean sent = !(cause instanceof CallFailedException failure) || failure.sent();
@@ -217,20 +207,8 @@
         machine.name,
         sent,
         cause.getMessage());
-    if (sent) {
-      AttemptReconciler.fenceOff(machine, token);
-    }
     if (sent || !(cause instanceof CallFailedException failure) || failure.tried()) {
       reachability.callUnanswered(machine, context.clock().now());
     }
-    for (Attempt attempt : starting) {
-      if (attempt.launchState == LaunchState.SENDING) {
-        if (sent) {
-          attempt.launchState = LaunchState.UNCONFIRMED;
-        } else {
-          attempts.startNotExecuted(attempt, machine);
-        }
-      }
-    }
   }
 }
--- a/src/main/java/io/embernotch/agents/HeartbeatProcessor.java
+++ b/src/main/java/io/embernotch/agents/HeartbeatProcessor.java
@@ -166,6 +166,9 @@
       machine.images.clear();
     }
     machine.lastHeartbeatAt = now;
+    if (heartbeat.token() > machine.highestReportedToken) {
+      machine.tokenRaisedAt = now;
+    }
     machine.highestReportedToken = heartbeat.token();
     if (heartbeat.token() >= tokenBase && machine.confirmedAliveAt < 0) {
       // The agent has seen a token of this term, so this is no copy from before the term.
--- a/src/main/java/io/embernotch/agents/HeartbeatResponder.java
+++ b/src/main/java/io/embernotch/agents/HeartbeatResponder.java
@@ -13,25 +13,19 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Selects the commands for the response to an agent's heartbeat. */
+/**
+ * Selects the commands for the response to an agent's heartbeat. Only responses carry starts: an
+ * agent executes a response at most once, and drops it 4 s after it has sent the heartbeat.
+ */
 final class HeartbeatResponder {
   private static final Logger LOG = LoggerFactory.getLogger(HeartbeatResponder.class);
 
-  /** Heartbeat intervals after a failed direct call during which responses carry the starts. */
-  private static final int RECENT_FAILURE_INTERVALS = 2;
-
   private final ControllerContext context;
-  private final CallConcurrencyLimiter callLimiter;
   private final long tokenBase;
   private final AgentReconciler.Listener listener;
 
-  HeartbeatResponder(
-      ControllerContext context,
-      CallConcurrencyLimiter callLimiter,
-      long tokenBase,
-      AgentReconciler.Listener listener) {
+  HeartbeatResponder(ControllerContext context, long tokenBase, AgentReconciler.Listener listener) {
     this.context = context;
-    this.callLimiter = callLimiter;
     this.tokenBase = tokenBase;
     this.listener = listener;
   }
@@ -66,15 +60,7 @@
     }
   }
 
-  /** Adds due starts if a direct call to the machine has recently failed or is still queued. */
-  private void addStarts(Machine machine, List<AgentCommand> commands) {
-    boolean commandFailedRecently =
-        context.clock().now() - machine.commandFailedAt
-            <= RECENT_FAILURE_INTERVALS * context.settings().workers().heartbeatIntervalS();
-    if (machine.commandInFlight
-        || !(commandFailedRecently || callLimiter.isCommandQueued(machine))) {
-      return;
-    }
+  private static void addStarts(Machine machine, List<AgentCommand> commands) {
     for (Attempt attempt : machine.openAttempts.values()) {
       if (AttemptCommands.isStartDue(attempt)) {
         commands.add(AttemptCommands.startCommand(attempt));
@@ -86,9 +72,9 @@
 
   /**
    * Makes the agent forget exited attempts once their outcome is in the store and no copy of their
-   * start command can be executed any more: the agent would run a forgotten attempt again. The
-   * network may duplicate even a command that was answered, so the response carries a token above
-   * all those under which starts were sent. The agent applies the token before the commands.
+   * start command can be executed any more: the agent would run a forgotten attempt again. Copies
+   * of direct starts can be left only of a leader of an earlier version. The agent refuses them
+   * once it has seen a token of this term.
    *
    * <p>A task that runs without an open attempt is stopped.
    */
@@ -114,7 +100,6 @@
             status.attempt());
         commands.add(command(AgentCommand.Verb.STOP, status));
       } else if (noDelayedStart && listener.isOutcomePersisted(status.ref(), status.task())) {
-        machine.token = Math.max(machine.token, machine.highestStartToken + 1);
         commands.add(command(AgentCommand.Verb.FORGET, status));
       }
     }
--- a/src/main/java/io/embernotch/fleet/FleetManager.java
+++ b/src/main/java/io/embernotch/fleet/FleetManager.java
@@ -192,11 +192,7 @@
         continue;
       }
       if (agents.leaseExpired(machine)) {
-        for (Attempt attempt : machine.openAttempts.values()) {
-          if (attempt.launchState != Attempt.LaunchState.SENDING) {
-            expired.add(attempt);
-          }
-        }
+        expired.addAll(machine.openAttempts.values());
       }
     }
     return expired;
--- a/src/main/java/io/embernotch/fleet/OneWayPartitions.java
+++ b/src/main/java/io/embernotch/fleet/OneWayPartitions.java
@@ -87,10 +87,7 @@
 
   private void withdrawUnstartedAttempts(Machine machine) {
     for (Attempt attempt : List.copyOf(machine.openAttempts.values())) {
-      boolean started =
-          attempt.launchState == Attempt.LaunchState.CONFIRMED
-              || attempt.launchState == Attempt.LaunchState.SENDING;
-      if (!started && !attempt.stopping) {
+      if (attempt.launchState != Attempt.LaunchState.CONFIRMED && !attempt.stopping) {
         listener.startUndeliverable(attempt);
       }
     }
--- a/src/main/java/io/embernotch/jobs/JobRequestHandler.java
+++ b/src/main/java/io/embernotch/jobs/JobRequestHandler.java
@@ -188,10 +188,7 @@
     if (job.endPersisted) {
       return JobCodec.statusResponse(ref, job.finalPhase, job.done.cardinality(), running);
     }
-    // A start command without a response for as long as a poll may take may have arrived.
-    double sentBefore = context.clock().now() - pollTimeoutS();
-    JobPhase phase =
-        running > 0 || job.startMayHaveArrived(sentBefore) ? JobPhase.RUNNING : JobPhase.QUEUED;
+    JobPhase phase = running > 0 ? JobPhase.RUNNING : JobPhase.QUEUED;
     int done = job.persistedDone.cardinality();
     if (job.isAtFault()) {
       return JobCodec.failingResponse(ref, phase, done, running, job.errorMachines);
--- a/src/main/java/io/embernotch/model/Attempt.java
+++ b/src/main/java/io/embernotch/model/Attempt.java
@@ -11,11 +11,12 @@
     UNCOMMITTED,
     /** Committed, and no copy of its command is on the way. */
     READY,
-    /** A direct command is on the way. */
-    SENDING,
     /** Given in the response to a heartbeat: executed before the next heartbeat, or never. */
     IN_HEARTBEAT_RESPONSE,
-    /** A direct command went unanswered: only a heartbeat under a newer token tells. */
+    /**
+     * Opened by an earlier leader, or no longer reported by a worker that may have lost its state:
+     * only a heartbeat under a newer token tells.
+     */
     UNCONFIRMED,
     /** The worker has reported it. */
     CONFIRMED
@@ -84,7 +85,7 @@
    */
   public boolean mayStillStart(long tokenBase) {
     return switch (launchState) {
-      case SENDING, IN_HEARTBEAT_RESPONSE -> true;
+      case IN_HEARTBEAT_RESPONSE -> true;
       case UNCONFIRMED -> startToken >= tokenBase;
       case CONFIRMED -> state == null || state == TaskState.FETCHING;
       case UNCOMMITTED, READY -> false;
