Repeat at once a peer connection attempt that fails after the member has connected

Cause: a controller that accepts a connection connects to all members without one at once, but passed over those to which an attempt was in progress.

Change: such an attempt is repeated at once if it fails. The test attemptInProgressWhenAMemberConnectsIsRepeatedOnceItFails makes the attempt fail when it wants and failed before (2 attempts in place of 3); it passes now.

--- a/src/main/java/io/embernotch/peer/VertxPeerLink.java
+++ b/src/main/java/io/embernotch/peer/VertxPeerLink.java
@@ -77,7 +77,7 @@
   private void accept(NetSocket socket) {
     Outbox outbox = attach(socket);
     connectedCallback.accept(outbox::add);
-    outgoing.values().forEach(OutgoingConnection::connect);
+    outgoing.values().forEach(OutgoingConnection::connectImmediately);
   }
 
   @Override
@@ -168,10 +168,22 @@
     double retryDelayS = FIRST_RETRY_SHARE * maxRetryDelayS;
     boolean connecting;
 
+    /** Whether to connect again at once if the attempt in progress fails. */
+    boolean connectAgain;
+
     OutgoingConnection(HostPort address) {
       this.address = address;
     }
 
+    /**
+     * Connects, unless a connection exists. An attempt in progress may have begun before the member
+     * listened, so it is repeated at once if it fails.
+     */
+    void connectImmediately() {
+      connectAgain = connecting;
+      connect();
+    }
+
     /** Connects, unless a connection exists or an attempt is in progress. */
     void connect() {
       if (socket != null || connecting) {
@@ -183,6 +195,7 @@
           .onComplete(attempt -> connecting = false)
           .onSuccess(
               connected -> {
+                connectAgain = false;
                 socket = connected;
                 outbox = attach(connected);
                 retryDelayS = FIRST_RETRY_SHARE * maxRetryDelayS;
@@ -192,7 +205,16 @@
                       retry();
                     });
               })
-          .onFailure(e -> retry());
+          .onFailure(e -> connectAgainOrRetry());
+    }
+
+    private void connectAgainOrRetry() {
+      if (connectAgain) {
+        connectAgain = false;
+        connect();
+      } else {
+        retry();
+      }
     }
 
     private void retry() {
--- a/src/test/java/io/embernotch/peer/VertxPeerLinkTest.java
+++ b/src/test/java/io/embernotch/peer/VertxPeerLinkTest.java
@@ -9,9 +9,15 @@
 import io.vertx.core.Context;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetSocket;
 import java.io.IOException;
+import java.lang.reflect.InvocationHandler;
+import java.lang.reflect.Proxy;
 import java.net.ServerSocket;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -52,6 +58,10 @@
   }
 
   private VertxPeerLink link(int index, BlockingQueue<String> received) {
+    return link(vertx, index, received);
+  }
+
+  private VertxPeerLink link(Vertx client, int index, BlockingQueue<String> received) {
     String toml =
         SimulatedCluster.settingsToml(index)
             .replace("report_s = 3.0", HEARTBEAT_INTERVAL)
@@ -61,7 +71,7 @@
       toml = toml.replace("'10.0.0." + (node + 1) + ":8081'", "'" + HOST + ":" + ports[node] + "'");
     }
     VertxPeerLink link =
-        new VertxPeerLink(vertx, new VertxTimers(vertx, loop), SettingsReader.parse(toml));
+        new VertxPeerLink(client, new VertxTimers(vertx, loop), SettingsReader.parse(toml));
     link.onFrame((frame, replies) -> received.add(((Frame.PeerHeartbeat) frame).node()));
     link.onConnected(replies -> replies.send(heartbeatOf(index)));
     return link;
@@ -111,6 +121,53 @@
     assertThat(receivedBySecond.poll(IMMEDIATE_TIMEOUT_MS, TimeUnit.MILLISECONDS)).isEqualTo("c0");
   }
 
+  /** A Vert.x instance whose clients' connections are made, or fail, when the test says so. */
+  private Vertx withPendingConnections(List<Promise<NetSocket>> attempts) {
+    InvocationHandler client =
+        (proxy, method, arguments) -> {
+          Promise<NetSocket> attempt = Promise.promise();
+          attempts.add(attempt);
+          return attempt.future();
+        };
+    ClassLoader loader = getClass().getClassLoader();
+    Object netClient = Proxy.newProxyInstance(loader, new Class<?>[] {NetClient.class}, client);
+    InvocationHandler instance =
+        (proxy, method, arguments) ->
+            method.getName().equals("createNetClient")
+                ? netClient
+                : method.invoke(vertx, arguments);
+    return (Vertx) Proxy.newProxyInstance(loader, new Class<?>[] {Vertx.class}, instance);
+  }
+
+  /**
+   * Guards against waiting for the next retry after a connection attempt that began just before the
+   * member listened, and fails after the member has connected.
+   */
+  @Test
+  void attemptInProgressWhenAMemberConnectsIsRepeatedOnceItFails() throws Exception {
+    List<Promise<NetSocket>> attempts = new CopyOnWriteArrayList<>();
+    VertxPeerLink link = link(withPendingConnections(attempts), 0, receivedByFirst);
+    start(link, 0);
+    awaitSize(attempts, 2);
+    Promise<Void> greeted = Promise.promise();
+    vertx
+        .createNetClient()
+        .connect(ports[0], HOST)
+        .onSuccess(socket -> socket.handler(greeting -> greeted.tryComplete()));
+    greeted.future().await(IMMEDIATE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    loop.runOnContext(v -> attempts.get(0).fail("connection refused"));
+    awaitSize(attempts, 3);
+  }
+
+  private void awaitSize(List<?> attempts, int size) throws Exception {
+    for (int waitedMs = 0;
+        attempts.size() < size && waitedMs < IMMEDIATE_TIMEOUT_MS;
+        waitedMs += STEP_MS) {
+      Thread.sleep(STEP_MS);
+    }
+    assertThat(attempts).hasSize(size);
+  }
+
   private void awaitConnected(String node) throws Exception {
     boolean connected = isConnected(node);
     for (int waitedMs = 0; !connected && waitedMs < IMMEDIATE_TIMEOUT_MS; waitedMs += STEP_MS) {
