--- a/src/main/java/io/embernotch/agents/AttemptReconciler.java
+++ b/src/main/java/io/embernotch/agents/AttemptReconciler.java
@@ -10,6 +10,8 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Compares a machine's open attempts with the tasks that its newest heartbeat lists. A listed
@@ -17,6 +19,8 @@
  * delayed copy of its start command any more.
  */
 final class AttemptReconciler {
+  private static final Logger LOG = LoggerFactory.getLogger(AttemptReconciler.class);
+
   private final long tokenBase;
   private final AgentReconciler.Listener listener;
   private final ImageCache imageCache;
@@ -133,6 +137,7 @@
    * would never be closed, and its gang could not start again.
    */
   private void startNotExecuted(Attempt attempt, Machine machine) {
+    LOG.debug("{} was not executed: the response with its start command was dropped", attempt);
     attempt.launchState = LaunchState.READY;
     if (attempt.stopping) {
       listener.attemptLost(attempt, machine, "never started");
--- a/src/main/java/io/embernotch/agents/package-info.java
+++ b/src/main/java/io/embernotch/agents/package-info.java
@@ -10,7 +10,7 @@
  *
  * <p>It must not decide which task runs on which machine, scale out or in, or change jobs. It
  * reports to {@link io.embernotch.agents.AgentReconciler.Listener} that an attempt runs, has exited
- * or has provably ended. No start command may be sent before its attempt is committed, or while the
- * leader's lease is not proven.
+ * or has provably ended. No start command may be sent before its attempt is committed, while the
+ * leader's lease is not proven, or otherwise than with the response to a heartbeat.
  */
 package io.embernotch.agents;
